Workspace of seven modules with the schema and the decision interfaces

Cause: nothing existed. The schema (stored objects, peer frames, settings with their constraints, administration messages) and the interfaces of each decision package come first, so that the packages can be filled in side by side. Ruled out: generating Java in the normal build, since the build is to need no generator; bin/generate recreates the committed code from the .proto files. Ruled out: store interface in the platform module; the ledger and the usage spool are decisions that call it, so it lives in core as a port. Conclusion: the frame stands; no behaviour yet.

--- /dev/null
+++ b/bench/src/main/java/org/currantslip/bench/package-info.java
@@ -0,0 +1,5 @@
+/** The bench module. */
+@NullMarked
+package org.currantslip.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/cascade/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of a cascade tier. */
+@NullMarked
+package org.currantslip.core.cascade;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/common/ResultCode.java
@@ -0,0 +1,112 @@
+package org.currantslip.core.common;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Numbered result codes.
+ *
+ * <p>The table for callers and operators is {@code docs/RESULT_CODES.md}. Numbers are never reused.
+ */
+public enum ResultCode {
+  OK(0, 200),
+
+  TOKEN_WRONG(1001, 401),
+  MODEL_UNKNOWN(1002, 404),
+  BODY_MALFORMED(1003, 400),
+  BODY_TOO_LARGE(1004, 413),
+  IDEMPOTENCY_KEY_MISSING(1005, 400),
+  IDEMPOTENCY_KEY_MALFORMED(1006, 400),
+  IDEMPOTENCY_KEY_EXPIRED(1007, 409),
+  IDEMPOTENCY_KEY_BODY_DIFFERS(1008, 422),
+  DEADLINE_PASSED(1009, 408),
+  HEADER_MALFORMED(1010, 400),
+  SERVICE_UNKNOWN(1011, 404),
+  HEADER_TOO_LARGE(1012, 431),
+  METHOD_NOT_ALLOWED(1013, 405),
+  PATH_UNKNOWN(1014, 404),
+  SESSION_TOKEN_INVALID(1015, 400),
+
+  MODEL_NOT_ALLOWED(2001, 403),
+  VERSION_WITHDRAWN(2002, 403),
+  SERVICE_NOT_ALLOWED(2003, 403),
+  NO_VERSION_IN_SERVICE(2004, 503),
+
+  RATE_LIMITED(3001, 429),
+  TOKEN_LIMITED(3002, 429),
+  OVERLOADED(3003, 503),
+  DEADLINE_UNREACHABLE(3004, 503),
+  NO_ENDPOINT(3005, 503),
+  USAGE_SPOOL_FULL(3006, 503),
+  TOO_MANY_IN_FLIGHT(3007, 503),
+  NODE_LEAVING(3008, 503),
+
+  CONFIG_NOT_FRESH(4001, 503),
+  LEDGER_UNAVAILABLE(4002, 503),
+  USAGE_NOT_SAFE(4003, 503),
+  NODE_STARTING(4004, 503),
+
+  ENDPOINT_FAILED(5001, 502),
+  ENDPOINT_SILENT(5002, 504),
+  ANSWER_CROSSED(5003, 502),
+  ANSWER_TRUNCATED(5004, 502),
+  OUTCOME_UNKNOWN(5005, 502),
+  KEY_IN_FLIGHT(5006, 409),
+  DEADLINE_EXCEEDED(5007, 504),
+  ANSWER_TOO_LARGE(5008, 502),
+
+  RULE_VERB_UNKNOWN(6001, 400),
+  RULE_COMMENT_MISSING(6002, 400),
+  RULE_FIELD_UNKNOWN(6003, 400),
+  RULE_FIELD_MISSING(6004, 400),
+  RULE_FIELD_TWICE(6005, 400),
+  RULE_VALUE_MALFORMED(6006, 400),
+  RULE_VALUE_OUT_OF_RANGE(6007, 400),
+  RULE_CONFLICT(6008, 400),
+  RULES_TOO_LARGE(6009, 400),
+  RULE_SYNTAX(6010, 400),
+
+  SETTING_UNKNOWN(7001, 400),
+  SETTING_MISSING(7002, 400),
+  SETTING_TYPE(7003, 400),
+  SETTING_OUT_OF_RANGE(7004, 400),
+  SETTING_PATTERN(7005, 400),
+  SETTINGS_UNREADABLE(7006, 400),
+
+  ADMIN_TOKEN_WRONG(8001, 401),
+  CONFIG_CONFLICT(8002, 409),
+  ASKER_MISSING(8003, 400),
+  NOT_FOUND(8004, 404),
+  STORE_UNAVAILABLE(8005, 503),
+  RULES_INVALID(8006, 400),
+  NOT_IN_FORCE_EVERYWHERE(8007, 202),
+  ADMIN_BODY_MALFORMED(8008, 400),
+
+  INTERNAL(9001, 500),
+  COMMAND_USAGE(9002, 400),
+  NO_NODE_REACHABLE(9003, 503),
+  FILE_UNREADABLE(9004, 400);
+
+  private final int number;
+  private final int httpStatus;
+
+  ResultCode(int number, int httpStatus) {
+    this.number = number;
+    this.httpStatus = httpStatus;
+  }
+
+  /** Returns the code with this number. */
+  public static Optional<ResultCode> ofNumber(int number) {
+    return Arrays.stream(values()).filter(c -> c.number == number).findFirst();
+  }
+
+  /** Returns the number of this code. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the HTTP status sent with this code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/common/package-info.java
@@ -0,0 +1,5 @@
+/** Types shared by every decision package. */
+@NullMarked
+package org.currantslip.core.common;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/ledger/LedgerDecision.java
@@ -0,0 +1,12 @@
+package org.currantslip.core.ledger;
+
+import org.currantslip.schema.LedgerOutcome;
+
+/** What to do with a request that must run at most once. */
+public sealed interface LedgerDecision {
+  /** The intent is stored: the request may be dispatched once. */
+  record Run() implements LedgerDecision {}
+
+  /** An earlier request with this key was answered: give that answer again. */
+  record Replay(LedgerOutcome outcome) implements LedgerDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/limits/AdmissionQuery.java
@@ -0,0 +1,11 @@
+package org.currantslip.core.limits;
+
+/**
+ * A request that asks to start.
+ *
+ * @param account client account
+ * @param priority 0 (lowest) to 9
+ * @param expectedTokens prompt tokens plus expected completion tokens
+ * @param deadlineMs time by which the answer is due
+ */
+public record AdmissionQuery(String account, int priority, long expectedTokens, long deadlineMs) {}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/port/package-info.java
@@ -0,0 +1,5 @@
+/** Interfaces through which decisions reach the outside. */
+@NullMarked
+package org.currantslip.core.port;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/EndpointCalls.java
@@ -0,0 +1,9 @@
+package org.currantslip.core.request;
+
+import org.currantslip.schema.EndpointRecord;
+
+/** Starts calls to endpoints. */
+public interface EndpointCalls {
+  /** Starts a call. Events reach the listener on the thread that owns the request. */
+  EndpointCall start(EndpointRecord endpoint, EndpointRequest request, EndpointListener listener);
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
@@ -0,0 +1,25 @@
+package org.currantslip.core.request;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * What is sent to an endpoint.
+ *
+ * @param correlation id that the endpoint has to send back
+ * @param method HTTP method
+ * @param path path and query
+ * @param contentType media type of the body
+ * @param body body, with the model and version filled in
+ * @param stream whether server-sent events are asked for
+ * @param priority 0 (lowest) to 9
+ * @param freshConnection whether a pooled connection must not be used
+ */
+public record EndpointRequest(
+    String correlation,
+    String method,
+    String path,
+    String contentType,
+    ByteString body,
+    boolean stream,
+    int priority,
+    boolean freshConnection) {}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -0,0 +1,29 @@
+package org.currantslip.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.currantslip.schema.EndpointRecord;
+
+/** Chooses the endpoint for a request. */
+public interface EndpointChooser {
+  /** Replaces the set of known endpoints. */
+  void onEndpoints(List<EndpointRecord> endpoints);
+
+  /** Takes a load report. */
+  void onLoad(EndpointLoad load);
+
+  /** Returns the endpoint with the shortest expected wait; empty when none is usable. */
+  Optional<EndpointRecord> choose(RouteQuery query);
+
+  /** Counts a dispatch, so that requests sent since the last load report are seen. */
+  void dispatched(String endpointId, long expectedTokens);
+
+  /** Counts the end of a dispatch. */
+  void finished(String endpointId, CallResult result);
+
+  /** Returns all known endpoints. */
+  List<EndpointRecord> endpoints();
+
+  /** Returns the last load report of an endpoint. */
+  Optional<EndpointLoad> load(String endpointId);
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/rules/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' rules file. */
+@NullMarked
+package org.currantslip.core.rules;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/session/package-info.java
@@ -0,0 +1,5 @@
+/** Session affinity to a model version. */
+@NullMarked
+package org.currantslip.core.session;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/usage/package-info.java
@@ -0,0 +1,5 @@
+/** Exactly-once billing. */
+@NullMarked
+package org.currantslip.core.usage;
+
+import org.jspecify.annotations.NullMarked;
