Rules parser, settings loader and configuration keeper

The configuration keeper stores changes by one conditional update, spreads them over a ring of peers and bounds how old a view may be.

--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/config/ConfigNames.java
@@ -0,0 +1,30 @@
+package org.currantslip.core.config;
+
+import java.util.Locale;
+import org.currantslip.schema.AcceptedConfig;
+
+/** Names of configuration objects in the store. */
+public final class ConfigNames {
+  /** Name of the accepted configuration. */
+  public static final String ACCEPTED = "config/accepted";
+
+  /** Prefix of the audit records. */
+  public static final String AUDIT_PREFIX = "audit/";
+
+  private ConfigNames() {}
+
+  /** Returns the name under which a version is kept for good. */
+  public static String history(long version) {
+    return String.format(Locale.ROOT, "config/history/%010d", version);
+  }
+
+  /** Returns the name of the audit record of a change. */
+  public static String audit(AcceptedConfig config) {
+    return audit(config.getAppliedMs(), config.getNonce());
+  }
+
+  /** Returns the name of an audit record; name order is time order. */
+  public static String audit(long atMs, long nonce) {
+    return String.format(Locale.ROOT, "%s%015d/%016x", AUDIT_PREFIX, atMs, nonce);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/config/PeerRing.java
@@ -0,0 +1,101 @@
+package org.currantslip.core.config;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.schema.NodeRecord;
+
+/**
+ * The bounded set of peers that this node talks to.
+ *
+ * <p>Nodes stand on a ring in order of the hash of their names; the peers are those at distances 1,
+ * 2, 4 and so on, so that news crosses the fleet in a logarithmic number of hops.
+ */
+final class PeerRing {
+  private static final long REFRESH_MS = 500;
+  private static final long MEMORY_MS = 3_600_000;
+
+  private final Membership membership;
+  private final Clock clock;
+  private final Map<String, Sighting> known = new HashMap<>();
+  private ImmutableList<String> fingers = ImmutableList.of();
+  private ImmutableList<NodeRecord> live = ImmutableList.of();
+  private long refreshedMs = Long.MIN_VALUE;
+
+  private PeerRing(Membership membership, Clock clock) {
+    this.membership = membership;
+    this.clock = clock;
+  }
+
+  private record Sighting(NodeRecord node, long seenMs) {}
+
+  static PeerRing create(Membership membership, Clock clock) {
+    return new PeerRing(membership, clock);
+  }
+
+  /** Returns the peers of this node, nearest first. */
+  ImmutableList<String> fingers() {
+    refresh();
+    return fingers;
+  }
+
+  /** Returns the nodes believed alive. */
+  ImmutableList<NodeRecord> live() {
+    refresh();
+    return live;
+  }
+
+  /** Returns how many nodes are known and not gone for good. */
+  int knownCount() {
+    refresh();
+    return known.size();
+  }
+
+  /** Returns the live nodes of this node's failure domain, this one among them. */
+  List<NodeRecord> ownDomain() {
+    String own = domain(membership.self());
+    return live().stream().filter(n -> domain(n).equals(own)).toList();
+  }
+
+  static String domain(NodeRecord node) {
+    return node.getRegion() + "/" + node.getFailureDomain();
+  }
+
+  private void refresh() {
+    long now = clock.nowMs();
+    if (now < refreshedMs + REFRESH_MS && refreshedMs != Long.MIN_VALUE) {
+      return;
+    }
+    refreshedMs = now;
+    live = ImmutableList.copyOf(membership.live());
+    live.forEach(n -> known.put(n.getId().getName(), new Sighting(n, now)));
+    known
+        .values()
+        .removeIf(s -> s.seenMs() < now - MEMORY_MS || membership.isGone(s.node().getId()));
+    fingers = fingersOf(membership.self().getId().getName());
+  }
+
+  private ImmutableList<String> fingersOf(String self) {
+    List<String> ring =
+        live.stream()
+            .map(n -> n.getId().getName())
+            .sorted(Comparator.comparingLong(PeerRing::position).thenComparing(n -> n))
+            .toList();
+    int at = ring.indexOf(self);
+    ImmutableList.Builder<String> picked = ImmutableList.builder();
+    for (int distance = 1; distance < ring.size(); distance *= 2) {
+      picked.add(ring.get((at + distance + ring.size()) % ring.size()));
+    }
+    return picked.build();
+  }
+
+  private static long position(String name) {
+    return Hashing.farmHashFingerprint64().hashString(name, StandardCharsets.UTF_8).asLong();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/rules/FieldKind.java
@@ -0,0 +1,72 @@
+package org.currantslip.core.rules;
+
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/** Form and range of a field's value. */
+enum FieldKind {
+  NAME("a name of letters, digits, '.', '_' and '-'", "[A-Za-z0-9][A-Za-z0-9._-]{0,127}"),
+  NAME_OR_ANY("a name or *", "\\*|[A-Za-z0-9][A-Za-z0-9._-]{0,127}"),
+  METHOD("an HTTP method or *", "\\*|[A-Z]{3,10}"),
+  PATH("a path that starts with /", "/[!-~&&[^#]]{0,255}"),
+  SHARE("a share such as 5% or 0.05", "[0-9]{1,3}(\\.[0-9]{1,6})?%|[01](\\.[0-9]{1,8})?", 0, 1),
+  STAGE("a whole number", "[0-9]{1,9}", 1, 100),
+  ORDER("a whole number", "[0-9]{1,9}", 1, 100),
+  COUNT("a whole number", "[0-9]{1,10}", 0, Integer.MAX_VALUE),
+  MICROS("a whole number", "[0-9]{1,15}", 0, 1_000_000_000_000L),
+  LATENCY_MS("a whole number of milliseconds", "[0-9]{1,9}", 1, 3_600_000),
+  RATE("a number", "[0-9]{1,12}(\\.[0-9]{1,6})?", 0, 1_000_000_000_000L),
+  BURST_S("a number of seconds", "[0-9]{1,6}(\\.[0-9]{1,6})?", 0, 3600);
+
+  private final String form;
+  private final Pattern pattern;
+  private final boolean numeric;
+  private final double min;
+  private final double max;
+
+  FieldKind(String form, String pattern) {
+    this(form, pattern, false, 0, 0);
+  }
+
+  FieldKind(String form, String pattern, double min, double max) {
+    this(form, pattern, true, min, max);
+  }
+
+  FieldKind(String form, String pattern, boolean numeric, double min, double max) {
+    this.form = form;
+    this.pattern = Pattern.compile(pattern);
+    this.numeric = numeric;
+    this.min = min;
+    this.max = max;
+  }
+
+  String form() {
+    return form;
+  }
+
+  boolean hasForm(String value) {
+    return pattern.matcher(value).matches();
+  }
+
+  boolean inRange(String value) {
+    if (!numeric) {
+      return true;
+    }
+    double number = number(value);
+    boolean aboveMin =
+        this == SHARE || this == RATE || this == BURST_S ? number > min : number >= min;
+    return aboveMin && number <= max;
+  }
+
+  String range() {
+    boolean open = this == SHARE || this == RATE || this == BURST_S;
+    return String.format(
+        Locale.ROOT, "%s %.0f and at most %.0f", open ? "above" : "at least", min, max);
+  }
+
+  static double number(String value) {
+    return value.endsWith("%")
+        ? Double.parseDouble(value.substring(0, value.length() - 1)) / 100
+        : Double.parseDouble(value);
+  }
+}
