--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/admin/AdminParts.java
@@ -0,0 +1,33 @@
+package org.currantslip.node.admin;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.currantslip.core.audit.DecisionLog;
+import org.currantslip.core.burn.BurnRecorder;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.config.ConfigKeeper;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.routing.EndpointChooser;
+import org.currantslip.schema.NodeStatus;
+import org.currantslip.schema.RolloutState;
+
+/**
+ * The parts of a node that the administration API looks at or acts on.
+ *
+ * @param nodes the nodes as this one sees them, with the configuration in force on each
+ * @param rollouts the roll-outs as this node sees them
+ * @param drain starts a planned stop of this node and completes with its new state
+ */
+public record AdminParts(
+    Clock clock,
+    ConfigKeeper config,
+    DecisionLog decisions,
+    Membership membership,
+    EndpointChooser endpoints,
+    ObjectStore store,
+    BurnRecorder burn,
+    Supplier<List<NodeStatus>> nodes,
+    Supplier<List<RolloutState>> rollouts,
+    Supplier<CompletableFuture<String>> drain) {}
