Endpoint request names model and version; ports of the request engine

Cause: an engine's body needs the chosen model, and core has no JSON library, so the adapter fills it in from fields of the request. Ruled out: rewriting the body in core, which would bring a parser there. Conclusion: adapters take model and version from EndpointRequest.

--- a/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
@@ -9,9 +9,12 @@
  * @param method HTTP method
  * @param path path and query
  * @param contentType media type of the body
- * @param body body, with the model and version filled in
+ * @param body body as the caller sent it
+ * @param model model name to put into the body, or empty for a plain service
+ * @param version version asked for, or empty for a plain service
  * @param stream whether server-sent events are asked for
  * @param priority 0 (lowest) to 9
+ * @param idempotencyKey idempotency key to pass on, or empty
  * @param freshConnection whether a pooled connection must not be used
  */
 public record EndpointRequest(
@@ -20,6 +23,9 @@
     String path,
     String contentType,
     ByteString body,
+    String model,
+    String version,
     boolean stream,
     int priority,
+    String idempotencyKey,
     boolean freshConnection) {}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/EngineOptions.java
@@ -0,0 +1,22 @@
+package org.currantslip.core.request;
+
+/**
+ * Bounds of the request engine.
+ *
+ * @param firstByteMs longest wait for the first byte of an answer
+ * @param betweenDataMs longest silence within an answer
+ * @param settleMs longest wait for usage record and outcome to be stored before the answer ends
+ * @param maxAttempts most calls for one tier, retries among them
+ * @param maxHeldBytes largest answer held back before its caller gets it
+ */
+public record EngineOptions(
+    long firstByteMs, long betweenDataMs, long settleMs, int maxAttempts, long maxHeldBytes) {
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long MAX_HELD_BYTES = 4L << 20;
+  private static final long SETTLE_MS = 1_000;
+
+  /** Returns options with these silence bounds. */
+  public static EngineOptions of(long firstByteMs, long betweenDataMs) {
+    return new EngineOptions(firstByteMs, betweenDataMs, SETTLE_MS, MAX_ATTEMPTS, MAX_HELD_BYTES);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/RequestIds.java
@@ -0,0 +1,44 @@
+package org.currantslip.core.request;
+
+import com.google.common.base.Splitter;
+import java.util.List;
+import java.util.Optional;
+import org.currantslip.schema.NodeId;
+
+/** Request ids of the form NODE.INCARNATION.SEQUENCE, with base 36 numbers. */
+public final class RequestIds {
+  private static final int RADIX = 36;
+  private static final Splitter PARTS = Splitter.on('.');
+
+  private final String prefix;
+  private long sequence;
+
+  private RequestIds(String prefix) {
+    this.prefix = prefix;
+  }
+
+  /** Returns a source of ids for one incarnation of a node. */
+  public static RequestIds create(NodeId self) {
+    return new RequestIds(self.getName() + "." + Long.toString(self.getIncarnation(), RADIX) + ".");
+  }
+
+  /** Returns the next id. */
+  public String next() {
+    return prefix + Long.toString(++sequence, RADIX);
+  }
+
+  /** Returns the node that gave out an id; empty when the id is malformed. */
+  public static Optional<NodeId> nodeOf(String requestId) {
+    List<String> parts = PARTS.splitToList(requestId);
+    if (parts.size() != 3 || parts.get(0).isEmpty()) {
+      return Optional.empty();
+    }
+    try {
+      long incarnation = Long.parseLong(parts.get(1), RADIX);
+      return Optional.of(
+          NodeId.newBuilder().setName(parts.get(0)).setIncarnation(incarnation).build());
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
