Request engine: admission, at-most-once guard, cascade, retries and settlement

Cause: the way of a request needs one state machine that owns its deadlines and says truthfully whether the request ran. Ruled out: one thread a request; core stays free of threads, so that every fault can be played on a driven clock. Ruled out: cancelling an at-most-once call when its caller hangs up or its deadline passes; the call ends by itself and its outcome is stored for a repeated key, while the caller is answered at once. Conclusion: a request with a key that may have been sent before is told ran=unknown as long as the ledger has not been read.

--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/HttpStatus.java
@@ -0,0 +1,15 @@
+package org.currantslip.core.request;
+
+/** The HTTP status codes that decisions look at. */
+final class HttpStatus {
+  static final int OK = 200;
+  static final int TOO_MANY_REQUESTS = 429;
+  static final int SERVER_ERROR = 500;
+
+  private HttpStatus() {}
+
+  /** Returns whether the endpoint could not serve the request, so that another one might. */
+  static boolean isEndpointFault(int status) {
+    return status >= SERVER_ERROR || status == TOO_MANY_REQUESTS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/RequestChecks.java
@@ -0,0 +1,83 @@
+package org.currantslip.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.config.ConfigView;
+import org.currantslip.core.rules.Rule;
+
+/** Checks of a request that need no waiting, made before it is admitted. */
+final class RequestChecks {
+  private static final long CONFIG_RETRY_MS = 2_000;
+  private static final long SPOOL_RETRY_MS = 3_000;
+
+  private RequestChecks() {}
+
+  /** Throws the refusal of a request that may not run at all. */
+  static void check(RequestPorts ports, RouterRequest r, ConfigView config) {
+    if (ports.clock().nowMs() >= r.deadlineMs()) {
+      throw RefusalException.notRun(ResultCode.DEADLINE_PASSED, "the deadline has passed");
+    }
+    checkFresh(ports);
+    if (!ports.usage().hasRoom()) {
+      throw RefusalException.notRunRetry(
+          ResultCode.USAGE_SPOOL_FULL, SPOOL_RETRY_MS, "usage records wait for the store");
+    }
+    if (r.isService()) {
+      checkService(r, config);
+    }
+  }
+
+  /** Throws when the configuration in force may be outdated. */
+  static void checkFresh(RequestPorts ports) {
+    if (!ports.config().isFresh()) {
+      throw RefusalException.notRunRetry(
+          ResultCode.CONFIG_NOT_FRESH,
+          CONFIG_RETRY_MS,
+          "the newest configuration is not known to this node");
+    }
+  }
+
+  private static void checkService(RouterRequest r, ConfigView config) {
+    if (config.rules().allowsService(r.account(), r.service()).isEmpty()) {
+      throw RefusalException.notRun(
+          ResultCode.SERVICE_NOT_ALLOWED,
+          "no rule allows account " + r.account() + " to use service " + r.service());
+    }
+    if (r.key() == null && isAtMostOnce(r, config)) {
+      throw RefusalException.notRun(
+          ResultCode.IDEMPOTENCY_KEY_MISSING, "a rule demands an Idempotency-Key for this call");
+    }
+  }
+
+  /** Returns whether a rule makes this request run at most once. */
+  static boolean isAtMostOnce(RouterRequest r, ConfigView config) {
+    return r.isService()
+        && config.rules().atMostOnce(r.account(), r.service(), r.method(), r.path()).isPresent();
+  }
+
+  /** Returns the models to try, in order. */
+  static List<String> models(RequestPorts ports, RouterRequest r, ConfigView config) {
+    if (!r.model().isEmpty()) {
+      if (!config.rules().knowsModel(r.model())) {
+        throw RefusalException.notRun(ResultCode.MODEL_UNKNOWN, "no rule names model " + r.model());
+      }
+      return List.of(r.model());
+    }
+    List<String> plan = ports.cascade().plan(config, r.account(), r.task());
+    if (plan.isEmpty()) {
+      throw RefusalException.notRun(
+          ResultCode.MODEL_UNKNOWN, "no tier rule names task " + r.task());
+    }
+    return plan;
+  }
+
+  /** Returns the lines of the rules that bear on a plain service call. */
+  static List<Integer> serviceLines(RouterRequest r, ConfigView config) {
+    List<Rule> rules = new ArrayList<>();
+    config.rules().allowsService(r.account(), r.service()).ifPresent(rules::add);
+    config.rules().atMostOnce(r.account(), r.service(), r.method(), r.path()).ifPresent(rules::add);
+    return Rule.lines(rules);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/request/SessionVersions.java
@@ -0,0 +1,87 @@
+package org.currantslip.core.request;
+
+import com.google.common.base.Splitter;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.session.SessionBinding;
+import org.currantslip.core.session.SessionPolicy;
+import org.jspecify.annotations.Nullable;
+
+/** The versions that a request's session keeps, one a model, as carried by its tokens. */
+final class SessionVersions {
+  private static final char SEPARATOR = ',';
+  private static final Splitter TOKENS =
+      Splitter.on(SEPARATOR).trimResults().omitEmptyStrings().limit(16);
+
+  private final SessionPolicy policy;
+  private final String account;
+  private final String session;
+  private final Map<String, String> versions = new TreeMap<>();
+
+  private SessionVersions(SessionPolicy policy, String account, String session) {
+    this.policy = policy;
+    this.account = account;
+    this.session = session;
+  }
+
+  /**
+   * Reads the tokens of a request.
+   *
+   * @throws RefusalException if a token is not one of this account's session
+   */
+  static SessionVersions read(SessionPolicy policy, RouterRequest r) {
+    List<SessionBinding> bindings =
+        TOKENS.splitToStream(r.sessionToken()).map(t -> verify(policy, r, t)).toList();
+    String session =
+        r.session().isEmpty() && !bindings.isEmpty() ? bindings.get(0).session() : r.session();
+    SessionVersions v = new SessionVersions(policy, r.account(), session);
+    bindings.forEach(b -> v.versions.put(b.model(), b.version()));
+    return v;
+  }
+
+  private static SessionBinding verify(SessionPolicy policy, RouterRequest r, String token) {
+    return policy
+        .verify(r.account(), token)
+        .filter(b -> r.session().isEmpty() || b.session().equals(r.session()))
+        .orElseThrow(
+            () ->
+                RefusalException.notRun(
+                    ResultCode.SESSION_TOKEN_INVALID,
+                    "the session token does not belong to this session"));
+  }
+
+  boolean isSession() {
+    return !session.isEmpty();
+  }
+
+  String session() {
+    return session;
+  }
+
+  /** Returns the version that a token binds this model to, or null. */
+  @Nullable String kept(String model) {
+    return versions.get(model);
+  }
+
+  void bind(String model, String version) {
+    versions.put(model, version);
+  }
+
+  SessionBinding binding(String model, String version) {
+    return new SessionBinding(account, session, model, version);
+  }
+
+  /** Returns the tokens to hand to the caller, or an empty string without a session. */
+  String token() {
+    if (!isSession()) {
+      return "";
+    }
+    return versions.entrySet().stream()
+        .map(e -> policy.issue(binding(e.getKey(), e.getValue())))
+        .collect(Collectors.joining(String.valueOf(SEPARATOR)));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/request/RequestEngineTest.java
@@ -0,0 +1,360 @@
+package org.currantslip.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.config.ConfigView;
+import org.currantslip.core.ledger.LedgerDecision;
+import org.currantslip.core.rules.Rule;
+import org.currantslip.core.rules.RuleSet;
+import org.currantslip.schema.LedgerOutcome;
+import org.currantslip.schema.LedgerResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class RequestEngineTest {
+  private final RequestFixture fixture = new RequestFixture();
+
+  private AnswerHead end() {
+    AnswerHead end = fixture.sink.end();
+    assertThat(fixture.sink.ends).hasSize(1);
+    if (end == null) {
+      throw new AssertionError("no answer");
+    }
+    return end;
+  }
+
+  private void assertRefused(ResultCode code, Ran ran) {
+    assertThat(end().code()).isEqualTo(code);
+    assertThat(end().ran()).isEqualTo(ran);
+    assertThat(fixture.engine.activeCount()).isEqualTo(0);
+    assertThat(fixture.permitsOut).isEqualTo(0);
+  }
+
+  @Test
+  void wholeAnswerWaitsForTheUsageRecord() {
+    fixture.usage.safe = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", false));
+    fixture.calls.last().answer("hello");
+    assertThat(fixture.sink.heads).isEmpty();
+    fixture.usage.safe.complete(null);
+    assertThat(fixture.sink.data).containsExactly("hello");
+    assertThat(end().ran()).isEqualTo(Ran.YES);
+    assertThat(fixture.usage.records).hasSize(1);
+    assertThat(fixture.usage.records.get(0).getStage(0).getCostMicros()).isEqualTo(5);
+    assertThat(fixture.permitsOut).isEqualTo(0);
+  }
+
+  @Test
+  void streamHoldsOnlyItsEndUntilTheUsageRecordIsSafe() {
+    fixture.usage.safe = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", true));
+    fixture.calls.last().answer("token");
+    assertThat(fixture.sink.data).containsExactly("token");
+    assertThat(fixture.sink.isEnded()).isFalse();
+    fixture.usage.safe.complete(null);
+    assertThat(end().code()).isEqualTo(ResultCode.OK);
+  }
+
+  @Test
+  void unsafeUsageEndsTheAnswerAsRan() {
+    fixture.usage.safe = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", false));
+    fixture.calls.last().answer("hello");
+    fixture.advance(1_000);
+    assertRefused(ResultCode.USAGE_NOT_SAFE, Ran.YES);
+  }
+
+  @Test
+  void lowConfidenceEscalatesAndBillsBothStages() {
+    fixture.send(fixture.chat("", true));
+    FakeCalls.Call cheap = fixture.calls.last();
+    cheap.head(200);
+    cheap.data("weak");
+    cheap.end(0.2);
+    assertThat(fixture.sink.data).isEmpty();
+    fixture.calls.last().answer("strong");
+    assertThat(fixture.sink.data).containsExactly("strong");
+    assertThat(end().model()).isEqualTo("large");
+    assertThat(fixture.usage.records).hasSize(1);
+    assertThat(fixture.usage.records.get(0).getStageCount()).isEqualTo(2);
+  }
+
+  @Test
+  void confidentCheapAnswerIsStreamedWhole() {
+    fixture.send(fixture.chat("", true));
+    FakeCalls.Call cheap = fixture.calls.last();
+    cheap.head(200);
+    cheap.data("a");
+    cheap.data("b");
+    cheap.end(0.9);
+    assertThat(fixture.sink.data).containsExactly("a", "b").inOrder();
+    assertThat(end().model()).isEqualTo("small");
+    assertThat(fixture.calls.calls).hasSize(1);
+  }
+
+  static Stream<Arguments> faults() {
+    Consumer<FakeCalls.Call> notSent = c -> c.listener().onFailure(CallFailure.NOT_SENT, "refused");
+    Consumer<FakeCalls.Call> broken = c -> c.listener().onFailure(CallFailure.BROKEN, "reset");
+    Consumer<FakeCalls.Call> truncated =
+        c -> {
+          c.head(200);
+          c.data("half");
+          c.listener().onFailure(CallFailure.TRUNCATED, "short");
+        };
+    Consumer<FakeCalls.Call> crossed = c -> c.listener().onHead(200, "application/json", "other");
+    Consumer<FakeCalls.Call> error = c -> c.head(503);
+    return Stream.of(
+        Arguments.of("not sent", notSent, ResultCode.ENDPOINT_FAILED, Ran.NO, false),
+        Arguments.of("broken", broken, ResultCode.ENDPOINT_FAILED, Ran.UNKNOWN, true),
+        Arguments.of("truncated", truncated, ResultCode.ANSWER_TRUNCATED, Ran.YES, true),
+        Arguments.of("crossed", crossed, ResultCode.ANSWER_CROSSED, Ran.UNKNOWN, true),
+        Arguments.of("error status", error, ResultCode.ENDPOINT_FAILED, Ran.UNKNOWN, true));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void idempotentCallIsRetriedElsewhereOnNewConnection(
+      String name, Consumer<FakeCalls.Call> fault, ResultCode code, Ran ran, boolean sent) {
+    fixture.send(fixture.lookup());
+    fault.accept(fixture.calls.last());
+    assertThat(fixture.calls.calls).hasSize(2);
+    assertThat(fixture.calls.last().endpoint().getId()).isEqualTo("e2");
+    assertThat(fixture.calls.last().request().freshConnection()).isTrue();
+    fixture.calls.last().answer("ok");
+    assertThat(fixture.sink.data).containsExactly("ok");
+    assertThat(end().ran()).isEqualTo(Ran.YES);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void withoutRetryBudgetTheFaultIsTold(
+      String name, Consumer<FakeCalls.Call> fault, ResultCode code, Ran ran, boolean sent) {
+    fixture.retriesLeft = 0;
+    fixture.send(fixture.lookup());
+    fault.accept(fixture.calls.last());
+    assertRefused(code, ran);
+    assertThat(end().retryAfterMs()).isGreaterThan(0L);
+    assertThat(fixture.usage.records).isEmpty();
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void atMostOnceCallIsNeverSentTwice(
+      String name, Consumer<FakeCalls.Call> fault, ResultCode code, Ran ran, boolean sent) {
+    fixture.send(fixture.booking(true));
+    fault.accept(fixture.calls.last());
+    if (sent) {
+      assertThat(fixture.calls.calls).hasSize(1);
+      assertRefused(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN);
+      assertThat(results()).containsExactly(LedgerResult.UNKNOWN);
+    } else {
+      assertThat(fixture.calls.calls).hasSize(2);
+    }
+  }
+
+  private List<LedgerResult> results() {
+    return fixture.ledger.outcomes.stream().map(LedgerOutcome::getResult).toList();
+  }
+
+  @Test
+  void silentAtMostOnceCallIsAnsweredAtOnceAndItsLateAnswerIsKept() {
+    fixture.send(fixture.booking(true));
+    fixture.advance(RequestFixture.FIRST_BYTE_MS);
+    assertThat(end().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    assertThat(end().ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(fixture.ledger.outcomes).isEmpty();
+    fixture.calls.last().answer("late");
+    assertThat(results()).containsExactly(LedgerResult.ANSWERED);
+    assertThat(fixture.sink.data).isEmpty();
+    assertThat(fixture.engine.activeCount()).isEqualTo(0);
+  }
+
+  @Test
+  void silentForGoodAtMostOnceCallBecomesUnknown() {
+    fixture.send(fixture.booking(true));
+    fixture.advance(60_000);
+    assertThat(results()).containsExactly(LedgerResult.UNKNOWN);
+    assertThat(fixture.calls.calls).hasSize(1);
+    assertThat(fixture.engine.activeCount()).isEqualTo(0);
+  }
+
+  @Test
+  void silentIdempotentCallIsRetriedElsewhere() {
+    fixture.send(fixture.lookup());
+    fixture.advance(RequestFixture.FIRST_BYTE_MS);
+    assertThat(fixture.calls.cancelled).hasSize(1);
+    assertThat(fixture.calls.calls).hasSize(2);
+  }
+
+  @Test
+  void silenceWithinStreamEndsIt() {
+    fixture.send(fixture.chat("large", true));
+    fixture.calls.last().head(200);
+    fixture.calls.last().data("token");
+    fixture.advance(RequestFixture.BETWEEN_MS);
+    assertRefused(ResultCode.ENDPOINT_SILENT, Ran.YES);
+    assertThat(fixture.calls.calls).hasSize(1);
+    assertThat(fixture.usage.records).isEmpty();
+  }
+
+  @Test
+  void lateEventsOfAnEndedAttemptAreDropped() {
+    fixture.send(fixture.lookup());
+    FakeCalls.Call first = fixture.calls.last();
+    fixture.advance(RequestFixture.FIRST_BYTE_MS);
+    first.answer("late");
+    assertThat(fixture.sink.isEnded()).isFalse();
+    fixture.calls.last().answer("right");
+    assertThat(fixture.sink.data).containsExactly("right");
+    assertThat(fixture.usage.records).hasSize(1);
+  }
+
+  @Test
+  void repeatedKeyGetsFirstAnswerWithoutCall() {
+    LedgerOutcome first =
+        LedgerOutcome.newBuilder()
+            .setResult(LedgerResult.ANSWERED)
+            .setHttpStatus(201)
+            .setContentType("text/plain")
+            .setBody(ByteString.copyFromUtf8("booked"))
+            .build();
+    fixture.ledger.decision = CompletableFuture.completedFuture(new LedgerDecision.Replay(first));
+    fixture.send(fixture.booking(false));
+    assertThat(fixture.calls.calls).isEmpty();
+    assertThat(fixture.sink.data).containsExactly("booked");
+    assertThat(end().replayed()).isTrue();
+    assertThat(end().httpStatus()).isEqualTo(201);
+    assertThat(fixture.usage.records).isEmpty();
+  }
+
+  @ParameterizedTest(name = "first attempt {0}")
+  @MethodSource("attempts")
+  void storeOutageIsRefusedAtOnce(boolean firstAttempt, Ran ran) {
+    fixture.ledger.decision =
+        CompletableFuture.failedFuture(
+            RefusalException.notRunRetry(ResultCode.LEDGER_UNAVAILABLE, 2_000, "store out"));
+    fixture.send(fixture.booking(firstAttempt));
+    assertRefused(ResultCode.LEDGER_UNAVAILABLE, ran);
+    assertThat(end().retryAfterMs()).isEqualTo(2_000);
+    assertThat(fixture.calls.calls).isEmpty();
+  }
+
+  @ParameterizedTest(name = "first attempt {0}")
+  @MethodSource("attempts")
+  void refusalBeforeTheLedgerSaysNotRunOnlyOfNewKeys(boolean firstAttempt, Ran ran) {
+    fixture.admission =
+        CompletableFuture.failedFuture(
+            RefusalException.notRunRetry(ResultCode.RATE_LIMITED, 500, "limit"));
+    fixture.send(fixture.booking(firstAttempt));
+    assertRefused(ResultCode.RATE_LIMITED, ran);
+  }
+
+  static Stream<Arguments> attempts() {
+    return Stream.of(Arguments.of(true, Ran.NO), Arguments.of(false, Ran.UNKNOWN));
+  }
+
+  @Test
+  void deadlineWhileReservingNeverDispatchesLater() {
+    fixture.ledger.decision = new CompletableFuture<>();
+    fixture.send(fixture.booking(true));
+    fixture.advance(RequestFixture.DEADLINE_MS);
+    assertRefused(ResultCode.DEADLINE_EXCEEDED, Ran.NO);
+    fixture.ledger.decision.complete(new LedgerDecision.Run());
+    assertThat(fixture.calls.calls).isEmpty();
+    assertThat(results()).containsExactly(LedgerResult.NOT_DISPATCHED);
+  }
+
+  @Test
+  void deadlineWhileQueuedGivesThePermitBack() {
+    fixture.admission = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", false));
+    fixture.advance(RequestFixture.DEADLINE_MS);
+    assertThat(end().code()).isEqualTo(ResultCode.DEADLINE_EXCEEDED);
+    fixture.admission.complete(used -> fixture.permitsOut--);
+    assertRefused(ResultCode.DEADLINE_EXCEEDED, Ran.NO);
+  }
+
+  @Test
+  void hangUpCancelsTheEngineButNotAnAtMostOnceCall() {
+    RequestHandle chat = fixture.send(fixture.chat("small", true));
+    chat.callerGone();
+    assertThat(fixture.calls.cancelled).hasSize(1);
+    assertThat(fixture.permitsOut).isEqualTo(0);
+
+    RequestFixture other = new RequestFixture();
+    RequestHandle booking = other.send(other.booking(true));
+    booking.callerGone();
+    assertThat(other.calls.cancelled).isEmpty();
+    other.calls.last().answer("booked");
+    assertThat(other.ledger.outcomes.get(0).getResult()).isEqualTo(LedgerResult.ANSWERED);
+    assertThat(other.sink.heads).isEmpty();
+  }
+
+  @Test
+  void outdatedConfigurationRefusesAlsoAfterTheQueue() {
+    fixture.admission = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", false));
+    fixture.fresh = false;
+    fixture.admission.complete(used -> fixture.permitsOut--);
+    assertRefused(ResultCode.CONFIG_NOT_FRESH, Ran.NO);
+    assertThat(fixture.calls.calls).isEmpty();
+  }
+
+  @Test
+  void versionWithdrawnWhileQueuedGetsNoWork() {
+    fixture.admission = new CompletableFuture<>();
+    fixture.send(fixture.chat("small", false));
+    fixture.config =
+        new ConfigView(
+            8,
+            RuleSet.of(
+                Stream.concat(
+                        RequestFixture.rules().rules().stream(),
+                        Stream.of(
+                            new Rule.Withdraw(
+                                new Rule.Origin(9, "line 9", "operator"), "small", "v1")))
+                    .toList()));
+    fixture.admission.complete(used -> fixture.permitsOut--);
+    assertRefused(ResultCode.NO_VERSION_IN_SERVICE, Ran.NO);
+    assertThat(end().configVersion()).isEqualTo(8);
+  }
+
+  @Test
+  void sessionKeepsTheVersionOfItsTokenAndOfItsHome() {
+    fixture.send(fixture.session("s1", "vestry/s1/small/v0"));
+    fixture.calls.last().answer("x");
+    assertThat(end().version()).isEqualTo("v0");
+    assertThat(end().sessionToken()).isEqualTo("vestry/s1/small/v0");
+
+    RequestFixture other = new RequestFixture();
+    other.homeVersion = "v0";
+    other.send(other.session("s1", ""));
+    assertThat(other.calls.last().request().version()).isEqualTo("v0");
+  }
+
+  @Test
+  void foreignSessionTokenIsRefused() {
+    fixture.send(fixture.session("s1", "other/s1/small/v0"));
+    assertRefused(ResultCode.SESSION_TOKEN_INVALID, Ran.NO);
+  }
+
+  @Test
+  void everyAnswerNamesItsRuleLinesAndIsRecordedOnce() {
+    fixture.send(fixture.booking(true));
+    fixture.calls.last().answer("booked");
+    assertThat(end().ruleLines()).containsExactly(2, 3);
+    assertThat(fixture.decisions).hasSize(1);
+    assertThat(fixture.decisions.get(0).getRuleTextList()).containsExactly("line 2", "line 3");
+    assertThat(fixture.outcomes).hasSize(1);
+  }
+}
