--- a/core/src/main/java/org/currantslip/core/ledger/Ledger.java
+++ b/core/src/main/java/org/currantslip/core/ledger/Ledger.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.schema.IntentAnswer;
 import org.currantslip.schema.IntentQuery;
+import org.currantslip.schema.LedgerAppend;
+import org.currantslip.schema.LedgerAppendReply;
 import org.currantslip.schema.LedgerOutcome;
 
 /** Decides whether a request that must run at most once may run. */
@@ -14,8 +16,11 @@
    * {@link #finish} must follow, also when nothing was dispatched.
    *
    * @param bodyHash hash of method, path and body; the same key with another hash is refused
+   * @param firstAttempt whether the caller says that no earlier request with this key can still
+   *     run; without it a refusal never claims that the key did not run
    */
-  CompletableFuture<LedgerDecision> begin(LedgerKey key, ByteString bodyHash, String requestId);
+  CompletableFuture<LedgerDecision> begin(
+      LedgerKey key, ByteString bodyHash, String requestId, boolean firstAttempt);
 
   /**
    * Marks that the first byte is about to go to the endpoint. Returns false when the request may
@@ -29,6 +34,9 @@
   /** Answers another node that asks what became of an intent of this node. */
   IntentAnswer answer(IntentQuery query);
 
+  /** Stores the records of another node; the future always completes normally. */
+  CompletableFuture<LedgerAppendReply> onAppend(LedgerAppend append);
+
   /** Sends due batches and settles overdue ones; called every few milliseconds. */
   void tick();
 }
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/fake/FakeMembership.java
@@ -0,0 +1,85 @@
+package org.currantslip.core.fake;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.NodeState;
+
+/** What one fake node believes of the others; the test decides. */
+public final class FakeMembership implements Membership {
+  private final NodeRecord self;
+  private final Map<String, NodeRecord> live = new TreeMap<>();
+  private final Set<NodeId> gone = new HashSet<>();
+
+  private FakeMembership(NodeRecord self) {
+    this.self = self;
+    live.put(self.getId().getName(), self);
+  }
+
+  /** Returns the view of a node that knows only itself. */
+  public static FakeMembership of(NodeRecord self) {
+    return new FakeMembership(self);
+  }
+
+  /** Returns the record of a serving node. */
+  public static NodeRecord node(String name, long incarnation, String failureDomain) {
+    return NodeRecord.newBuilder()
+        .setId(NodeId.newBuilder().setName(name).setIncarnation(incarnation))
+        .setFailureDomain(failureDomain)
+        .setState(NodeState.SERVING)
+        .build();
+  }
+
+  /** Makes a node live; an older incarnation of it counts as gone. */
+  public void add(NodeRecord node) {
+    NodeRecord old = live.put(node.getId().getName(), node);
+    if (old != null && old.getId().getIncarnation() < node.getId().getIncarnation()) {
+      gone.add(old.getId());
+    }
+  }
+
+  /** Takes a node off the live list without calling it gone. */
+  public void suspect(String name) {
+    live.remove(name);
+  }
+
+  /** Declares an incarnation gone for good. */
+  public void declareGone(NodeId id) {
+    gone.add(id);
+    NodeRecord now = live.get(id.getName());
+    if (now != null && now.getId().equals(id)) {
+      live.remove(id.getName());
+    }
+  }
+
+  @Override
+  public NodeRecord self() {
+    return self;
+  }
+
+  @Override
+  public List<NodeRecord> live() {
+    return List.copyOf(live.values());
+  }
+
+  @Override
+  public List<NodeRecord> entries() {
+    return live.values().stream().filter(n -> n.getState() == NodeState.SERVING).toList();
+  }
+
+  @Override
+  public Optional<NodeRecord> find(String name) {
+    return Optional.ofNullable(live.get(name));
+  }
+
+  @Override
+  public boolean isGone(NodeId id) {
+    return gone.contains(id);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/fake/package-info.java
@@ -0,0 +1,5 @@
+/** Deterministic fakes of the ports, for tests and experiments. */
+@NullMarked
+package org.currantslip.core.fake;
+
+import org.jspecify.annotations.NullMarked;
