--- a/core/src/main/java/org/currantslip/core/audit/DecisionLog.java
+++ b/core/src/main/java/org/currantslip/core/audit/DecisionLog.java
@@ -10,10 +10,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.port.StoreException;
 import org.currantslip.core.port.StoredObject;
+import org.currantslip.core.request.RequestIds;
 import org.currantslip.schema.DecisionBatch;
 import org.currantslip.schema.DecisionRecord;
 import org.currantslip.schema.NodeId;
@@ -32,6 +34,7 @@
   private static final int MAX_WAITING_BATCHES = 32;
   private static final int MAX_RECENT = 4_096;
   private static final int PAGE = 8;
+  private static final Pattern NODE_NAME = Pattern.compile("[A-Za-z0-9_-]+");
 
   private final NodeId self;
   private final ObjectStore store;
@@ -86,16 +89,10 @@
     if (local != null) {
       return CompletableFuture.completedFuture(Optional.of(local));
     }
-    String[] parts = requestId.split("\\.", -1);
-    if (parts.length != 3 || !parts[0].matches("[A-Za-z0-9_-]+")) {
-      return CompletableFuture.completedFuture(Optional.empty());
-    }
-    try {
-      long incarnation = Long.parseUnsignedLong(parts[1], Character.MAX_RADIX);
-      return scan(prefix(parts[0], incarnation), "", requestId);
-    } catch (NumberFormatException e) {
-      return CompletableFuture.completedFuture(Optional.empty());
-    }
+    return RequestIds.nodeOf(requestId)
+        .filter(id -> NODE_NAME.matcher(id.getName()).matches())
+        .map(id -> scan(prefix(id.getName(), id.getIncarnation()), "", requestId))
+        .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
   }
 
   /** Returns how many records were dropped because the store was out for too long. */
--- a/core/src/main/java/org/currantslip/core/rules/RuleSet.java
+++ b/core/src/main/java/org/currantslip/core/rules/RuleSet.java
@@ -106,6 +106,13 @@
         .findFirst();
   }
 
+  /** Returns the service-level target of a task, if there is one. */
+  public Optional<Rule.ServiceLevel> serviceLevel(String account, String task) {
+    return ofKind(Rule.ServiceLevel.class)
+        .filter(r -> Rule.matches(r.account(), account) && Rule.matches(r.task(), task))
+        .findFirst();
+  }
+
   /** Returns the price of a version, if there is one. */
   public Optional<Rule.Price> price(String model, String version) {
     return ofKind(Rule.Price.class)
--- a/node/src/main/java/org/currantslip/node/admin/AdminOperations.java
+++ b/node/src/main/java/org/currantslip/node/admin/AdminOperations.java
@@ -14,7 +14,8 @@
 /**
  * What an operator may ask of a node.
  *
- * <p>Futures fail with {@link AdminException} or {@link org.currantslip.core.config.ApplyException}.
+ * <p>Futures fail with {@link AdminException} or {@link
+ * org.currantslip.core.config.ApplyException}.
  */
 public interface AdminOperations {
   /** Returns the configuration in force here, or an earlier version from the history. */
--- a/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
+++ b/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
@@ -103,10 +103,7 @@
   @Override
   public CompletableFuture<UsageReply> usage(String account, long sinceMs) {
     return decide(
-        () ->
-            usage
-                .read(account, sinceMs)
-                .thenApply(r -> r.toBuilder().setView(view()).build()));
+        () -> usage.read(account, sinceMs).thenApply(r -> r.toBuilder().setView(view()).build()));
   }
 
   @Override
@@ -114,9 +111,7 @@
     return decide(
         () ->
             CompletableFuture.completedFuture(
-                parts.burn().report(parts.config().current()).toBuilder()
-                    .setView(view())
-                    .build()));
+                parts.burn().report(parts.config().current()).toBuilder().setView(view()).build()));
   }
 
   @Override
@@ -219,5 +214,4 @@
   private <T> CompletableFuture<T> decide(Supplier<CompletableFuture<T>> action) {
     return CompletableFuture.supplyAsync(action, decisionThread).thenCompose(f -> f);
   }
-
 }
--- a/node/src/main/java/org/currantslip/node/admin/StoredUsage.java
+++ b/node/src/main/java/org/currantslip/node/admin/StoredUsage.java
@@ -80,8 +80,7 @@
 
     private void add(UsageRecord rec) {
       AccountUsage.Builder sum =
-          byAccount.computeIfAbsent(
-              rec.getAccount(), a -> AccountUsage.newBuilder().setAccount(a));
+          byAccount.computeIfAbsent(rec.getAccount(), a -> AccountUsage.newBuilder().setAccount(a));
       sum.setRequests(sum.getRequests() + 1);
       for (UsageStage stage : rec.getStageList()) {
         sum.setPromptTokens(sum.getPromptTokens() + stage.getPromptTokens())
