Request engine tells the ledger whether a key was sent before

Cause: the ledger needs the caller's word to say ran=no truthfully when the store cannot be read. Conclusion: one word from the caller decides, absent means it may have run.

--- a/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
+++ b/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
@@ -47,7 +47,7 @@
   }
 
   CompletableFuture<LedgerDecision> reserve() {
-    return ledger.begin(key(), bodyHash(), request.requestId());
+    return ledger.begin(key(), bodyHash(), request.requestId(), request.firstAttempt());
   }
 
   /** The intent is stored. */
--- a/core/src/test/java/org/currantslip/core/request/FakeLedger.java
+++ b/core/src/test/java/org/currantslip/core/request/FakeLedger.java
@@ -9,6 +9,8 @@
 import org.currantslip.core.ledger.LedgerKey;
 import org.currantslip.schema.IntentAnswer;
 import org.currantslip.schema.IntentQuery;
+import org.currantslip.schema.LedgerAppend;
+import org.currantslip.schema.LedgerAppendReply;
 import org.currantslip.schema.LedgerOutcome;
 
 /** A ledger whose decisions the test gives. */
@@ -21,7 +23,7 @@
 
   @Override
   public CompletableFuture<LedgerDecision> begin(
-      LedgerKey key, ByteString bodyHash, String requestId) {
+      LedgerKey key, ByteString bodyHash, String requestId, boolean firstAttempt) {
     return decision;
   }
 
@@ -41,6 +43,11 @@
     return IntentAnswer.getDefaultInstance();
   }
 
+  @Override
+  public CompletableFuture<LedgerAppendReply> onAppend(LedgerAppend append) {
+    return CompletableFuture.completedFuture(LedgerAppendReply.getDefaultInstance());
+  }
+
   @Override
   public void tick() {}
 }
