--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -0,0 +1,132 @@
+package org.currantslip.core.membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.port.StoredObject;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.NodeState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings the stored join record of this node up to its wanted state.
+ *
+ * <p>Each round reads the record and then writes it under the version that was read, so a lost
+ * answer is settled by the next round.
+ */
+final class JoinRecord {
+  static final String PREFIX = "node/";
+  private static final long RETRY_MS = 1_000;
+
+  private final ObjectStore store;
+  private final Clock clock;
+  private NodeRecord wanted;
+  private @Nullable NodeRecord stored;
+  private @Nullable NodeRecord supersededBy;
+  private boolean inFlight;
+  private boolean stale;
+  private long nextMs;
+  private CompletableFuture<Void> settled = new CompletableFuture<>();
+
+  private JoinRecord(NodeRecord wanted, ObjectStore store, Clock clock) {
+    this.wanted = wanted;
+    this.store = store;
+    this.clock = clock;
+  }
+
+  static JoinRecord create(NodeRecord wanted, ObjectStore store, Clock clock) {
+    return new JoinRecord(wanted, store, clock);
+  }
+
+  static String nameOf(String node) {
+    return PREFIX + node;
+  }
+
+  static Optional<NodeRecord> parse(StoredObject object) {
+    try {
+      return Optional.of(NodeRecord.parseFrom(object.value()));
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns whether the store has a record of this incarnation. */
+  boolean isJoined() {
+    return stored != null;
+  }
+
+  /** Returns the record that took this node's place, if there is one. */
+  Optional<NodeRecord> supersededBy() {
+    return Optional.ofNullable(supersededBy);
+  }
+
+  /** Changes the wanted state; the future completes when it is stored. */
+  CompletableFuture<Void> want(NodeState state) {
+    wanted = wanted.toBuilder().setState(state).build();
+    settled = new CompletableFuture<>();
+    nextMs = 0;
+    return settled;
+  }
+
+  /** Looks at the stored record again, as a peer says that it changed. */
+  void recheck() {
+    stale = true;
+  }
+
+  void tick() {
+    boolean upToDate = wanted.equals(stored) && !stale;
+    if (inFlight || supersededBy != null || upToDate || clock.nowMs() < nextMs) {
+      return;
+    }
+    inFlight = true;
+    stale = false;
+    nextMs = clock.nowMs() + RETRY_MS;
+    NodeRecord target = wanted;
+    store
+        .get(nameOf(target.getId().getName()))
+        .thenCompose(found -> write(found, target))
+        .whenComplete(
+            (done, failure) -> {
+              inFlight = false;
+              if (failure == null) {
+                onStored(target);
+              } else {
+                stale = true;
+              }
+            });
+  }
+
+  private void onStored(NodeRecord target) {
+    if (supersededBy != null) {
+      return;
+    }
+    stored = target;
+    if (wanted.equals(target)) {
+      settled.complete(null);
+    }
+  }
+
+  private CompletableFuture<?> write(Optional<StoredObject> found, NodeRecord target) {
+    String name = nameOf(target.getId().getName());
+    if (found.isEmpty()) {
+      return store.create(name, target.toByteString());
+    }
+    NodeRecord old = parse(found.get()).orElse(NodeRecord.getDefaultInstance());
+    if (isAfter(old, target)) {
+      supersededBy = old;
+      return CompletableFuture.completedFuture(null);
+    }
+    if (old.equals(target)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return store.update(name, target.toByteString(), found.get().version());
+  }
+
+  private static boolean isAfter(NodeRecord old, NodeRecord target) {
+    long theirs = old.getId().getIncarnation();
+    long ours = target.getId().getIncarnation();
+    return theirs > ours || (theirs == ours && old.getStateValue() > target.getStateValue());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/caller/AnswerJson.java
@@ -0,0 +1,66 @@
+package org.currantslip.node.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.currantslip.core.request.AnswerHead;
+import org.currantslip.schema.NodeRecord;
+
+/** JSON documents that the front door writes itself. */
+final class AnswerJson {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private AnswerJson() {}
+
+  static byte[] refusal(AnswerHead head) {
+    ObjectNode root = JSON.createObjectNode();
+    root.putObject("error")
+        .put("code", head.code().number())
+        .put("name", head.code().name())
+        .put("message", head.detail())
+        .put("ran", head.ran().text())
+        .put("retry_after_ms", head.retryAfterMs());
+    return bytes(root);
+  }
+
+  /** Returns the last event of a stream. */
+  static byte[] streamEnd(AnswerHead head) {
+    ObjectNode root =
+        JSON.createObjectNode()
+            .put("code", head.code().number())
+            .put("name", head.code().name())
+            .put("ran", head.ran().text())
+            .put("request_id", head.requestId())
+            .put("model", head.model())
+            .put("version", head.version())
+            .put("config_version", head.configVersion());
+    ArrayNode lines = root.putArray("rule_lines");
+    head.ruleLines().forEach(lines::add);
+    root.put("retry_after_ms", head.retryAfterMs())
+        .put("session_token", head.sessionToken())
+        .put("session_moved", head.sessionMoved())
+        .put("replayed", head.replayed())
+        .put("message", head.detail());
+    return bytes(root);
+  }
+
+  static byte[] entries(List<NodeRecord> nodes, long ttlMs) {
+    ObjectNode root = JSON.createObjectNode();
+    ArrayNode list = root.putArray("nodes");
+    nodes.forEach(
+        n ->
+            list.addObject().put("name", n.getId().getName()).put("address", n.getCallerAddress()));
+    root.put("ttl_ms", ttlMs);
+    return bytes(root);
+  }
+
+  private static byte[] bytes(ObjectNode root) {
+    try {
+      return JSON.writeValueAsBytes(root);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/caller/CallerOptions.java
@@ -0,0 +1,54 @@
+package org.currantslip.node.caller;
+
+import java.util.function.Predicate;
+import org.currantslip.schema.NodeSettings;
+import org.currantslip.schema.ServiceSettings;
+
+/**
+ * Bounds of the front door.
+ *
+ * @param host address to listen on
+ * @param port port to listen on, zero for any
+ * @param maxBodyBytes longest body
+ * @param maxHeaderBytes longest header block
+ * @param maxConnections most connections at once
+ * @param maxInFlight most requests at once
+ * @param maxPendingBytes most bytes that wait for a slow caller
+ * @param idleMs time without a byte after which a connection is closed
+ * @param deadlineMs deadline of a request that names none
+ * @param entryTtlMs time for which a caller may keep an entry answer
+ * @param isService whether a plain service of this name is known
+ */
+public record CallerOptions(
+    String host,
+    int port,
+    int maxBodyBytes,
+    int maxHeaderBytes,
+    int maxConnections,
+    int maxInFlight,
+    long maxPendingBytes,
+    long idleMs,
+    long deadlineMs,
+    long entryTtlMs,
+    Predicate<String> isService) {
+
+  private static final long MAX_PENDING_BYTES = 1 << 20;
+  private static final long IDLE_MS = 30_000;
+
+  /** Returns the bounds that the settings name. */
+  public static CallerOptions from(NodeSettings settings) {
+    var services = settings.getServiceList().stream().map(ServiceSettings::getName).toList();
+    return new CallerOptions(
+        settings.getCaller().getHost(),
+        settings.getCaller().getPort(),
+        settings.getLimits().getMaxBodyBytes(),
+        settings.getLimits().getMaxHeaderBytes(),
+        settings.getLimits().getMaxConnections(),
+        settings.getLimits().getMaxInFlight(),
+        MAX_PENDING_BYTES,
+        IDLE_MS,
+        settings.getTimeouts().getRequestDeadlineMs(),
+        settings.getTimeouts().getEntryTtlMs(),
+        services::contains);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -0,0 +1,78 @@
+package org.currantslip.node.caller;
+
+import java.util.function.Supplier;
+import org.currantslip.core.common.Clock;
+import org.currantslip.node.duty.DecisionThread;
+import org.eclipse.jetty.server.ConnectionLimit;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server for callers. */
+public final class FrontDoor {
+  private static final int MIN_THREADS = 4;
+  private static final int MAX_THREADS = 16;
+  private static final long MIN_BODY_BYTES_PER_S = 128;
+
+  private final Server server;
+  private final ServerConnector connector;
+  private final CallerHandler handler;
+
+  private FrontDoor(Server server, ServerConnector connector, CallerHandler handler) {
+    this.server = server;
+    this.connector = connector;
+    this.handler = handler;
+  }
+
+  /** Returns a server that is not started yet. */
+  public static FrontDoor create(
+      CallerOptions options,
+      AccountTokens tokens,
+      Clock clock,
+      DecisionThread decisions,
+      CallerRequests requests,
+      Supplier<String> requestIds,
+      Supplier<EntryView> view) {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName("caller");
+    Server server = new Server(threads);
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setRequestHeaderSize(options.maxHeaderBytes());
+    http.setMinRequestDataRate(MIN_BODY_BYTES_PER_S);
+    http.setIdleTimeout(options.idleMs());
+    ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+    connector.setHost(options.host());
+    connector.setPort(options.port());
+    connector.setIdleTimeout(options.idleMs());
+    server.addConnector(connector);
+    server.addBean(new ConnectionLimit(options.maxConnections(), connector));
+    CallerHandler handler =
+        CallerHandler.create(options, tokens, clock, decisions, requests, requestIds, view);
+    server.setHandler(handler);
+    server.setErrorHandler(NumberedErrors.create(requestIds));
+    return new FrontDoor(server, connector, handler);
+  }
+
+  /** Opens the port. */
+  public void start() throws Exception {
+    server.start();
+  }
+
+  /** Closes the port and all connections. */
+  public void stop() throws Exception {
+    server.stop();
+  }
+
+  /** Returns the port it listens on. */
+  public int port() {
+    return connector.getLocalPort();
+  }
+
+  /** Returns how many requests are under way. */
+  public int inFlight() {
+    return handler.inFlight();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/caller/NumberedErrors.java
@@ -0,0 +1,67 @@
+package org.currantslip.node.caller;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.Supplier;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.request.AnswerHead;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+
+/** Gives the server's own errors, such as a header that is too large, a result code. */
+final class NumberedErrors extends ErrorHandler {
+  private final Supplier<String> requestIds;
+
+  private NumberedErrors(Supplier<String> requestIds) {
+    this.requestIds = requestIds;
+  }
+
+  static NumberedErrors create(Supplier<String> requestIds) {
+    return new NumberedErrors(requestIds);
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    ResultCode code = codeOf(response.getStatus());
+    AnswerHead head =
+        new AnswerHead(
+            requestIds.get(),
+            code,
+            RequestParser.ranWhenRefused(request.getHeaders()),
+            code.httpStatus(),
+            "application/json",
+            false,
+            "",
+            "",
+            0,
+            List.of(),
+            0,
+            "",
+            false,
+            false,
+            HttpStatus.getMessage(response.getStatus()));
+    ResponseSink.create(response, callback, Long.MAX_VALUE, () -> {}).finish(head);
+    return true;
+  }
+
+  @Override
+  public ByteBuffer badMessageError(
+      int status, String reason, org.eclipse.jetty.http.HttpFields.Mutable fields) {
+    return ByteBuffer.allocate(0);
+  }
+
+  private static ResultCode codeOf(int status) {
+    return switch (status) {
+      case HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431, HttpStatus.URI_TOO_LONG_414 ->
+          ResultCode.HEADER_TOO_LARGE;
+      case HttpStatus.PAYLOAD_TOO_LARGE_413 -> ResultCode.BODY_TOO_LARGE;
+      case HttpStatus.NOT_FOUND_404 -> ResultCode.PATH_UNKNOWN;
+      case HttpStatus.REQUEST_TIMEOUT_408 -> ResultCode.BODY_MALFORMED;
+      default ->
+          HttpStatus.isServerError(status) ? ResultCode.INTERNAL : ResultCode.HEADER_MALFORMED;
+    };
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/duty/TaskRing.java
@@ -0,0 +1,54 @@
+package org.currantslip.node.duty;
+
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+
+/** A bounded ring of tasks from many threads to one. */
+public final class TaskRing {
+  private static final long FULL_PARK_NS = 50_000;
+
+  private final MpscArrayQueue<Runnable> tasks;
+
+  private TaskRing(int capacity) {
+    tasks = new MpscArrayQueue<>(capacity);
+  }
+
+  /** Returns an empty ring for at least {@code capacity} tasks. */
+  public static TaskRing ofCapacity(int capacity) {
+    return new TaskRing(capacity);
+  }
+
+  /** Adds a task; returns false when the ring is full. */
+  public boolean offer(Runnable task) {
+    return tasks.offer(task);
+  }
+
+  /** Adds a task, and holds the calling thread back while the ring is full. */
+  public void put(Runnable task) {
+    while (!tasks.offer(task)) {
+      LockSupport.parkNanos(this, FULL_PARK_NS);
+    }
+  }
+
+  /** Runs up to {@code limit} tasks on the one consuming thread; returns how many there were. */
+  public int drain(int limit, TaskRunner runner) {
+    return tasks.drain(runner::run, limit);
+  }
+
+  /** Returns whether there is nothing to run. */
+  public boolean isEmpty() {
+    return tasks.isEmpty();
+  }
+
+  /** Returns about how many tasks wait. */
+  public int size() {
+    return tasks.size();
+  }
+
+  /** Runs one task. */
+  @FunctionalInterface
+  public interface TaskRunner {
+    /** Runs {@code task} and lets no exception through. */
+    void run(Runnable task);
+  }
+}
--- a/node/src/main/java/org/currantslip/node/package-info.java
+++ b/node/src/main/java/org/currantslip/node/package-info.java
@@ -1,4 +1,4 @@
-/** The node module. */
+/** The router process: its command line and life cycle. */
 @NullMarked
 package org.currantslip.node;
 
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLink.java
@@ -0,0 +1,58 @@
+package org.currantslip.node.peer;
+
+import io.netty.channel.Channel;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+
+/** An authenticated link to another node. */
+final class PeerLink {
+  private final Channel channel;
+  private final NodeRecord peer;
+  private final boolean openedHere;
+  private final long openedMs;
+
+  private PeerLink(Channel channel, NodeRecord peer, boolean openedHere, long openedMs) {
+    this.channel = channel;
+    this.peer = peer;
+    this.openedHere = openedHere;
+    this.openedMs = openedMs;
+  }
+
+  static PeerLink of(Channel channel, NodeRecord peer, boolean openedHere, long openedMs) {
+    return new PeerLink(channel, peer, openedHere, openedMs);
+  }
+
+  String name() {
+    return peer.getId().getName();
+  }
+
+  NodeRecord peer() {
+    return peer;
+  }
+
+  long openedMs() {
+    return openedMs;
+  }
+
+  /** Returns the name of the node that opened the link, given this node's name. */
+  String openedBy(String self) {
+    return openedHere ? self : name();
+  }
+
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
+  /** Sends a frame; returns false when too much waits to be sent already. */
+  boolean send(PeerFrame frame) {
+    if (!channel.isActive() || !channel.isWritable()) {
+      return false;
+    }
+    channel.writeAndFlush(frame, channel.voidPromise());
+    return true;
+  }
+
+  void close() {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Links to other nodes. */
+@NullMarked
+package org.currantslip.node.peer;
+
+import org.jspecify.annotations.NullMarked;
