--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -79,7 +79,15 @@
     String id = requestIds.get();
     int now = inFlight.incrementAndGet();
     Request.addCompletionListener(request, failure -> inFlight.decrementAndGet());
+    boolean accepting = view.get().accepting();
+    if (!accepting) {
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
     try {
+      if (!accepting) {
+        throw RefusalException.notRunRetry(
+            ResultCode.NODE_LEAVING, BUSY_RETRY_MS, "this node is leaving");
+      }
       if (now > options.maxInFlight()) {
         throw RefusalException.notRunRetry(
             ResultCode.TOO_MANY_IN_FLIGHT, BUSY_RETRY_MS, "too many requests at once");
--- a/node/src/main/java/org/currantslip/node/caller/EntryView.java
+++ b/node/src/main/java/org/currantslip/node/caller/EntryView.java
@@ -8,10 +8,11 @@
  *
  * @param entries nodes that callers may be sent to
  * @param configVersion version of the configuration in force
+ * @param accepting whether new requests are served
  */
-public record EntryView(List<NodeRecord> entries, long configVersion) {
+public record EntryView(List<NodeRecord> entries, long configVersion, boolean accepting) {
   /** Returns the view before anything is known. */
   public static EntryView empty() {
-    return new EntryView(List.of(), 0);
+    return new EntryView(List.of(), 0, true);
   }
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
@@ -1,6 +1,6 @@
 package org.currantslip.node.peer;
 
-import java.util.Optional;
+import java.util.function.Consumer;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
 
@@ -9,6 +9,6 @@
   /** A link to this node was opened or accepted. */
   void onLink(NodeRecord peer);
 
-  /** A frame arrived; the returned frame is the reply if the peer asked for one. */
-  Optional<PeerFrame> onFrame(String fromNode, PeerFrame frame);
+  /** A frame arrived; {@code reply} sends the answer if the peer asked for one. */
+  void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply);
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -30,6 +30,8 @@
 
   private record Ask(long correlation, String node, long deadlineMs) {}
 
+  private record Replaced(PeerLink link, long atMs) {}
+
   private static final class Opening {
     private final Deque<PeerFrame> frames = new ArrayDeque<>();
   }
@@ -46,7 +48,7 @@
   private final Map<Long, CompletableFuture<PeerFrame>> asks = new HashMap<>();
   private final PriorityQueue<Ask> deadlines =
       new PriorityQueue<>(Comparator.comparingLong(Ask::deadlineMs));
-  private final List<PeerLink> closing = new ArrayList<>();
+  private final List<Replaced> closing = new ArrayList<>();
   private long lastCorrelation;
 
   private PeerLinks(
@@ -127,15 +129,16 @@
       deadlines.remove();
       fail(ask, "no reply in time from ");
     }
-    closing.removeIf(link -> closeIfDue(link, nowMs));
+    closing.removeIf(replaced -> closeIfDue(replaced, nowMs));
   }
 
-  private boolean closeIfDue(PeerLink link, long nowMs) {
-    boolean due = nowMs - link.openedMs() >= 2 * options.silentMs();
+  /** Closes a replaced link once no reply can come over it. */
+  private boolean closeIfDue(Replaced replaced, long nowMs) {
+    boolean due = nowMs - replaced.atMs() >= options.silentMs();
     if (due) {
-      link.close();
+      replaced.link().close();
     }
-    return due || !link.isOpen();
+    return due || !replaced.link().isOpen();
   }
 
   private void fail(Ask ask, String why) {
@@ -199,7 +202,7 @@
       PeerLink old = links.get(link.name());
       PeerLink kept = old != null && old.isOpen() ? preferred(link, old) : link;
       if (old != null) {
-        closing.add(kept == link ? old : link);
+        closing.add(new Replaced(kept == link ? old : link, clock.nowMs()));
       }
       links.put(link.name(), kept);
       dispatcher.onLink(link.peer());
@@ -218,12 +221,13 @@
         }
         return;
       }
-      Optional<PeerFrame> reply = dispatcher.onFrame(link.name(), frame);
-      if (frame.getCorrelation() != 0) {
-        reply.ifPresent(
-            r ->
-                link.send(
-                    r.toBuilder().setCorrelation(frame.getCorrelation()).setReply(true).build()));
+      long correlation = frame.getCorrelation();
+      dispatcher.onFrame(link.name(), frame, answer -> reply(link, correlation, answer));
+    }
+
+    private void reply(PeerLink link, long correlation, PeerFrame answer) {
+      if (correlation != 0) {
+        link.send(answer.toBuilder().setCorrelation(correlation).setReply(true).build());
       }
     }
 
