--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -163,6 +163,7 @@
       Route route,
       byte[] body) {
     request.addIdleTimeoutListener(timeout -> sink.isWriting());
+    sink.watch(HangUpWatch.start(request.getConnectionMetaData().getConnection(), sink::lose));
     try {
       if (!exchange.offer(route.build(id, body), sink)) {
         throw RefusalException.notRunRetry(
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -40,7 +40,7 @@
   private boolean finished;
   private boolean streaming;
   private ByteString body = ByteString.EMPTY;
-  private @Nullable AnswerHead first;
+  private @Nullable HangUpWatch watch;
 
   private ResponseSink(
       Response response, Callback callback, long maxPendingBytes, Runnable onLost) {
@@ -58,7 +58,6 @@
 
   @Override
   public synchronized void head(AnswerHead head) {
-    first = head;
     streaming = head.stream();
     if (streaming) {
       start(head, "text/event-stream");
@@ -96,6 +95,11 @@
     }
   }
 
+  /** Sets the watch that has to end before the answer does. */
+  synchronized void watch(HangUpWatch started) {
+    watch = started;
+  }
+
   /** Returns whether bytes wait for the caller to read. */
   synchronized boolean isWriting() {
     return writing;
@@ -188,6 +192,9 @@
       return;
     }
     writing = true;
+    if (unit.last() && watch != null) {
+      watch.stop();
+    }
     int size = unit.bytes().remaining();
     response.write(
         unit.last(),
@@ -217,9 +224,4 @@
       callback.failed(failure);
     }
   }
-
-  /** Returns the head that was sent first, if any was. */
-  synchronized @Nullable AnswerHead first() {
-    return first;
-  }
 }
