--- a/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
@@ -13,6 +13,7 @@
  * @param stream whether server-sent events are asked for
  * @param priority 0 (lowest) to 9
  * @param freshConnection whether a pooled connection must not be used
+ * @param idempotencyKey the caller's idempotency key, passed on to a plain service, or empty
  */
 public record EndpointRequest(
     String correlation,
@@ -22,4 +23,18 @@
     ByteString body,
     boolean stream,
     int priority,
-    boolean freshConnection) {}
+    boolean freshConnection,
+    String idempotencyKey) {
+  /** Returns a request without an idempotency key. */
+  public EndpointRequest(
+      String correlation,
+      String method,
+      String path,
+      String contentType,
+      ByteString body,
+      boolean stream,
+      int priority,
+      boolean freshConnection) {
+    this(correlation, method, path, contentType, body, stream, priority, freshConnection, "");
+  }
+}
--- a/standin/src/main/java/org/currantslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/currantslip/standin/StandinMain.java
@@ -1,11 +1,41 @@
 package org.currantslip.standin;
 
-/** Placeholder entry point. */
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.currantslip.core.common.RefusalException;
+
+/** The stand-in binary: fakes of the platform and of endpoints, and the load driver. */
 public final class StandinMain {
+  private static final int EXIT_USAGE = 2;
+
   private StandinMain() {}
 
-  /** Prints the name of this module. */
-  public static void main(String[] args) {
-    System.out.println("standin");
+  /** Runs one subcommand. */
+  public static void main(String[] args) throws Exception {
+    System.setProperty("logback.configurationFile", "standin-logback.xml");
+    System.exit(run(args));
+  }
+
+  private static int run(String[] args) throws Exception {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("currantslip-standin")
+            .build()
+            .description("Stand-ins of the platform and of endpoints, and a load driver.");
+    Subparsers subparsers = parser.addSubparsers().title("subcommands").metavar("COMMAND");
+    StandinCommands.addTo(subparsers);
+    try {
+      Namespace parsed = parser.parseArgs(args);
+      StandinCommand command = parsed.get("run");
+      return command.run(parsed);
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return EXIT_USAGE;
+    } catch (RefusalException e) {
+      System.err.println(e.code().number() + " " + e.code() + ": " + e.detail());
+      return EXIT_USAGE;
+    }
   }
 }
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/engine/PrefixCache.java
@@ -0,0 +1,76 @@
+package org.currantslip.standin.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.currantslip.core.common.Clock;
+import org.currantslip.standin.http.Json;
+
+/** Prompt prefixes in limited memory, and the late and incomplete events about them. */
+final class PrefixCache {
+  private static final int MAX_EVENTS = 10_000;
+
+  private record Event(long sequence, boolean stored, long prefixHash, long atMs) {}
+
+  private final Clock clock;
+  private final int capacity;
+  private final long lagMs;
+  private final int gap;
+  private final Set<Long> prefixes = new LinkedHashSet<>();
+  private final Deque<Event> events = new ArrayDeque<>();
+  private long sequence;
+
+  PrefixCache(Clock clock, int capacity, long lagMs, int gap) {
+    this.clock = clock;
+    this.capacity = capacity;
+    this.lagMs = lagMs;
+    this.gap = gap;
+  }
+
+  /** Uses a prefix and returns whether it was cached. */
+  synchronized boolean use(long prefixHash) {
+    boolean cached = prefixes.remove(prefixHash);
+    prefixes.add(prefixHash);
+    if (!cached) {
+      publish(true, prefixHash);
+    }
+    if (prefixes.size() > capacity) {
+      Iterator<Long> oldest = prefixes.iterator();
+      long evicted = oldest.next();
+      oldest.remove();
+      publish(false, evicted);
+    }
+    return cached;
+  }
+
+  synchronized ObjectNode since(long after) {
+    ObjectNode answer = Json.object();
+    ArrayNode list = answer.putArray("events");
+    long shownMs = clock.nowMs() - lagMs;
+    events.stream()
+        .filter(e -> e.sequence() > after && e.atMs() <= shownMs)
+        .forEach(
+            e ->
+                list.addObject()
+                    .put("seq", e.sequence())
+                    .put("kind", e.stored() ? "stored" : "evicted")
+                    .put("prefix_hash", e.prefixHash())
+                    .put("at_ms", e.atMs()));
+    return answer;
+  }
+
+  private void publish(boolean stored, long prefixHash) {
+    sequence++;
+    boolean lost = gap > 0 && sequence % gap == 0;
+    if (!lost) {
+      events.addLast(new Event(sequence, stored, prefixHash, clock.nowMs()));
+    }
+    if (events.size() > MAX_EVENTS) {
+      events.removeFirst();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/engine/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a model engine. */
+@NullMarked
+package org.currantslip.standin.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/rating/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of the rating service. */
+@NullMarked
+package org.currantslip.standin.rating;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/service/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a plain service. */
+@NullMarked
+package org.currantslip.standin.service;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/vmlist/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of the VM list. */
+@NullMarked
+package org.currantslip.standin.vmlist;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/weights/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of the weight store. */
+@NullMarked
+package org.currantslip.standin.weights;
+
+import org.jspecify.annotations.NullMarked;
