--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/ledger/KeyState.java
@@ -0,0 +1,54 @@
+package org.currantslip.core.ledger;
+
+import org.currantslip.schema.LedgerIntent;
+import org.currantslip.schema.LedgerOutcome;
+import org.currantslip.schema.LedgerResult;
+import org.currantslip.schema.LedgerVerdict;
+import org.currantslip.schema.LedgerVerdictStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of a key: its last record in the log.
+ *
+ * @param intent the valid intent
+ * @param outcome its outcome, or null while it is open
+ * @param sequence segment of the last record
+ */
+record KeyState(LedgerIntent intent, @Nullable LedgerOutcome outcome, long sequence) {
+  static KeyState of(LedgerIntent intent, long sequence) {
+    return new KeyState(intent, null, sequence);
+  }
+
+  static KeyState of(LedgerOutcome outcome, long sequence) {
+    return new KeyState(outcome.getIntent(), outcome, sequence);
+  }
+
+  String requestId() {
+    return intent.getRequestId();
+  }
+
+  /** Returns the result, unspecified while the intent is open. */
+  LedgerResult result() {
+    return outcome == null ? LedgerResult.LEDGER_RESULT_UNSPECIFIED : outcome.getResult();
+  }
+
+  boolean isOpen() {
+    return outcome == null;
+  }
+
+  int sizeBytes() {
+    return outcome == null ? intent.getSerializedSize() : outcome.getSerializedSize();
+  }
+
+  LedgerVerdict toVerdict(LedgerVerdictStatus status) {
+    LedgerVerdict.Builder verdict = LedgerVerdict.newBuilder().setStatus(status);
+    return outcome == null
+        ? verdict.setIntent(intent).build()
+        : verdict.setOutcome(outcome).build();
+  }
+
+  /** Reads the state out of a verdict. */
+  static KeyState fromVerdict(LedgerVerdict verdict) {
+    return verdict.hasOutcome() ? of(verdict.getOutcome(), 0) : of(verdict.getIntent(), 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/ledger/StoreLedger.java
@@ -0,0 +1,373 @@
+package org.currantslip.core.ledger;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.ledger.LedgerEntry.State;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.core.store.StoreBreaker;
+import org.currantslip.core.store.StoreLane;
+import org.currantslip.schema.IntentAnswer;
+import org.currantslip.schema.IntentFate;
+import org.currantslip.schema.IntentQuery;
+import org.currantslip.schema.LedgerAppend;
+import org.currantslip.schema.LedgerAppendReply;
+import org.currantslip.schema.LedgerIntent;
+import org.currantslip.schema.LedgerOutcome;
+import org.currantslip.schema.LedgerResult;
+import org.currantslip.schema.LedgerVerdict;
+import org.currantslip.schema.NodeId;
+import org.jspecify.annotations.Nullable;
+
+/** The ledger kept in the platform's object API as a log of segments per slot. */
+public final class StoreLedger implements Ledger {
+  private static final long OUTCOME_RETRY_MS = 1_000;
+
+  private record Due(LedgerEntry entry, long atMs) {}
+
+  private final NodeId self;
+  private final ObjectStore store;
+  private final Clock clock;
+  private final LedgerOptions options;
+  private final StoreBreaker breaker;
+  private final StoreLane probe;
+  private final AppendRouter router;
+  private final IntentSettler settler;
+  private final Map<String, LedgerEntry> entries = new HashMap<>();
+  private final Deque<Due> beginDeadlines = new ArrayDeque<>();
+  private final Deque<Due> finishDeadlines = new ArrayDeque<>();
+  private final Deque<Due> outcomeRetries = new ArrayDeque<>();
+
+  private StoreLedger(
+      NodeId self,
+      ObjectStore store,
+      PeerNetwork peers,
+      Membership membership,
+      Clock clock,
+      LedgerOptions options) {
+    this.self = self;
+    this.store = store;
+    this.clock = clock;
+    this.options = options;
+    breaker = StoreBreaker.create(clock);
+    probe = StoreLane.create(clock, breaker, options.storeMs());
+    router = AppendRouter.create(self, store, peers, membership, clock, breaker, options);
+    settler = IntentSettler.create(membership, peers, clock, router, this::answer, options);
+  }
+
+  /** Returns the ledger of one node. */
+  public static StoreLedger create(
+      NodeId self,
+      ObjectStore store,
+      PeerNetwork peers,
+      Membership membership,
+      Clock clock,
+      LedgerOptions options) {
+    return new StoreLedger(self, store, peers, membership, clock, options);
+  }
+
+  @Override
+  public CompletableFuture<LedgerDecision> begin(
+      LedgerKey key, ByteString bodyHash, String requestId, boolean firstAttempt) {
+    checkArgument(!entries.containsKey(requestId), "request %s has begun already", requestId);
+    LedgerIntent intent =
+        LedgerIntent.newBuilder()
+            .setAccount(key.account())
+            .setKey(key.key())
+            .setBodyHash(bodyHash)
+            .setRequestId(requestId)
+            .setWriter(self)
+            .setIssuedMs(key.issuedMs())
+            .build();
+    LedgerEntry entry = LedgerEntry.create(intent, firstAttempt, clock.nowMs());
+    RefusalException refusal = refusalBeforeReading(entry);
+    if (refusal != null) {
+      return CompletableFuture.failedFuture(refusal);
+    }
+    entries.put(requestId, entry);
+    beginDeadlines.add(new Due(entry, clock.nowMs() + options.storeMs()));
+    submit(entry, intent);
+    return entry.decision();
+  }
+
+  private @Nullable RefusalException refusalBeforeReading(LedgerEntry entry) {
+    Ran ran = entry.ranIfNotDispatched();
+    long issuedMs = entry.intent().getIssuedMs();
+    if (issuedMs > clock.nowMs() + options.futureSkewMs()) {
+      return LedgerRefusals.issuedInFuture(ran);
+    }
+    if (issuedMs < clock.nowMs() - options.windowMs()) {
+      return LedgerRefusals.expired(ran);
+    }
+    if (entries.size() >= options.maxRequests()) {
+      return LedgerRefusals.tooMany(ran, breaker.retryAfterMs());
+    }
+    if (router.isBlocked(LedgerNames.slotOf(entry.intent()))) {
+      return LedgerRefusals.unavailable(ran, breaker.retryAfterMs());
+    }
+    return null;
+  }
+
+  private void submit(LedgerEntry entry, LedgerIntent intent) {
+    long expiresMs = entry.startedMs() + options.storeMs();
+    router.append(AppendRecord.of(intent, expiresMs)).thenAccept(v -> onVerdict(entry, v));
+  }
+
+  private void onVerdict(LedgerEntry entry, LedgerVerdict verdict) {
+    if (entry.state() != State.PENDING) {
+      return;
+    }
+    Ran ran = entry.ranIfNotDispatched();
+    switch (verdict.getStatus()) {
+      case LEDGER_STORED -> {
+        entry.ready(clock.nowMs());
+        entry.decision().complete(new LedgerDecision.Run());
+      }
+      case LEDGER_EXISTS -> onEarlier(entry, KeyState.fromVerdict(verdict));
+      case LEDGER_EXPIRED -> reject(entry, LedgerRefusals.expired(ran));
+      default -> giveUp(entry, LedgerRefusals.unavailable(ran, breaker.retryAfterMs()));
+    }
+  }
+
+  // An earlier intent holds the key.
+
+  private void onEarlier(LedgerEntry entry, KeyState earlier) {
+    if (earlier.requestId().equals(entry.requestId())) {
+      giveUp(entry, LedgerRefusals.unavailable(entry.ranIfNotDispatched(), 0));
+    } else if (!earlier.intent().getBodyHash().equals(entry.intent().getBodyHash())) {
+      Ran ran = earlier.result() == LedgerResult.ANSWERED ? Ran.YES : Ran.UNKNOWN;
+      reject(entry, LedgerRefusals.bodyDiffers(ran));
+    } else if (earlier.result() == LedgerResult.ANSWERED && earlier.outcome() != null) {
+      replay(entry, earlier.outcome());
+    } else if (earlier.result() == LedgerResult.UNKNOWN) {
+      reject(entry, LedgerRefusals.outcomeUnknown());
+    } else if (earlier.isOpen()) {
+      settler.ask(earlier.intent()).thenAccept(a -> onFate(entry, earlier.intent(), a));
+    } else {
+      reject(entry, LedgerRefusals.inFlight());
+    }
+  }
+
+  private void onFate(LedgerEntry entry, LedgerIntent earlier, IntentAnswer answer) {
+    if (entry.state() != State.PENDING) {
+      return;
+    }
+    switch (answer.getFate()) {
+      case FATE_ANSWERED -> replay(entry, answer.getOutcome());
+      case FATE_NOT_DISPATCHED ->
+          submit(entry, entry.intent().toBuilder().setSupersedes(earlier.getRequestId()).build());
+      case FATE_UNKNOWN ->
+          settler.storeUnknown(earlier).thenAccept(v -> onUnknownStored(entry, earlier, v));
+      default -> reject(entry, LedgerRefusals.inFlight());
+    }
+  }
+
+  private void onUnknownStored(LedgerEntry entry, LedgerIntent earlier, LedgerVerdict verdict) {
+    if (entry.state() != State.PENDING) {
+      return;
+    }
+    switch (verdict.getStatus()) {
+      case LEDGER_STORED -> reject(entry, LedgerRefusals.outcomeUnknown());
+      case LEDGER_EXISTS -> {
+        KeyState now = KeyState.fromVerdict(verdict);
+        boolean open = now.isOpen() || now.result() == LedgerResult.NOT_DISPATCHED;
+        if (open) {
+          reject(entry, LedgerRefusals.inFlight());
+        } else {
+          onEarlier(entry, now);
+        }
+      }
+      case LEDGER_EXPIRED -> reject(entry, LedgerRefusals.expired(Ran.UNKNOWN));
+      default -> reject(entry, LedgerRefusals.unavailable(Ran.UNKNOWN, breaker.retryAfterMs()));
+    }
+  }
+
+  private void replay(LedgerEntry entry, LedgerOutcome outcome) {
+    entry.giveUp();
+    entries.remove(entry.requestId());
+    entry.decision().complete(new LedgerDecision.Replay(outcome));
+  }
+
+  /** Ends a request whose intent is not in the log. */
+  private void reject(LedgerEntry entry, RefusalException refusal) {
+    entry.giveUp();
+    entries.remove(entry.requestId());
+    entry.decision().completeExceptionally(refusal);
+  }
+
+  /** Ends a request whose intent may be in the log, now or later. */
+  private void giveUp(LedgerEntry entry, RefusalException refusal) {
+    entry.giveUp();
+    entry.finish(notDispatched(entry), clock.nowMs());
+    storeOutcome(entry);
+    entry.decision().completeExceptionally(refusal);
+  }
+
+  private static LedgerOutcome notDispatched(LedgerEntry entry) {
+    return LedgerOutcome.newBuilder()
+        .setAccount(entry.intent().getAccount())
+        .setKey(entry.intent().getKey())
+        .setRequestId(entry.requestId())
+        .setResult(LedgerResult.NOT_DISPATCHED)
+        .setIntent(entry.intent())
+        .build();
+  }
+
+  // Dispatch and outcome.
+
+  @Override
+  public boolean markDispatched(LedgerKey key, String requestId) {
+    LedgerEntry entry = entries.get(requestId);
+    if (entry == null || entry.state() != State.READY) {
+      return false;
+    }
+    if (clock.nowMs() - entry.readyMs() > options.dispatchHoldMs()) {
+      entry.giveUp();
+      return false;
+    }
+    entry.dispatched();
+    return true;
+  }
+
+  @Override
+  public CompletableFuture<Void> finish(LedgerKey key, LedgerOutcome outcome) {
+    LedgerEntry entry = entries.get(outcome.getRequestId());
+    checkArgument(entry != null, "request %s has not begun", outcome.getRequestId());
+    checkArgument(entry.outcome() == null, "request %s has ended", outcome.getRequestId());
+    if (outcome.getResult() == LedgerResult.NOT_DISPATCHED) {
+      entry.giveUp();
+    }
+    LedgerOutcome kept = bounded(outcome.toBuilder().setIntent(entry.intent()).build());
+    entry.finish(kept, clock.nowMs());
+    finishDeadlines.add(new Due(entry, clock.nowMs() + options.storeMs()));
+    storeOutcome(entry);
+    return entry.finished();
+  }
+
+  /** Replaces a body that is too large to keep by its hash. */
+  private LedgerOutcome bounded(LedgerOutcome outcome) {
+    ByteString body = outcome.getBody();
+    if (body.size() <= options.maxBodyBytes()) {
+      return outcome;
+    }
+    byte[] hash = Hashing.sha256().hashBytes(body.toByteArray()).asBytes();
+    return outcome.toBuilder()
+        .clearBody()
+        .setBodyOmitted(true)
+        .setBodySha256(ByteString.copyFrom(hash))
+        .build();
+  }
+
+  private void storeOutcome(LedgerEntry entry) {
+    LedgerOutcome outcome = entry.outcome();
+    if (outcome == null) {
+      return;
+    }
+    AppendRecord rec = AppendRecord.of(outcome, clock.nowMs() + options.storeMs());
+    router.append(rec).thenAccept(v -> onOutcomeVerdict(entry, v));
+  }
+
+  private void onOutcomeVerdict(LedgerEntry entry, LedgerVerdict verdict) {
+    switch (verdict.getStatus()) {
+      case LEDGER_STORED, LEDGER_EXISTS, LEDGER_EXPIRED -> {
+        entries.remove(entry.requestId());
+        entry.finished().complete(null);
+      }
+      default -> outcomeRetries.add(new Due(entry, clock.nowMs() + OUTCOME_RETRY_MS));
+    }
+  }
+
+  // Other nodes.
+
+  @Override
+  public IntentAnswer answer(IntentQuery query) {
+    LedgerEntry entry = entries.get(query.getRequestId());
+    if (query.getWriterIncarnation() != self.getIncarnation() || entry == null) {
+      return IntentSettler.answer(query, IntentFate.FATE_UNKNOWN);
+    }
+    LedgerOutcome outcome = entry.outcome();
+    if (entry.state() == State.GIVEN_UP) {
+      return IntentSettler.answer(query, IntentFate.FATE_NOT_DISPATCHED);
+    }
+    if (outcome == null) {
+      return IntentSettler.answer(query, IntentFate.IN_FLIGHT);
+    }
+    if (outcome.getResult() == LedgerResult.ANSWERED) {
+      return IntentSettler.answer(query, IntentFate.FATE_ANSWERED).toBuilder()
+          .setOutcome(outcome)
+          .build();
+    }
+    return IntentSettler.answer(query, IntentFate.FATE_UNKNOWN);
+  }
+
+  @Override
+  public CompletableFuture<LedgerAppendReply> onAppend(LedgerAppend append) {
+    return router.onAppend(append);
+  }
+
+  // Time.
+
+  @Override
+  public void tick() {
+    expireBegins();
+    expireFinishes();
+    retryOutcomes();
+    probe();
+    router.tick();
+  }
+
+  private void expireBegins() {
+    for (Due due = beginDeadlines.peek(); isDue(due); due = beginDeadlines.peek()) {
+      beginDeadlines.remove();
+      if (due.entry().state() == State.PENDING) {
+        Ran ran = due.entry().ranIfNotDispatched();
+        giveUp(due.entry(), LedgerRefusals.unavailable(ran, breaker.retryAfterMs()));
+      }
+    }
+  }
+
+  private void expireFinishes() {
+    for (Due due = finishDeadlines.peek(); isDue(due); due = finishDeadlines.peek()) {
+      finishDeadlines.remove();
+      LedgerOutcome outcome = due.entry().outcome();
+      boolean answered = outcome != null && outcome.getResult() == LedgerResult.ANSWERED;
+      Ran ran = answered ? Ran.YES : Ran.UNKNOWN;
+      due.entry()
+          .finished()
+          .completeExceptionally(LedgerRefusals.unavailable(ran, breaker.retryAfterMs()));
+    }
+  }
+
+  private void retryOutcomes() {
+    if (breaker.isOpen()) {
+      return;
+    }
+    for (Due due = outcomeRetries.peek(); isDue(due); due = outcomeRetries.peek()) {
+      outcomeRetries.remove();
+      storeOutcome(due.entry());
+    }
+  }
+
+  private boolean isDue(@Nullable Due due) {
+    return due != null && due.atMs() <= clock.nowMs();
+  }
+
+  /** Finds out whether the store is back. */
+  private void probe() {
+    probe.tick();
+    if (!probe.isBusy() && breaker.takeProbe()) {
+      probe.run(() -> store.get(LedgerNames.snapshot(0)), found -> {}, kind -> {});
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/store/StoreLane.java
@@ -0,0 +1,104 @@
+package org.currantslip.core.store;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StoreException.Kind;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one store call at a time. A call past its deadline counts as lost: its late answer is
+ * ignored, and it may still take effect.
+ */
+public final class StoreLane {
+  private final Clock clock;
+  private final StoreBreaker breaker;
+  private final long deadlineMs;
+  private final long slowMs;
+  private long turn;
+  private long startedMs;
+  private boolean slow;
+  private @Nullable Consumer<Kind> onFailed;
+
+  private StoreLane(Clock clock, StoreBreaker breaker, long deadlineMs, long slowMs) {
+    this.clock = clock;
+    this.breaker = breaker;
+    this.deadlineMs = deadlineMs;
+    this.slowMs = slowMs;
+  }
+
+  /** Returns an idle lane whose calls count as slow after a quarter of their deadline. */
+  public static StoreLane create(Clock clock, StoreBreaker breaker, long deadlineMs) {
+    return new StoreLane(clock, breaker, deadlineMs, deadlineMs / 4);
+  }
+
+  /** Returns whether a call is on its way. */
+  public boolean isBusy() {
+    return onFailed != null;
+  }
+
+  /** Starts a call; exactly one of the two consumers is called, once. */
+  public <T> void run(
+      Supplier<CompletableFuture<T>> call, Consumer<T> onDone, Consumer<Kind> onFailed) {
+    checkState(!isBusy(), "a call is on its way");
+    startedMs = clock.nowMs();
+    slow = false;
+    this.onFailed = onFailed;
+    final long mine = ++turn;
+    call.get()
+        .whenComplete(
+            (value, failure) -> {
+              if (mine != turn || !isBusy()) {
+                return;
+              }
+              this.onFailed = null;
+              if (failure == null) {
+                count(Kind.CONFLICT);
+                onDone.accept(value);
+              } else {
+                Kind kind = kindOf(failure);
+                count(kind);
+                onFailed.accept(kind);
+              }
+            });
+  }
+
+  /** Gives up a call that is past its deadline. */
+  public void tick() {
+    Consumer<Kind> failed = onFailed;
+    if (failed == null) {
+      return;
+    }
+    long tookMs = clock.nowMs() - startedMs;
+    if (tookMs > deadlineMs) {
+      onFailed = null;
+      turn++;
+      breaker.trip();
+      failed.accept(Kind.OUTCOME_UNKNOWN);
+    } else if (tookMs > slowMs && !slow) {
+      slow = true;
+      breaker.failed();
+    }
+  }
+
+  private void count(Kind kind) {
+    if (kind != Kind.CONFLICT) {
+      breaker.failed();
+    } else if (!slow && clock.nowMs() - startedMs <= slowMs) {
+      breaker.succeeded();
+    }
+  }
+
+  private static Kind kindOf(Throwable failure) {
+    Throwable cause =
+        failure instanceof CompletionException && failure.getCause() != null
+            ? failure.getCause()
+            : failure;
+    return cause instanceof StoreException e ? e.kind() : Kind.OUTCOME_UNKNOWN;
+  }
+}
--- a/core/src/test/java/org/currantslip/core/fake/FakeObjectStore.java
+++ b/core/src/test/java/org/currantslip/core/fake/FakeObjectStore.java
@@ -64,7 +64,7 @@
   }
 
   /** Returns an empty store whose calls take 5 ms. */
-  public static FakeObjectStore create(FakeEvents events) {
+  public static FakeObjectStore on(FakeEvents events) {
     return new FakeObjectStore(events);
   }
 
@@ -77,7 +77,7 @@
   }
 
   /** Returns a view of this store for one node, which can be cut off or given its own faults. */
-  public Link link() {
+  public Link newLink() {
     return new Link(this);
   }
 
@@ -269,7 +269,9 @@
         events.after(LATE_EFFECT_MS, () -> run(effect, new CompletableFuture<>(), 0));
         fail(answer, Kind.OUTCOME_UNKNOWN);
       }
-      case SILENT -> {}
+      default -> {
+        // Silent: no answer and no effect.
+      }
     }
     return answer;
   }
