Add the first policies and the bench frame

Signed session tokens, versions chosen by rules and stopped by a sequential test on merged counters, a rated cascade, endpoint choice by expected wait, fair admission, and bin/bench with the exposure experiment.

--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -1,11 +1,59 @@
 package org.currantslip.bench;
 
-/** Placeholder entry point. */
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.bench.exposure.ExposureBench;
+
+/** Runs one experiment by name. */
 public final class BenchMain {
+  private static final List<Bench> BENCHES = List.of(ExposureBench.create());
+
   private BenchMain() {}
 
-  /** Prints the name of this module. */
-  public static void main(String[] args) {
-    System.out.println("bench");
+  /** Parses the command line and runs the experiment. */
+  public static void main(String[] args) throws IOException {
+    System.setProperty("java.awt.headless", "true");
+    ArgumentParser parser =
+        ArgumentParsers.newFor("bench").build().description("Runs one experiment.");
+    parser.addArgument("name").choices(BENCHES.stream().map(Bench::name).toList());
+    parser.addArgument("--seed").type(Long.class).setDefault(1L).help("first seed");
+    parser.addArgument("--seeds").type(Integer.class).setDefault(1).help("number of seeds");
+    parser.addArgument("--out").setDefault("target/bench").help("directory for CSV and PNG");
+    try {
+      Namespace parsed = parser.parseArgs(args);
+      run(parsed);
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      System.exit(2);
+    }
+  }
+
+  private static void run(Namespace parsed) throws IOException {
+    Bench bench =
+        BENCHES.stream()
+            .filter(b -> b.name().equals(parsed.getString("name")))
+            .findFirst()
+            .orElseThrow();
+    long first = parsed.getLong("seed");
+    for (long seed = first; seed < first + parsed.getInt("seeds"); seed++) {
+      Path outDir = Path.of(parsed.getString("out"), bench.name(), "seed-" + seed);
+      Files.createDirectories(outDir);
+      System.out.println("seed " + seed);
+      for (ResultTable table : bench.run(seed, outDir)) {
+        System.out.println(table.toText());
+        Files.writeString(outDir.resolve(fileName(table)), table.toCsv());
+      }
+    }
+  }
+
+  private static String fileName(ResultTable table) {
+    return table.title().toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]+", "-") + ".csv";
   }
 }
--- /dev/null
+++ b/bench/src/main/java/org/currantslip/bench/exposure/FalseStops.java
@@ -0,0 +1,80 @@
+package org.currantslip.bench.exposure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.apache.commons.math3.distribution.BetaDistribution;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.config.ConfigView;
+import org.currantslip.core.rollout.EvidenceVersionPolicy;
+import org.currantslip.core.rollout.RolloutOptions;
+import org.currantslip.core.rollout.VersionQuery;
+import org.currantslip.schema.NodeId;
+
+/** Counts how often a good version is stopped within one stage. */
+final class FalseStops {
+  private static final String MODEL = "corridor";
+  private static final String VERSION = "v2";
+  private static final int REQUESTS_PER_EXCHANGE = 10;
+  private static final int FAN_OUT = 2;
+  private static final double CONFIDENCE = 0.95;
+
+  private FalseStops() {}
+
+  /** Returns in how many of {@code stages} a good version was stopped on some node. */
+  static int count(int stages, boolean inService, int stageRequests, long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    ConfigView config = new ConfigView(1, ExposureRun.rules(inService));
+    int stops = 0;
+    for (int i = 0; i < stages; i++) {
+      stops += stage(config, stageRequests, random) ? 1 : 0;
+    }
+    return stops;
+  }
+
+  private static boolean stage(ConfigView config, int stageRequests, SplittableRandom random) {
+    List<EvidenceVersionPolicy> nodes = new ArrayList<>();
+    boolean[] stopped = new boolean[1];
+    for (int i = 0; i < ExposureRun.NODES; i++) {
+      NodeId id = NodeId.newBuilder().setName("n" + i).setIncarnation(1).build();
+      EvidenceVersionPolicy node =
+          EvidenceVersionPolicy.create(id, DrivenClock.startingAt(0), RolloutOptions.defaults());
+      node.setBrakeListener(notice -> stopped[0] = true);
+      node.choose(config, new VersionQuery("a", "t", MODEL, "s", null));
+      nodes.add(node);
+    }
+    for (int i = 0; i < stageRequests && !stopped[0]; i++) {
+      request(nodes.get(random.nextInt(nodes.size())), random);
+      if (i % REQUESTS_PER_EXCHANGE == 0) {
+        exchange(nodes, random);
+      }
+    }
+    return stopped[0];
+  }
+
+  private static void request(EvidenceVersionPolicy node, SplittableRandom random) {
+    boolean failed = random.nextDouble() < Scenario.GOOD_ERROR_RATE;
+    node.dispatched(MODEL, VERSION);
+    node.finished(MODEL, VERSION, failed);
+    if (!failed) {
+      node.rated(MODEL, VERSION, random.nextDouble() >= Scenario.GOOD_BAD_RATE);
+    }
+  }
+
+  private static void exchange(List<EvidenceVersionPolicy> nodes, SplittableRandom random) {
+    for (EvidenceVersionPolicy from : nodes) {
+      for (int i = 0; i < FAN_OUT; i++) {
+        nodes.get(random.nextInt(nodes.size())).onEvidence(from.evidence());
+      }
+    }
+  }
+
+  /** Returns the upper end of the exact interval of a share, after Clopper and Pearson. */
+  static double upperBound(int hits, int all) {
+    if (hits >= all) {
+      return 1;
+    }
+    double tail = (1 - CONFIDENCE) / 2;
+    return new BetaDistribution(hits + 1.0, all - hits).inverseCumulativeProbability(1 - tail);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/limits/FairAdmission.java
@@ -0,0 +1,202 @@
+package org.currantslip.core.limits;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.config.ConfigView;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.core.rules.Rule;
+import org.currantslip.schema.AccountDemand;
+import org.currantslip.schema.DemandReport;
+import org.currantslip.schema.NodeId;
+
+/** Admits requests by account limits and a fair queue. */
+public final class FairAdmission implements AdmissionControl {
+  private static final int PRIORITIES = 10;
+  private static final double JITTER = 0.5;
+  private static final double START_SERVICE_MS = 500;
+  private static final double SMOOTHING = 0.05;
+  private static final long MAX_RETRY_MS = 60_000;
+
+  private final NodeId self;
+  private final Membership membership;
+  private final Clock clock;
+  private final AdmissionOptions opts;
+  private final SplittableRandom random;
+  private final Map<String, AccountState> accounts = new HashMap<>();
+  private final List<Queue<AccountState>> rounds = new ArrayList<>();
+  private int inFlight;
+  private int queued;
+  private double serviceMs = START_SERVICE_MS;
+
+  private FairAdmission(
+      NodeId self, Membership membership, Clock clock, AdmissionOptions opts, long seed) {
+    this.self = self;
+    this.membership = membership;
+    this.clock = clock;
+    this.opts = opts;
+    random = new SplittableRandom(seed);
+    for (int p = 0; p < PRIORITIES; p++) {
+      rounds.add(new ArrayDeque<>());
+    }
+  }
+
+  /** Returns an admission control without any demand. */
+  public static FairAdmission create(
+      NodeId self, Membership membership, Clock clock, AdmissionOptions opts, long seed) {
+    return new FairAdmission(self, membership, clock, opts, seed);
+  }
+
+  @Override
+  public CompletableFuture<Permit> admit(ConfigView config, AdmissionQuery query) {
+    long now = clock.nowMs();
+    AccountState account = accounts.computeIfAbsent(query.account(), AccountState::new);
+    account.offered(now, query.expectedTokens());
+    if (query.deadlineMs() <= now) {
+      return refuse(ResultCode.DEADLINE_PASSED, 0, "deadline passed before arrival");
+    }
+    Rule.Limit limit = config.rules().limit(query.account()).orElse(null);
+    if (limit != null) {
+      account.setLimit(limit, account.share(membership.live().size(), now), now);
+      if (!account.requests().has(1, now)) {
+        return refuse(
+            ResultCode.RATE_LIMITED, account.requests().waitMs(1, now), "request rate reached");
+      }
+      if (!account.tokens().has(query.expectedTokens(), now)) {
+        long wait = account.tokens().waitMs(query.expectedTokens(), now);
+        return refuse(ResultCode.TOKEN_LIMITED, wait, "token rate reached");
+      }
+    }
+    long expectedWaitMs = expectedWaitMs();
+    if (now + expectedWaitMs > query.deadlineMs()) {
+      return refuse(
+          ResultCode.DEADLINE_UNREACHABLE, expectedWaitMs, "deadline before a free place");
+    }
+    if (inFlight >= opts.maxInFlight() && queued >= opts.maxQueued()) {
+      return refuse(ResultCode.OVERLOADED, expectedWaitMs, "queue is full");
+    }
+    if (limit != null) {
+      account.requests().take(1, now);
+      account.tokens().take(query.expectedTokens(), now);
+    }
+    account.admitted();
+    return enqueue(account, query);
+  }
+
+  private CompletableFuture<Permit> enqueue(AccountState account, AdmissionQuery query) {
+    int priority = Math.max(0, Math.min(query.priority(), PRIORITIES - 1));
+    CompletableFuture<Permit> future = new CompletableFuture<>();
+    if (account.queue(priority).isEmpty()) {
+      rounds.get(priority).add(account);
+    }
+    account.queue(priority).add(new Waiting(query, future));
+    queued++;
+    startNext();
+    return future;
+  }
+
+  private long expectedWaitMs() {
+    if (inFlight < opts.maxInFlight()) {
+      return 0;
+    }
+    return (long) Math.ceil(serviceMs * (queued + 1) / opts.maxInFlight());
+  }
+
+  private <T> CompletableFuture<T> refuse(ResultCode code, long waitMs, String detail) {
+    if (waitMs == 0 && code == ResultCode.DEADLINE_PASSED) {
+      return CompletableFuture.failedFuture(RefusalException.notRun(code, detail));
+    }
+    long wait = Math.max(1, Math.min(waitMs, MAX_RETRY_MS));
+    long jitter = (long) (random.nextDouble() * JITTER * wait);
+    return CompletableFuture.failedFuture(
+        RefusalException.notRunRetry(code, wait + jitter, detail));
+  }
+
+  private void startNext() {
+    while (inFlight < opts.maxInFlight() && queued > 0) {
+      startOne();
+    }
+  }
+
+  private void startOne() {
+    for (int p = PRIORITIES - 1; p >= 0; p--) {
+      AccountState account = rounds.get(p).poll();
+      if (account == null) {
+        continue;
+      }
+      Waiting next = account.queue(p).remove();
+      queued--;
+      if (!account.queue(p).isEmpty()) {
+        rounds.get(p).add(account);
+      }
+      if (next.query().deadlineMs() <= clock.nowMs()) {
+        next.future()
+            .completeExceptionally(
+                RefusalException.notRunRetry(
+                    ResultCode.DEADLINE_UNREACHABLE, expectedWaitMs() + 1, "waited too long"));
+        return;
+      }
+      inFlight++;
+      next.future().complete(permit(account, next.query()));
+      return;
+    }
+  }
+
+  private Permit permit(AccountState account, AdmissionQuery query) {
+    long startedMs = clock.nowMs();
+    return new Permit() {
+      private boolean released;
+
+      @Override
+      public void release(long usedTokens) {
+        if (released) {
+          return;
+        }
+        released = true;
+        inFlight--;
+        long now = clock.nowMs();
+        serviceMs += SMOOTHING * (now - startedMs - serviceMs);
+        account.correct(usedTokens - query.expectedTokens(), now);
+        startNext();
+      }
+    };
+  }
+
+  @Override
+  public boolean tryRetry(String account) {
+    return accounts.computeIfAbsent(account, AccountState::new).tryRetry(opts.retryShare());
+  }
+
+  @Override
+  public void onDemand(DemandReport report) {
+    if (report.getNode().getName().equals(self.getName())) {
+      return;
+    }
+    for (AccountDemand d : report.getDemandList()) {
+      accounts
+          .computeIfAbsent(d.getAccount(), AccountState::new)
+          .onDemand(report.getNode().getName(), d.getRequestsPerS(), clock.nowMs());
+    }
+  }
+
+  @Override
+  public DemandReport demand() {
+    long now = clock.nowMs();
+    DemandReport.Builder report = DemandReport.newBuilder().setNode(self);
+    accounts.values().forEach(a -> report.addDemand(a.demand(now)));
+    return report.build();
+  }
+
+  @Override
+  public void tick() {
+    startNext();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -0,0 +1,143 @@
+package org.currantslip.core.routing;
+
+import java.util.Arrays;
+import org.currantslip.schema.EndpointRecord;
+import org.jspecify.annotations.Nullable;
+
+/** What this node knows of one endpoint. */
+final class EndpointState {
+  private static final int SLICES = 32;
+  private static final long SLICE_MS = 100;
+  private static final int PREFIX_SETS = 64;
+  private static final int PREFIX_WAYS = 4;
+  private static final double SMOOTHING = 0.1;
+  private static final double START_SERVICE_MS = 500;
+  private static final int EJECT_AFTER_FAILURES = 3;
+  private static final long FIRST_EJECTION_MS = 1000;
+  private static final long LAST_EJECTION_MS = 30_000;
+
+  private EndpointRecord rec;
+  private @Nullable EndpointLoad load;
+  private final int[] changes = new int[SLICES];
+  private long slice;
+  private final long[] prefixes = new long[PREFIX_SETS * PREFIX_WAYS];
+  private int inFlight;
+  private double serviceMs = START_SERVICE_MS;
+  private int failures;
+  private long ejectionMs = FIRST_EJECTION_MS;
+  private long ejectedUntilMs;
+  private boolean probing;
+
+  EndpointState(EndpointRecord rec) {
+    this.rec = rec;
+  }
+
+  EndpointRecord rec() {
+    return rec;
+  }
+
+  void setRec(EndpointRecord rec) {
+    this.rec = rec;
+  }
+
+  @Nullable EndpointLoad load() {
+    return load;
+  }
+
+  void setLoad(EndpointLoad report) {
+    if (load == null || load.reportedMs() <= report.reportedMs()) {
+      load = report;
+    }
+  }
+
+  private void count(long nowMs, int change) {
+    long now = nowMs / SLICE_MS;
+    if (now - slice >= SLICES) {
+      Arrays.fill(changes, 0);
+      slice = now;
+    }
+    while (slice < now) {
+      slice++;
+      changes[(int) (slice % SLICES)] = 0;
+    }
+    changes[(int) (now % SLICES)] += change;
+  }
+
+  void dispatched(long nowMs) {
+    inFlight++;
+    probing = ejectedUntilMs > 0;
+    count(nowMs, 1);
+  }
+
+  void finished(long nowMs, CallResult result) {
+    inFlight = Math.max(0, inFlight - 1);
+    probing = false;
+    count(nowMs, -1);
+    if (result.ok()) {
+      serviceMs += SMOOTHING * (result.totalMs() - serviceMs);
+      failures = 0;
+      ejectedUntilMs = 0;
+      ejectionMs = FIRST_EJECTION_MS;
+      return;
+    }
+    failures++;
+    if (result.silent() || failures >= EJECT_AFTER_FAILURES) {
+      ejectedUntilMs = nowMs + ejectionMs;
+      ejectionMs = Math.min(LAST_EJECTION_MS, 2 * ejectionMs);
+    }
+  }
+
+  /** Returns whether requests may go here; an ejected endpoint gets one probe at a time. */
+  boolean usable(long nowMs) {
+    return !rec.getLeaving() && (ejectedUntilMs == 0 || (nowMs >= ejectedUntilMs && !probing));
+  }
+
+  /** Returns the requests believed to be running or waiting. */
+  double occupancy(long nowMs) {
+    if (load == null) {
+      return inFlight;
+    }
+    long from = Math.max(load.reportedMs() / SLICE_MS + 1, nowMs / SLICE_MS - SLICES + 1);
+    int since = 0;
+    for (long s = from; s <= slice; s++) {
+      since += changes[(int) (s % SLICES)];
+    }
+    return Math.max(inFlight, load.running() + load.waiting() + since);
+  }
+
+  /** Returns how long a new request waits for a slot. */
+  double waitMs(long nowMs) {
+    int slots = Math.max(1, rec.getSlots());
+    double ahead = occupancy(nowMs) - slots + 1;
+    double queue = Math.max(0, ahead) * serviceMs / slots;
+    return queue + serviceMs * occupancy(nowMs) / slots / 100;
+  }
+
+  boolean holdsPrefix(long hash) {
+    int set = set(hash);
+    for (int i = 0; i < PREFIX_WAYS; i++) {
+      if (prefixes[set + i] == hash) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Notes a prefix as the most recently used one of its set. */
+  void addPrefix(long hash) {
+    int set = set(hash);
+    int at = PREFIX_WAYS - 1;
+    for (int i = 0; i < PREFIX_WAYS; i++) {
+      if (prefixes[set + i] == hash) {
+        at = i;
+        break;
+      }
+    }
+    System.arraycopy(prefixes, set, prefixes, set + 1, at);
+    prefixes[set] = hash;
+  }
+
+  private static int set(long hash) {
+    return (int) (hash >>> 58) % PREFIX_SETS * PREFIX_WAYS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/session/SignedSessions.java
@@ -0,0 +1,80 @@
+package org.currantslip.core.session;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.io.ByteArrayDataInput;
+import com.google.common.io.ByteArrayDataOutput;
+import com.google.common.io.ByteStreams;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Optional;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** Session tokens signed with HMAC-SHA256, so that any node can check them without a store. */
+public final class SignedSessions implements SessionPolicy {
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int MAC_BYTES = 32;
+  private static final int MIN_SECRET_BYTES = 16;
+  private static final int MAX_TOKEN_CHARS = 4096;
+  private static final byte FORMAT = 1;
+
+  private final Mac mac;
+
+  private SignedSessions(Mac mac) {
+    this.mac = mac;
+  }
+
+  /** Returns a policy that signs with {@code secret}, which all nodes share. */
+  public static SignedSessions create(byte[] secret) {
+    checkArgument(secret.length >= MIN_SECRET_BYTES, "session secret is too short");
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(new SecretKeySpec(secret, ALGORITHM));
+      return new SignedSessions(mac);
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException(ALGORITHM + " is missing", e);
+    }
+  }
+
+  @Override
+  public String issue(SessionBinding binding) {
+    ByteArrayDataOutput out = ByteStreams.newDataOutput();
+    out.writeByte(FORMAT);
+    out.writeUTF(binding.account());
+    out.writeUTF(binding.session());
+    out.writeUTF(binding.model());
+    out.writeUTF(binding.version());
+    byte[] body = out.toByteArray();
+    byte[] token = Arrays.copyOf(body, body.length + MAC_BYTES);
+    System.arraycopy(mac.doFinal(body), 0, token, body.length, MAC_BYTES);
+    return Base64.getUrlEncoder().withoutPadding().encodeToString(token);
+  }
+
+  @Override
+  public Optional<SessionBinding> verify(String account, String token) {
+    if (token.length() > MAX_TOKEN_CHARS) {
+      return Optional.empty();
+    }
+    try {
+      return read(Base64.getUrlDecoder().decode(token)).filter(b -> b.account().equals(account));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private Optional<SessionBinding> read(byte[] token) {
+    if (token.length <= MAC_BYTES) {
+      return Optional.empty();
+    }
+    byte[] body = Arrays.copyOf(token, token.length - MAC_BYTES);
+    byte[] sent = Arrays.copyOfRange(token, body.length, token.length);
+    if (!MessageDigest.isEqual(sent, mac.doFinal(body)) || body[0] != FORMAT) {
+      return Optional.empty();
+    }
+    ByteArrayDataInput in = ByteStreams.newDataInput(body, 1);
+    return Optional.of(new SessionBinding(in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF()));
+  }
+}
