--- a/node/src/main/java/org/currantslip/node/admin/OperatorTokens.java
+++ b/node/src/main/java/org/currantslip/node/admin/OperatorTokens.java
@@ -32,9 +32,9 @@
 
   /** Returns the operator whose token stands in an Authorization header. */
   public Optional<String> operator(@Nullable String authorization) {
-    boolean bearer =
-        authorization != null && authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
-    byte[] hash = hash(bearer ? authorization.substring(SCHEME.length()).strip() : "");
+    String text = authorization == null ? "" : authorization;
+    boolean bearer = text.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
+    byte[] hash = hash(bearer ? text.substring(SCHEME.length()).strip() : "");
     Optional<String> found = Optional.empty();
     for (Entry entry : entries) {
       // All entries are compared, so that the time tells nothing about which one is close.
