A refused token names the scheme it wants

Without WWW-Authenticate a client by the book reports a broken protocol in place of the refusal; three cases of the refusal table failed so.

--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -12,6 +12,7 @@
 import org.currantslip.core.request.CallerSink;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
@@ -137,6 +138,9 @@
     putIfSet(fields, RequestHeaders.SESSION_TOKEN, head.sessionToken());
     putIfSet(fields, RequestHeaders.SESSION_MOVED, head.sessionMoved() ? "true" : "");
     putIfSet(fields, RequestHeaders.REPLAYED, head.replayed() ? "true" : "");
+    if (head.httpStatus() == HttpStatus.UNAUTHORIZED_401) {
+      fields.put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+    }
     if (head.retryAfterMs() > 0) {
       long seconds = LongMath.divide(head.retryAfterMs(), MS_PER_S, RoundingMode.CEILING);
       fields.put(HttpHeader.RETRY_AFTER, String.valueOf(seconds));
