--- a/standin/src/main/java/org/currantslip/standin/StandinCommands.java
+++ b/standin/src/main/java/org/currantslip/standin/StandinCommands.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Function;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -13,6 +12,7 @@
 import org.currantslip.schema.VmList;
 import org.currantslip.standin.engine.EngineOptions;
 import org.currantslip.standin.engine.ModelEngine;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.StandinApp;
 import org.currantslip.standin.http.StandinServer;
 import org.currantslip.standin.object.ObjectApi;
@@ -92,23 +92,26 @@
   private static int objectApi(Namespace args) throws InterruptedException {
     return serveOne(
         args,
-        timer -> ObjectApi.create(timer, args.getInt("reads_per_s"), args.getInt("writes_per_s")));
+        delays ->
+            ObjectApi.create(delays, args.getInt("reads_per_s"), args.getInt("writes_per_s")));
   }
 
   private static int weightStore(Namespace args) throws InterruptedException {
     return serveOne(
         args,
-        timer ->
-            WeightStoreApp.create(timer, args.getInt("fetches_per_s"), args.getInt("transfer_ms")));
+        delays ->
+            WeightStoreApp.create(
+                delays, args.getInt("fetches_per_s"), args.getInt("transfer_ms")));
   }
 
   private static int ratingService(Namespace args) throws InterruptedException {
-    return serveOne(args, timer -> RatingApp.create(CLOCK, args.getInt("lag_ms")));
+    return serveOne(args, delays -> RatingApp.create(CLOCK, args.getInt("lag_ms")));
   }
 
   private static int vmList(Namespace args) throws InterruptedException {
     return serveOne(
-        args, timer -> VmListApp.create(CLOCK, args.getInt("lag_ms"), VmList.getDefaultInstance()));
+        args,
+        delays -> VmListApp.create(CLOCK, args.getInt("lag_ms"), VmList.getDefaultInstance()));
   }
 
   private static int engine(Namespace args) throws InterruptedException {
@@ -125,18 +128,18 @@
             args.getInt("event_gap"),
             args.getInt("seed"),
             Map.of());
-    return serveOne(args, timer -> ModelEngine.create(options, CLOCK, timer));
+    return serveOne(args, delays -> ModelEngine.create(options, CLOCK, delays));
   }
 
   private static int service(Namespace args) throws InterruptedException {
-    return serveOne(args, timer -> PlainService.create(args.getString("id")));
+    return serveOne(args, delays -> PlainService.create(args.getString("id")));
   }
 
-  private static int serveOne(Namespace args, Function<ScheduledExecutorService, StandinApp> app)
+  private static int serveOne(Namespace args, Function<Delays, StandinApp> app)
       throws InterruptedException {
     StandinServer server = StandinServer.start();
     int port =
-        server.add(LOOPBACK, args.getInt("port"), app.apply(server.timer()), args.getInt("seed"));
+        server.add(LOOPBACK, args.getInt("port"), app.apply(server.delays()), args.getInt("seed"));
     System.out.println("listening " + port);
     return serve(server);
   }
--- a/standin/src/main/java/org/currantslip/standin/engine/AnswerText.java
+++ b/standin/src/main/java/org/currantslip/standin/engine/AnswerText.java
@@ -34,8 +34,6 @@
   static AnswerText generate(ChatRequest request, VersionProfile profile, long seed) {
     Random random = new Random(seed ^ request.prompt().hashCode() * 0x9E3779B97F4A7C15L);
     boolean good = random.nextDouble() < profile.quality();
-    double mean = good ? GOOD_MEAN : POOR_MEAN;
-    double confidence = Math.max(0, Math.min(1, mean + random.nextGaussian() * SPREAD));
     int most = request.maxTokens() > 0 ? request.maxTokens() : profile.tokens();
     int count = Math.max(2, Math.min(profile.tokens(), most));
     List<String> tokens = new ArrayList<>(count);
@@ -44,6 +42,8 @@
       tokens.add(" w" + i);
     }
     tokens.add(good ? GOOD_END : POOR_END);
+    double mean = good ? GOOD_MEAN : POOR_MEAN;
+    double confidence = Math.max(0, Math.min(1, mean + random.nextGaussian() * SPREAD));
     return new AnswerText(tokens, good, confidence);
   }
 }
--- a/standin/src/main/java/org/currantslip/standin/engine/Batch.java
+++ b/standin/src/main/java/org/currantslip/standin/engine/Batch.java
@@ -7,16 +7,15 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.Clock;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Json;
 
 /** Continuous batching: requests enter free slots by priority, and all slots advance together. */
 final class Batch {
   private final EngineOptions options;
   private final Clock clock;
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
   private final PrefixCache cache;
   private final LoadReports loads;
 
@@ -44,15 +43,10 @@
   @GuardedBy("this")
   private long cancelled;
 
-  Batch(
-      EngineOptions options,
-      Clock clock,
-      ScheduledExecutorService timer,
-      PrefixCache cache,
-      LoadReports loads) {
+  Batch(EngineOptions options, Clock clock, Delays delays, PrefixCache cache, LoadReports loads) {
     this.options = options;
     this.clock = clock;
-    this.timer = timer;
+    this.delays = delays;
     this.cache = cache;
     this.loads = loads;
   }
@@ -108,7 +102,7 @@
     }
     stepping = true;
     long dueMs = running.stream().mapToLong(Sequence::dueMs).min().orElseThrow();
-    timer.schedule(this::step, Math.max(1, dueMs - clock.nowMs()), TimeUnit.MILLISECONDS);
+    delays.after(Math.max(1, dueMs - clock.nowMs()), this::step);
   }
 
   private synchronized void step() {
--- a/standin/src/main/java/org/currantslip/standin/engine/EngineOrdersApp.java
+++ b/standin/src/main/java/org/currantslip/standin/engine/EngineOrdersApp.java
@@ -7,11 +7,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Exchange;
 import org.currantslip.standin.http.Json;
 
@@ -26,15 +25,15 @@
 
   private final EngineOptions options;
   private final Clock clock;
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
   private final Set<String> versions = new TreeSet<>();
   private final List<Carried> carried = new ArrayList<>();
   private long highestFencing;
 
-  EngineOrdersApp(EngineOptions options, Clock clock, ScheduledExecutorService timer) {
+  EngineOrdersApp(EngineOptions options, Clock clock, Delays delays) {
     this.options = options;
     this.clock = clock;
-    this.timer = timer;
+    this.delays = delays;
     versions.add(options.version());
   }
 
@@ -67,14 +66,13 @@
     }
     long startMs = clock.nowMs();
     long workMs = order.equals("load") ? options.loadMs() : 0;
-    timer.schedule(
+    String version = body.path("version").asText();
+    delays.after(
+        workMs,
         () -> {
-          carryOut(
-              new Carried(order, body.path("version").asText(), fencing, startMs, clock.nowMs()));
+          carryOut(new Carried(order, version, fencing, startMs, clock.nowMs()));
           exchange.reply(OK, body);
-        },
-        workMs,
-        TimeUnit.MILLISECONDS);
+        });
   }
 
   synchronized ObjectNode history() {
--- a/standin/src/main/java/org/currantslip/standin/http/Exchange.java
+++ b/standin/src/main/java/org/currantslip/standin/http/Exchange.java
@@ -5,8 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Map;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -22,7 +20,7 @@
   private final Callback callback;
   private final byte[] body;
   private final FaultSet faults;
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
   private final Fields query;
 
   Exchange(
@@ -31,13 +29,13 @@
       Callback callback,
       byte[] body,
       FaultSet faults,
-      ScheduledExecutorService timer) {
+      Delays delays) {
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.body = body;
     this.faults = faults;
-    this.timer = timer;
+    this.delays = delays;
     query = Request.extractQueryParameters(request);
   }
 
@@ -89,10 +87,7 @@
     if (faults.loseAnswerAfterEffect()) {
       abort();
     } else if (faults.lateMs() > 0) {
-      timer.schedule(
-          () -> write(status, contentType, headers, answer),
-          faults.lateMs(),
-          TimeUnit.MILLISECONDS);
+      delays.after(faults.lateMs(), () -> write(status, contentType, headers, answer));
     } else {
       write(status, contentType, headers, answer);
     }
--- a/standin/src/main/java/org/currantslip/standin/http/FaultSwitch.java
+++ b/standin/src/main/java/org/currantslip/standin/http/FaultSwitch.java
@@ -35,7 +35,7 @@
 
   /** Returns the faults that the next request for this path meets. */
   synchronized FaultSet next(String path) {
-    if (faults == FaultSet.NONE || !path.startsWith(faults.path())) {
+    if (faults.equals(FaultSet.NONE) || !path.startsWith(faults.path())) {
       return FaultSet.NONE;
     }
     if (faults.times() > 0 && left-- <= 0) {
--- a/standin/src/main/java/org/currantslip/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/currantslip/standin/http/StandinServer.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
@@ -25,13 +23,7 @@
   private static final int BACKLOG = 1024;
 
   private final Server server;
-  private final ScheduledExecutorService timer =
-      Executors.newSingleThreadScheduledExecutor(
-          task -> {
-            Thread thread = new Thread(task, "standin-timer");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private final Delays delays = Delays.create();
   private final Map<Connector, StandinDesk> desks = new ConcurrentHashMap<>();
 
   private StandinServer(Server server) {
@@ -52,9 +44,9 @@
     return standins;
   }
 
-  /** Returns the timer on which stand-ins run delayed work; its tasks must be short. */
-  public ScheduledExecutorService timer() {
-    return timer;
+  /** Returns where stand-ins run short tasks later. */
+  public Delays delays() {
+    return delays;
   }
 
   /**
@@ -73,7 +65,7 @@
     connector.setPort(port);
     connector.setIdleTimeout(IDLE_TIMEOUT_MS);
     connector.setAcceptQueueSize(BACKLOG);
-    desks.put(connector, StandinDesk.create(app, FaultSwitch.create(seed), timer));
+    desks.put(connector, StandinDesk.create(app, FaultSwitch.create(seed), delays));
     server.addConnector(connector);
     try {
       connector.start();
@@ -85,7 +77,7 @@
 
   @Override
   public void close() {
-    timer.shutdownNow();
+    delays.close();
     try {
       server.stop();
     } catch (Exception e) {
