--- a/standin/src/main/java/org/currantslip/standin/engine/ModelEngine.java
+++ b/standin/src/main/java/org/currantslip/standin/engine/ModelEngine.java
@@ -1,10 +1,10 @@
 package org.currantslip.standin.engine;
 
 import java.util.Random;
-import java.util.concurrent.ScheduledExecutorService;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Exchange;
 import org.currantslip.standin.http.StandinApp;
 
@@ -19,20 +19,19 @@
   private final Batch batch;
   private final Random errors;
 
-  private ModelEngine(EngineOptions options, Clock clock, ScheduledExecutorService timer) {
+  private ModelEngine(EngineOptions options, Clock clock, Delays delays) {
     this.options = options;
     cache =
         new PrefixCache(clock, options.cachedPrefixes(), options.loadLagMs(), options.eventGap());
     loads = new LoadReports(clock, options.loadLagMs());
-    orders = new EngineOrdersApp(options, clock, timer);
-    batch = new Batch(options, clock, timer, cache, loads);
+    orders = new EngineOrdersApp(options, clock, delays);
+    batch = new Batch(options, clock, delays, cache, loads);
     errors = new Random(options.seed() ^ options.id().hashCode());
   }
 
   /** Returns an idle engine. */
-  public static ModelEngine create(
-      EngineOptions options, Clock clock, ScheduledExecutorService timer) {
-    return new ModelEngine(options, clock, timer);
+  public static ModelEngine create(EngineOptions options, Clock clock, Delays delays) {
+    return new ModelEngine(options, clock, delays);
   }
 
   @Override
--- a/standin/src/main/java/org/currantslip/standin/engine/VersionProfile.java
+++ b/standin/src/main/java/org/currantslip/standin/engine/VersionProfile.java
@@ -24,7 +24,7 @@
   /** Returns the profile that a seed gives to a version. */
   public static VersionProfile seeded(long seed, String model, String version) {
     Random random = new Random(seed ^ ((model + "/" + version).hashCode() * 0x9E3779B97F4A7C15L));
-    long tokenMs = LEAST_TOKEN_MS + random.nextInt(TOKEN_MS_SPREAD);
+    long tokenMs = (long) LEAST_TOKEN_MS + random.nextInt(TOKEN_MS_SPREAD);
     return new VersionProfile(
         tokenMs,
         tokenMs * PREFILL_TOKENS,
--- a/standin/src/main/java/org/currantslip/standin/object/ObjectTable.java
+++ b/standin/src/main/java/org/currantslip/standin/object/ObjectTable.java
@@ -1,6 +1,7 @@
 package org.currantslip.standin.object;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import com.google.protobuf.ByteString;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,7 @@
 /** Versioned objects in name order. */
 final class ObjectTable {
   /** An object as it is stored. */
-  record Entry(String name, long version, byte[] value) {}
+  record Entry(String name, long version, ByteString value) {}
 
   @GuardedBy("this")
   private final NavigableMap<String, Entry> objects = new TreeMap<>();
@@ -26,7 +27,7 @@
   }
 
   /** Stores a value if the object has this version (zero: is missing); empty on a conflict. */
-  synchronized OptionalLong put(String name, byte[] value, long expected) {
+  synchronized OptionalLong put(String name, ByteString value, long expected) {
     if (versionOf(name) != expected) {
       return OptionalLong.empty();
     }
--- a/standin/src/main/java/org/currantslip/standin/object/Watches.java
+++ b/standin/src/main/java/org/currantslip/standin/object/Watches.java
@@ -5,10 +5,9 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Exchange;
 
 /** Calls that wait for an object to change. */
@@ -16,11 +15,11 @@
   private static final String BINARY = "application/octet-stream";
   private static final int NOT_MODIFIED = 304;
 
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
   private final Map<String, List<Watch>> waiting = new ConcurrentHashMap<>();
 
-  Watches(ScheduledExecutorService timer) {
-    this.timer = timer;
+  Watches(Delays delays) {
+    this.delays = delays;
   }
 
   /** Answers at once when the object is newer, otherwise when it changes or the wait is over. */
@@ -37,13 +36,12 @@
       list.remove(watch);
       return;
     }
-    timer.schedule(
+    delays.after(
+        waitMs,
         () -> {
           list.remove(watch);
           watch.expire();
-        },
-        waitMs,
-        TimeUnit.MILLISECONDS);
+        });
   }
 
   void changed(String name, Optional<ObjectTable.Entry> entry) {
--- a/standin/src/main/java/org/currantslip/standin/topology/TopologyRunner.java
+++ b/standin/src/main/java/org/currantslip/standin/topology/TopologyRunner.java
@@ -44,7 +44,7 @@
       add(
           "object-api",
           objects.port(),
-          ObjectApi.create(server.timer(), objects.readsPerS(), objects.writesPerS()));
+          ObjectApi.create(server.delays(), objects.readsPerS(), objects.writesPerS()));
     }
     Topology.VmListPart list = topology.vmList();
     if (list != null) {
@@ -55,7 +55,7 @@
       add(
           "weight-store",
           weights.port(),
-          WeightStoreApp.create(server.timer(), weights.fetchesPerS(), weights.transferMs()));
+          WeightStoreApp.create(server.delays(), weights.fetchesPerS(), weights.transferMs()));
     }
     Topology.RatingPart ratings = topology.ratingService();
     if (ratings != null) {
@@ -77,7 +77,7 @@
             part.eventGap(),
             topology.seed(),
             profiles(part.model()));
-    int port = add(part.id(), part.port(), ModelEngine.create(options, clock, server.timer()));
+    int port = add(part.id(), part.port(), ModelEngine.create(options, clock, server.delays()));
     vms.addEndpoint(
         endpoint(part.id(), port, part.failureDomain())
             .setModel(part.model())
