--- a/standin/src/main/java/org/currantslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/currantslip/standin/StandinMain.java
@@ -4,8 +4,10 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.currantslip.core.common.RefusalException;
+import org.currantslip.standin.demo.DemoCommands;
 
 /** The stand-in binary: fakes of the platform and of endpoints, and the load driver. */
 public final class StandinMain {
@@ -26,6 +28,9 @@
             .description("Stand-ins of the platform and of endpoints, and a load driver.");
     Subparsers subparsers = parser.addSubparsers().title("subcommands").metavar("COMMAND");
     StandinCommands.addTo(subparsers);
+    Subparser demo = subparsers.addParser("demo");
+    DemoCommands.declare(demo);
+    demo.setDefault("run", (StandinCommand) DemoCommands::run);
     try {
       Namespace parsed = parser.parseArgs(args);
       StandinCommand command = parsed.get("run");
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/caller/package-info.java
@@ -0,0 +1,5 @@
+/** A caller of nodes, for the demonstration and the load driver. */
+@NullMarked
+package org.currantslip.standin.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/demo/package-info.java
@@ -0,0 +1,5 @@
+/** The steps of the demonstration. */
+@NullMarked
+package org.currantslip.standin.demo;
+
+import org.jspecify.annotations.NullMarked;
