Ledger tests over several nodes: faults, freezes, restarts, store outage

A node that is woken long after a request's deadline now answers ran=unknown instead of ran=no: its caller may have sent the key again meanwhile.

--- a/core/src/main/java/org/currantslip/core/ledger/StoreLedger.java
+++ b/core/src/main/java/org/currantslip/core/ledger/StoreLedger.java
@@ -331,12 +331,17 @@
     for (Due due = beginDeadlines.peek(); isDue(due); due = beginDeadlines.peek()) {
       beginDeadlines.remove();
       if (due.entry().state() == State.PENDING) {
-        Ran ran = due.entry().ranIfNotDispatched();
+        Ran ran = isLongPast(due) ? Ran.UNKNOWN : due.entry().ranIfNotDispatched();
         giveUp(due.entry(), LedgerRefusals.unavailable(ran, breaker.retryAfterMs()));
       }
     }
   }
 
+  /** Returns whether this node was frozen, so that the caller may have sent the key again. */
+  private boolean isLongPast(Due due) {
+    return clock.nowMs() - due.atMs() > options.storeMs();
+  }
+
   private void expireFinishes() {
     for (Due due = finishDeadlines.peek(); isDue(due); due = finishDeadlines.peek()) {
       finishDeadlines.remove();
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/ledger/LedgerCluster.java
@@ -0,0 +1,310 @@
+package org.currantslip.core.ledger;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.fake.FakeEvents;
+import org.currantslip.core.fake.FakeMembership;
+import org.currantslip.core.fake.FakeObjectStore;
+import org.currantslip.core.fake.FakePeerNetwork;
+import org.currantslip.schema.LedgerOutcome;
+import org.currantslip.schema.LedgerResult;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+import org.jspecify.annotations.Nullable;
+
+/** Several ledgers over one fake store, with a small request engine that counts runs. */
+final class LedgerCluster {
+  static final long START_MS = 1_800_000_000_000L;
+  static final String ACCOUNT = "survey";
+  private static final long TICK_MS = 10;
+
+  final DrivenClock clock = DrivenClock.startingAt(START_MS);
+  final FakeEvents events = FakeEvents.on(clock);
+  final FakeObjectStore store = FakeObjectStore.on(events);
+  final FakePeerNetwork network = FakePeerNetwork.create(events);
+  final Map<String, Node> nodes = new TreeMap<>();
+  final List<Attempt> attempts = new ArrayList<>();
+  final List<String> violations = new ArrayList<>();
+  private final LedgerOptions options;
+  private final Map<String, List<Attempt>> runs = new HashMap<>();
+  private long nextRequest = 1;
+  private long nextIncarnation = 1;
+
+  /** Time from the stored intent to the dispatch, and from there to the answer. */
+  long dispatchMs = 2;
+
+  long runMs = 30;
+
+  private LedgerCluster(LedgerOptions options) {
+    this.options = options;
+  }
+
+  static LedgerCluster of(int size) {
+    return of(size, LedgerOptions.defaults());
+  }
+
+  static LedgerCluster of(int size, LedgerOptions options) {
+    LedgerCluster cluster = new LedgerCluster(options);
+    for (int i = 0; i < size; i++) {
+      cluster.start("n" + i);
+    }
+    return cluster;
+  }
+
+  /** One node. */
+  final class Node {
+    final NodeRecord record;
+    final FakeObjectStore.Link link = store.newLink();
+    final FakeMembership membership;
+    final StoreLedger ledger;
+    boolean frozen;
+    boolean dead;
+
+    private Node(NodeRecord record) {
+      this.record = record;
+      membership = FakeMembership.of(record);
+      nodes.values().forEach(n -> membership.add(n.record));
+      nodes.values().forEach(n -> n.membership.add(record));
+      ledger =
+          StoreLedger.create(
+              record.getId(),
+              link,
+              network.join(name(), this::onFrame),
+              membership,
+              clock,
+              options);
+    }
+
+    String name() {
+      return record.getId().getName();
+    }
+
+    private CompletableFuture<PeerFrame> onFrame(String from, PeerFrame frame) {
+      return switch (frame.getBodyCase()) {
+        case LEDGER_APPEND ->
+            ledger
+                .onAppend(frame.getLedgerAppend())
+                .thenApply(r -> PeerFrame.newBuilder().setLedgerAppendReply(r).build());
+        case INTENT_QUERY ->
+            CompletableFuture.completedFuture(
+                PeerFrame.newBuilder()
+                    .setIntentAnswer(ledger.answer(frame.getIntentQuery()))
+                    .build());
+        default -> new CompletableFuture<>();
+      };
+    }
+
+    /** Does something now, or when the node thaws; never when it is dead. */
+    private void whenAwake(long delayMs, Runnable action) {
+      events.after(
+          delayMs,
+          () -> {
+            if (frozen) {
+              whenAwake(1, action);
+            } else if (!dead) {
+              action.run();
+            }
+          });
+    }
+  }
+
+  /** One sending of a key by its caller. */
+  final class Attempt {
+    final Node node;
+    final LedgerKey key;
+    final ByteString body;
+    final String requestId = "r" + nextRequest++;
+    final int order = attempts.size();
+    final boolean first;
+    boolean dispatched;
+    @Nullable RefusalException refusal;
+    @Nullable LedgerOutcome answer;
+    boolean replayed;
+    boolean ended;
+
+    /** Whether this one was told ran=no, which speaks for it and all earlier sendings. */
+    boolean noSaid;
+
+    private Attempt(Node node, LedgerKey key, String body, boolean first) {
+      this.node = node;
+      this.key = key;
+      this.body = ByteString.copyFromUtf8(body);
+      this.first = first;
+    }
+
+    private void start() {
+      node.ledger.begin(key, body, requestId, first).whenComplete(this::onDecision);
+    }
+
+    private void onDecision(@Nullable LedgerDecision decision, @Nullable Throwable failure) {
+      if (decision instanceof LedgerDecision.Run) {
+        node.whenAwake(dispatchMs, this::dispatch);
+      } else if (decision instanceof LedgerDecision.Replay replay) {
+        replayed = true;
+        end(replay.outcome());
+      } else if (failure instanceof RefusalException r) {
+        refuse(r.ran());
+        refusal = r;
+      }
+    }
+
+    private void dispatch() {
+      if (node.ledger.markDispatched(key, requestId)) {
+        dispatched = true;
+        countRun(this);
+        node.whenAwake(runMs, () -> finish(LedgerResult.ANSWERED));
+      } else {
+        finish(LedgerResult.NOT_DISPATCHED);
+        refuse(first ? Ran.NO : Ran.UNKNOWN);
+      }
+    }
+
+    private void finish(LedgerResult result) {
+      LedgerOutcome outcome =
+          LedgerOutcome.newBuilder()
+              .setAccount(key.account())
+              .setKey(key.key())
+              .setRequestId(requestId)
+              .setResult(result)
+              .setHttpStatus(200)
+              .setContentType("text/plain")
+              .setBody(ByteString.copyFromUtf8("answer to " + requestId))
+              .build();
+      CompletableFuture<Void> stored = node.ledger.finish(key, outcome);
+      if (result == LedgerResult.ANSWERED) {
+        stored.whenComplete((done, failure) -> end(outcome));
+      }
+    }
+
+    private void end(LedgerOutcome outcome) {
+      ended = true;
+      answer = outcome;
+    }
+
+    private void refuse(Ran ran) {
+      ended = true;
+      if (ran == Ran.NO) {
+        noSaid(this);
+      }
+    }
+  }
+
+  Node start(String name) {
+    Node old = nodes.remove(name);
+    if (old != null) {
+      bury(old);
+    }
+    Node node = new Node(FakeMembership.node(name, nextIncarnation++, "fd-" + name));
+    nodes.put(name, node);
+    return node;
+  }
+
+  private static void bury(Node node) {
+    node.dead = true;
+    node.link.kill();
+  }
+
+  void kill(String name) {
+    Node node = node(name);
+    bury(node);
+    network.remove(name);
+    nodes.remove(name);
+  }
+
+  /** Makes every other node believe that this one is gone. */
+  void declareGone(Node gone) {
+    nodes.values().stream()
+        .filter(n -> n != gone)
+        .forEach(n -> n.membership.declareGone(gone.record.getId()));
+  }
+
+  void freeze(String name) {
+    node(name).frozen = true;
+    node(name).link.freeze();
+    network.freeze(name);
+  }
+
+  void thaw(String name) {
+    node(name).frozen = false;
+    network.thaw(name);
+    node(name).link.thaw();
+  }
+
+  Node node(String name) {
+    Node node = nodes.get(name);
+    if (node == null) {
+      throw new IllegalArgumentException(name);
+    }
+    return node;
+  }
+
+  static LedgerKey key(String opaque) {
+    return new LedgerKey(ACCOUNT, START_MS + "-" + opaque, START_MS);
+  }
+
+  Attempt send(String node, String opaque, boolean first) {
+    return send(node, key(opaque), "body", first);
+  }
+
+  Attempt send(String node, LedgerKey key, String body, boolean first) {
+    Attempt attempt = new Attempt(node(node), key, body, first);
+    attempts.add(attempt);
+    attempt.start();
+    return attempt;
+  }
+
+  void run(long ms) {
+    for (long i = 0; i < ms; i++) {
+      events.advance(1);
+      if (clock.nowMs() % TICK_MS == 0) {
+        List.copyOf(nodes.values()).stream().filter(n -> !n.frozen).forEach(n -> n.ledger.tick());
+      }
+    }
+  }
+
+  int runsOf(LedgerKey key) {
+    return runs.getOrDefault(key.key(), List.of()).size();
+  }
+
+  private void countRun(Attempt attempt) {
+    List<Attempt> all = runs.computeIfAbsent(attempt.key.key(), k -> new ArrayList<>());
+    all.add(attempt);
+    if (all.size() > 1) {
+      violations.add(attempt.key.key() + " ran twice: " + attempt.requestId);
+    }
+    attempts.stream()
+        .filter(a -> a.key.equals(attempt.key) && a.noSaid)
+        .filter(a -> attempt.order <= a.order)
+        .forEach(
+            a -> violations.add(a.requestId + " said ran=no, then " + attempt.requestId + " ran"));
+  }
+
+  private void noSaid(Attempt attempt) {
+    attempt.noSaid = true;
+    boolean ran =
+        runs.getOrDefault(attempt.key.key(), List.of()).stream()
+            .anyMatch(r -> r.order <= attempt.order);
+    if (ran) {
+      violations.add(attempt.requestId + " said ran=no of a key that ran");
+    }
+  }
+
+  /** Adds replays that differ from the one answer of their key. */
+  void checkReplays() {
+    for (Attempt a : attempts) {
+      List<Attempt> ran = runs.getOrDefault(a.key.key(), List.of());
+      LedgerOutcome answer = a.answer;
+      if (answer != null && !ran.isEmpty() && !answer.getRequestId().equals(ran.get(0).requestId)) {
+        violations.add(a.requestId + " was answered with another run's answer");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/ledger/StoreLedgerTest.java
@@ -0,0 +1,271 @@
+package org.currantslip.core.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.protobuf.ByteString;
+import java.util.Objects;
+import java.util.stream.Stream;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.fake.FakeObjectStore.Call;
+import org.currantslip.core.fake.StoreFault;
+import org.currantslip.core.ledger.LedgerCluster.Attempt;
+import org.currantslip.schema.LedgerOutcome;
+import org.currantslip.schema.LedgerResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class StoreLedgerTest {
+  private static final long LONG_MS = 30_000;
+  private static final long AT_ONCE_MS = 100;
+
+  private static RefusalException refusal(Attempt attempt) {
+    return Objects.requireNonNull(attempt.refusal, attempt.requestId);
+  }
+
+  private static void assertSound(LedgerCluster cluster) {
+    cluster.checkReplays();
+    assertThat(cluster.violations).isEmpty();
+  }
+
+  @Test
+  void runsOnceAndReplaysToEveryNode() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(1_000);
+    assertThat(first.dispatched).isTrue();
+    for (String node : cluster.nodes.keySet()) {
+      Attempt again = cluster.send(node, "k", false);
+      cluster.run(1_000);
+      assertWithMessage(node).that(again.replayed).isTrue();
+      assertThat(again.answer).isNotNull();
+    }
+    assertThat(cluster.runsOf(first.key)).isEqualTo(1);
+    assertSound(cluster);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "-90000000, true, IDEMPOTENCY_KEY_EXPIRED, NO",
+    "-90000000, false, IDEMPOTENCY_KEY_EXPIRED, UNKNOWN",
+    "61000, true, IDEMPOTENCY_KEY_MALFORMED, NO",
+    "61000, false, IDEMPOTENCY_KEY_MALFORMED, UNKNOWN"
+  })
+  void refusesKeysOutsideTheWindow(long offsetMs, boolean first, ResultCode code, Ran ran) {
+    LedgerCluster cluster = LedgerCluster.of(1);
+    long issuedMs = LedgerCluster.START_MS + offsetMs;
+    LedgerKey key = new LedgerKey(LedgerCluster.ACCOUNT, issuedMs + "-k", issuedMs);
+    Attempt attempt = cluster.send("n0", key, "body", first);
+    assertThat(refusal(attempt).code()).isEqualTo(code);
+    assertThat(refusal(attempt).ran()).isEqualTo(ran);
+  }
+
+  @Test
+  void refusesAnotherBodyAndAnotherAccountIsAnotherKey() {
+    LedgerCluster cluster = LedgerCluster.of(2);
+    cluster.send("n0", "k", true);
+    cluster.run(1_000);
+    Attempt other = cluster.send("n1", LedgerCluster.key("k"), "other body", false);
+    LedgerKey foreign =
+        new LedgerKey("other", LedgerCluster.key("k").key(), LedgerCluster.START_MS);
+    Attempt elsewhere = cluster.send("n1", foreign, "other body", true);
+    cluster.run(1_000);
+    assertThat(refusal(other).code()).isEqualTo(ResultCode.IDEMPOTENCY_KEY_BODY_DIFFERS);
+    assertThat(refusal(other).ran()).isEqualTo(Ran.YES);
+    assertThat(elsewhere.dispatched).isTrue();
+  }
+
+  @Test
+  void saysInFlightWhileTheWriterRuns() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.runMs = 5_000;
+    cluster.send("n0", "k", true);
+    cluster.run(500);
+    Attempt again = cluster.send("n1", "k", false);
+    cluster.run(1_000);
+    assertThat(refusal(again).code()).isEqualTo(ResultCode.KEY_IN_FLIGHT);
+    assertThat(refusal(again).ran()).isEqualTo(Ran.UNKNOWN);
+    assertThat(refusal(again).retryAfterMs()).isGreaterThan(0);
+    cluster.run(6_000);
+    Attempt later = cluster.send("n1", "k", false);
+    cluster.run(500);
+    assertThat(later.replayed).isTrue();
+    assertSound(cluster);
+  }
+
+  @Test
+  void givesUpBeforeDispatchAndLetsTheKeyRunAgain() {
+    LedgerCluster cluster = LedgerCluster.of(2);
+    cluster.dispatchMs = 6_000;
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(7_000);
+    assertThat(first.ended).isTrue();
+    assertThat(first.dispatched).isFalse();
+    cluster.dispatchMs = 2;
+    Attempt again = cluster.send("n1", "k", true);
+    cluster.run(1_000);
+    assertThat(again.dispatched).isTrue();
+    assertSound(cluster);
+  }
+
+  @Test
+  void neverRunsAgainAfterTheWriterIsGone() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.runMs = 5_000;
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(500);
+    LedgerCluster.Node gone = first.node;
+    cluster.kill("n0");
+    Attempt early = cluster.send("n1", "k", false);
+    cluster.run(3_000);
+    assertThat(refusal(early).code()).isEqualTo(ResultCode.KEY_IN_FLIGHT);
+    cluster.declareGone(gone);
+    for (String node : cluster.nodes.keySet()) {
+      Attempt again = cluster.send(node, "k", false);
+      cluster.run(3_000);
+      assertThat(refusal(again).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+      assertThat(refusal(again).ran()).isEqualTo(Ran.UNKNOWN);
+    }
+    assertSound(cluster);
+  }
+
+  @Test
+  void restartUnderTheSameNameCountsAsGone() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.runMs = 5_000;
+    cluster.send("n0", "k", true);
+    cluster.run(500);
+    cluster.start("n0");
+    Attempt again = cluster.send("n0", "k", false);
+    cluster.run(3_000);
+    assertThat(refusal(again).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    assertSound(cluster);
+  }
+
+  /** Frozen at different moments of its request, declared gone, and woken much later. */
+  @ParameterizedTest
+  @CsvSource({"1", "3", "8", "12", "20", "26", "32", "45", "70", "120", "200"})
+  void wokenWriterNeverCausesSecondRun(long freezeAtMs) {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(freezeAtMs);
+    cluster.freeze("n0");
+    cluster.declareGone(first.node);
+    cluster.run(LONG_MS);
+    Attempt again = cluster.send("n1", "k", false);
+    cluster.run(LONG_MS);
+    cluster.thaw("n0");
+    cluster.run(LONG_MS);
+    assertThat(again.ended).isTrue();
+    cluster.send("n2", "k", false);
+    cluster.run(LONG_MS);
+    assertThat(cluster.runsOf(first.key)).isAtMost(1);
+    assertSound(cluster);
+  }
+
+  @ParameterizedTest
+  @EnumSource(StoreFault.class)
+  void everyStoreFaultOnTheFirstCreateEndsInOneRun(StoreFault fault) {
+    LedgerCluster cluster = LedgerCluster.of(2);
+    cluster.store.inject(Call.CREATE, "ledger/", fault);
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(LONG_MS);
+    assertThat(first.ended).isTrue();
+    Attempt again = cluster.send("n1", "k", first.refusal != null);
+    cluster.run(LONG_MS);
+    assertThat(cluster.runsOf(first.key)).isEqualTo(1);
+    assertThat(again.answer).isNotNull();
+    assertSound(cluster);
+  }
+
+  @Test
+  void refusesAtOnceWhileTheStoreIsOut() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.store.setOut(true);
+    Attempt slow = cluster.send("n0", "a", true);
+    cluster.run(3_000);
+    assertThat(slow.ended).isTrue();
+    for (String node : cluster.nodes.keySet()) {
+      cluster.send(node, "warm-" + node, true);
+    }
+    cluster.run(3_000);
+    for (String node : cluster.nodes.keySet()) {
+      Attempt attempt = cluster.send(node, "b-" + node, true);
+      cluster.run(AT_ONCE_MS);
+      assertWithMessage(node).that(attempt.ended).isTrue();
+      assertThat(refusal(attempt).code()).isEqualTo(ResultCode.LEDGER_UNAVAILABLE);
+      assertThat(refusal(attempt).ran()).isEqualTo(Ran.NO);
+      assertThat(refusal(attempt).retryAfterMs()).isGreaterThan(0);
+      Attempt repeated = cluster.send(node, "c-" + node, false);
+      cluster.run(AT_ONCE_MS);
+      assertThat(refusal(repeated).ran()).isEqualTo(Ran.UNKNOWN);
+    }
+    cluster.store.setOut(false);
+    cluster.run(3_000);
+    Attempt back = cluster.send("n0", "a", true);
+    cluster.run(1_000);
+    assertThat(back.dispatched).isTrue();
+    assertSound(cluster);
+  }
+
+  @Test
+  void wokenNodeDoesNotClaimThatTheKeyDidNotRun() {
+    LedgerCluster cluster = LedgerCluster.of(2);
+    Attempt first = cluster.send("n0", "k", true);
+    cluster.run(1);
+    cluster.freeze("n0");
+    cluster.run(LONG_MS);
+    cluster.send("n1", "k", false);
+    cluster.run(LONG_MS);
+    cluster.thaw("n0");
+    cluster.run(LONG_MS);
+    assertThat(cluster.runsOf(first.key)).isEqualTo(1);
+    assertThat(refusal(first).ran()).isEqualTo(Ran.UNKNOWN);
+  }
+
+  static Stream<Integer> slots() {
+    return Stream.iterate(0, i -> i + 1).limit(8);
+  }
+
+  @ParameterizedTest
+  @MethodSource("slots")
+  void nodeCutOffFromTheStoreStillWritesThroughItsPeers(int n) {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.node("n0").link.setCut(true);
+    Attempt attempt = cluster.send("n0", "k" + n, true);
+    cluster.run(5_000);
+    assertThat(attempt.ended).isTrue();
+    assertSound(cluster);
+  }
+
+  @Test
+  void keepsTheHashOfAnAnswerThatIsTooLarge() {
+    LedgerCluster cluster = LedgerCluster.of(2);
+    LedgerKey key = LedgerCluster.key("k");
+    StoreLedger ledger = cluster.node("n0").ledger;
+    ledger.begin(key, ByteString.copyFromUtf8("body"), "big", true);
+    cluster.run(500);
+    assertThat(ledger.markDispatched(key, "big")).isTrue();
+    ledger.finish(
+        key,
+        LedgerOutcome.newBuilder()
+            .setRequestId("big")
+            .setResult(LedgerResult.ANSWERED)
+            .setHttpStatus(201)
+            .setBody(ByteString.copyFrom(new byte[100_000]))
+            .build());
+    cluster.run(500);
+    Attempt again = cluster.send("n1", "k", false);
+    cluster.run(500);
+    var answer = Objects.requireNonNull(again.answer);
+    assertThat(answer.getHttpStatus()).isEqualTo(201);
+    assertThat(answer.getBodyOmitted()).isTrue();
+    assertThat(answer.getBodySha256().size()).isEqualTo(32);
+    assertThat(answer.getBody().isEmpty()).isTrue();
+  }
+}
