--- a/core/src/main/java/org/currantslip/core/ledger/LedgerOptions.java
+++ b/core/src/main/java/org/currantslip/core/ledger/LedgerOptions.java
@@ -11,6 +11,7 @@
  * @param dispatchHoldMs longest time between the stored intent and its dispatch
  * @param maxBodyBytes largest answer that is kept for replay
  * @param maxRequests most requests of this node that the ledger tracks at once
+ * @param compactSegments number of segments after which a slot is compacted
  */
 public record LedgerOptions(
     long windowMs,
@@ -20,12 +21,13 @@
     long batchMs,
     long dispatchHoldMs,
     int maxBodyBytes,
-    int maxRequests) {
+    int maxRequests,
+    int compactSegments) {
   private static final long DAY_MS = 24L * 60 * 60 * 1000;
 
   /** Returns the settings for a window of one day and a store deadline of two seconds. */
   public static LedgerOptions defaults() {
-    return new LedgerOptions(DAY_MS, 60_000, 2_000, 1_000, 80, 5_000, 32 * 1024, 16 * 1024);
+    return new LedgerOptions(DAY_MS, 60_000, 2_000, 1_000, 80, 5_000, 32 * 1024, 16 * 1024, 128);
   }
 
   /** Returns these settings with another key window and store deadline. */
@@ -38,6 +40,21 @@
         batchMs,
         dispatchHoldMs,
         maxBodyBytes,
-        maxRequests);
+        maxRequests,
+        compactSegments);
+  }
+
+  /** Returns these settings with another number of segments after which a slot is compacted. */
+  public LedgerOptions withCompactSegments(int segments) {
+    return new LedgerOptions(
+        windowMs,
+        futureSkewMs,
+        storeMs,
+        peerMs,
+        batchMs,
+        dispatchHoldMs,
+        maxBodyBytes,
+        maxRequests,
+        segments);
   }
 }
--- a/core/src/main/java/org/currantslip/core/ledger/SlotCompactor.java
+++ b/core/src/main/java/org/currantslip/core/ledger/SlotCompactor.java
@@ -26,7 +26,6 @@
  * keys from being taken for new ones, whatever the clocks of other nodes say.
  */
 final class SlotCompactor {
-  private static final int COMPACT_SEGMENTS = 128;
   private static final long COMPACT_BYTES = 400 * 1024;
   private static final long MAX_PART_BYTES = 800 * 1024;
   private static final int SWEEP_PAGE = 32;
@@ -40,6 +39,7 @@
   private final Clock clock;
   private final StoreBreaker breaker;
   private final StoreLane lane;
+  private final int compactSegments;
   private final long rememberMs;
   private final Deque<Garbage> garbage = new ArrayDeque<>();
   private boolean sweepDue;
@@ -58,6 +58,7 @@
     this.clock = clock;
     this.breaker = breaker;
     lane = StoreLane.create(clock, breaker, options.storeMs());
+    compactSegments = options.compactSegments();
     rememberMs = options.windowMs() + options.futureSkewMs();
   }
 
@@ -87,7 +88,7 @@
 
   private boolean isLong() {
     SlotView view = writer.view();
-    return view.tailSegments() >= COMPACT_SEGMENTS || view.tailBytes() >= COMPACT_BYTES;
+    return view.tailSegments() >= compactSegments || view.tailBytes() >= COMPACT_BYTES;
   }
 
   private void storePart() {
--- a/core/src/test/java/org/currantslip/core/ledger/LedgerCluster.java
+++ b/core/src/test/java/org/currantslip/core/ledger/LedgerCluster.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.currantslip.core.common.DrivenClock;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
@@ -14,6 +15,7 @@
 import org.currantslip.core.fake.FakeMembership;
 import org.currantslip.core.fake.FakeObjectStore;
 import org.currantslip.core.fake.FakePeerNetwork;
+import org.currantslip.schema.LedgerIntent;
 import org.currantslip.schema.LedgerOutcome;
 import org.currantslip.schema.LedgerResult;
 import org.currantslip.schema.NodeRecord;
@@ -33,11 +35,13 @@
   final Map<String, Node> nodes = new TreeMap<>();
   final List<Attempt> attempts = new ArrayList<>();
   final List<String> violations = new ArrayList<>();
-  private final LedgerOptions options;
   private final Map<String, List<Attempt>> runs = new HashMap<>();
   private long nextRequest = 1;
   private long nextIncarnation = 1;
 
+  /** Settings of nodes started from now on. */
+  LedgerOptions options;
+
   /** Time from the stored intent to the dispatch, and from there to the answer. */
   long dispatchMs = 2;
 
@@ -250,6 +254,25 @@
     return new LedgerKey(ACCOUNT, START_MS + "-" + opaque, START_MS);
   }
 
+  /** Returns a key of this slot that is issued now. */
+  LedgerKey keyIn(int slot, String opaque) {
+    return Stream.iterate(0, i -> i + 1)
+        .map(i -> new LedgerKey(ACCOUNT, clock.nowMs() + "-" + opaque + "." + i, clock.nowMs()))
+        .filter(k -> LedgerNames.slotOf(intentOf(k)) == slot)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static LedgerIntent intentOf(LedgerKey key) {
+    return LedgerIntent.newBuilder().setAccount(key.account()).setKey(key.key()).build();
+  }
+
+  /** Makes a node believe that it is alone, so that it writes every slot itself. */
+  void isolate(String name) {
+    nodes.keySet().stream().filter(n -> !n.equals(name)).forEach(node(name).membership::suspect);
+    run(500);
+  }
+
   Attempt send(String node, String opaque, boolean first) {
     return send(node, key(opaque), "body", first);
   }
