--- a/cli/src/main/java/org/currantslip/cli/CurrantslipMain.java
+++ b/cli/src/main/java/org/currantslip/cli/CurrantslipMain.java
@@ -1,11 +1,11 @@
 package org.currantslip.cli;
 
-/** Placeholder entry point. */
+/** Entry point of the operators' command. */
 public final class CurrantslipMain {
   private CurrantslipMain() {}
 
-  /** Prints the name of this module. */
+  /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
-    System.out.println("cli");
+    System.exit(Cli.create(System.out, System.err, System.getenv()).run(args));
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/currantslip/cli/DiffCommand.java
@@ -0,0 +1,63 @@
+package org.currantslip.cli;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.currantslip.core.rules.RuleDiff;
+import org.currantslip.core.rules.RuleSet;
+import org.currantslip.schema.ConfigReply;
+import org.currantslip.schema.DiffReply;
+import org.jspecify.annotations.Nullable;
+
+/** Compares two rules files, or one with the configuration in force, by meaning. */
+final class DiffCommand implements Command {
+  @Override
+  public String name() {
+    return "diff";
+  }
+
+  @Override
+  public String help() {
+    return "show how a rules file differs in meaning from the configuration in force or a file";
+  }
+
+  @Override
+  public String example() {
+    return "currantslip diff rules.txt --from old-rules.txt";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.addArgument("file").help("rules file");
+    parser.addArgument("--from").help("rules file to compare with instead");
+  }
+
+  @Override
+  public ExitCode run(Namespace args, CliContext context) throws Exception {
+    String file = args.getString("file");
+    RuleSet to = CliContext.parse(CliContext.read(file), file);
+    @Nullable String fromFile = args.getString("from");
+    DiffReply.Builder reply = DiffReply.newBuilder();
+    RuleSet from;
+    if (fromFile == null) {
+      ConfigReply config = context.client().get("config", ConfigReply.getDefaultInstance());
+      reply.setView(config.getView());
+      from = CliContext.parse(config.getConfig().getRulesText(), "configuration in force");
+    } else {
+      from = CliContext.parse(CliContext.read(fromFile), fromFile);
+    }
+    RuleDiff diff = RuleDiff.between(from, to);
+    reply.addAllLine(diff.lines());
+    context.output().show(reply.build(), () -> describe(context.output(), reply));
+    return ExitCode.OK;
+  }
+
+  private static void describe(Output output, DiffReply.Builder reply) {
+    if (reply.hasView()) {
+      output.view(reply.getView());
+    }
+    reply.getLineList().forEach(l -> output.line("%s", l));
+    if (reply.getLineCount() == 0) {
+      output.line("no difference");
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/currantslip/cli/Output.java
@@ -0,0 +1,93 @@
+package org.currantslip.cli;
+
+import com.google.common.base.Strings;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.util.JsonFormat;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.currantslip.schema.AdminView;
+
+/** Writes answers as text or JSON. */
+final class Output {
+  private static final String GAP = "  ";
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final boolean json;
+
+  private Output(PrintStream out, PrintStream err, boolean json) {
+    this.out = out;
+    this.err = err;
+    this.json = json;
+  }
+
+  static Output create(PrintStream out, PrintStream err, boolean json) {
+    return new Output(out, err, json);
+  }
+
+  boolean isJson() {
+    return json;
+  }
+
+  /** Writes a message as JSON, or else does the text form. */
+  void show(Message message, Runnable text) {
+    if (json) {
+      out.println(toJson(message));
+    } else {
+      text.run();
+    }
+  }
+
+  void line(String format, Object... args) {
+    out.println(args.length == 0 ? format : String.format(java.util.Locale.ROOT, format, args));
+  }
+
+  void error(CliException failure) {
+    if (json) {
+      err.println(toJson(failure.toError()));
+    } else {
+      err.printf(
+          "error %d %s: %s%n", failure.code().number(), failure.code(), failure.getMessage());
+      failure.lines().forEach(l -> err.println(GAP + l));
+    }
+  }
+
+  /** Names who answered and how old its view is. */
+  void view(AdminView view) {
+    line(
+        "node %s, view %d ms old, configuration %d",
+        view.getNode(), view.getViewAgeMs(), view.getConfigVersion());
+  }
+
+  /** Writes rows of equal length with aligned columns; the first row is the heading. */
+  void table(List<List<String>> rows) {
+    int columns = rows.get(0).size();
+    List<Integer> widths =
+        IntStream.range(0, columns)
+            .map(c -> rows.stream().mapToInt(r -> r.get(c).length()).max().orElse(0))
+            .boxed()
+            .toList();
+    rows.forEach(
+        row ->
+            line(
+                "%s",
+                IntStream.range(0, columns)
+                    .mapToObj(c -> Strings.padEnd(row.get(c), widths.get(c), ' '))
+                    .collect(Collectors.joining(GAP))
+                    .stripTrailing()));
+  }
+
+  private static String toJson(Message message) {
+    try {
+      return JsonFormat.printer()
+          .preservingProtoFieldNames()
+          .alwaysPrintFieldsWithNoPresence()
+          .print(message);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+}
--- a/cli/src/main/java/org/currantslip/cli/package-info.java
+++ b/cli/src/main/java/org/currantslip/cli/package-info.java
@@ -1,4 +1,4 @@
-/** The cli module. */
+/** The operators' command, currantslip. */
 @NullMarked
 package org.currantslip.cli;
 
--- a/core/src/main/java/org/currantslip/core/config/ConfigKeeper.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigKeeper.java
@@ -136,7 +136,8 @@
               request.getAskedBy().strip(),
               request.getBaseVersion(),
               request.getRulesText(),
-              RulesParser.parse(request.getRulesText()));
+              RulesParser.parse(request.getRulesText()),
+              request.getNonce() == 0 ? writer.newNonce() : request.getNonce());
     } catch (RulesException e) {
       return CompletableFuture.failedFuture(ApplyException.invalid(e.problems()));
     }
--- a/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
@@ -73,13 +73,10 @@
     long untilMs = clock.nowMs() + options.applyStoreMs();
     return readCurrent(untilMs)
         .thenCompose(
-            current -> {
-              requireBase(change, current.config());
-              AcceptedConfig next = next(change);
-              return keep(current.config(), untilMs)
-                  .thenCompose(x -> audit(change, next, untilMs))
-                  .thenCompose(x -> accept(change, next, current.storeVersion(), untilMs));
-            })
+            current ->
+                current.config().getVersion() == change.baseVersion()
+                    ? replace(change, current, untilMs)
+                    : findEarlier(change, current.config(), untilMs))
         .whenComplete(
             (accepted, failure) -> {
               if (accepted != null) {
@@ -88,14 +85,42 @@
             });
   }
 
-  private AcceptedConfig next(ConfigChange change) {
+  private CompletableFuture<AcceptedConfig> replace(
+      ConfigChange change, Current current, long untilMs) {
+    AcceptedConfig next = next(change);
+    return keep(current.config(), untilMs)
+        .thenCompose(x -> audit(change, next, untilMs))
+        .thenCompose(x -> accept(change, next, current.storeVersion(), untilMs));
+  }
+
+  /** Recognises a change that was accepted before and is sent again after a lost answer. */
+  private CompletableFuture<AcceptedConfig> findEarlier(
+      ConfigChange change, AcceptedConfig current, long untilMs) {
+    long wanted = change.baseVersion() + 1;
+    if (current.getVersion() <= wanted) {
+      return judge(change, current);
+    }
+    return readHistory(wanted, untilMs)
+        .thenCompose(
+            earlier ->
+                earlier.getNonce() == change.nonce()
+                    ? CompletableFuture.completedFuture(earlier)
+                    : CompletableFuture.failedFuture(lost(change, current)));
+  }
+
+  /** Returns a nonce for a change that comes without one. */
+  long newNonce() {
     long nonce = random.nextLong();
+    return nonce == 0 ? 1 : nonce;
+  }
+
+  private AcceptedConfig next(ConfigChange change) {
     return AcceptedConfig.newBuilder()
         .setVersion(change.baseVersion() + 1)
         .setRulesText(change.rulesText())
         .setAppliedBy(change.appliedBy())
         .setAppliedMs(clock.nowMs())
-        .setNonce(nonce == 0 ? 1 : nonce)
+        .setNonce(change.nonce())
         .build();
   }
 
@@ -168,16 +193,16 @@
                 return later(() -> accept(change, next, storeVersion, untilMs), untilMs);
               }
               return found.getVersion() == next.getVersion()
-                  ? judge(change, next, found)
+                  ? judge(change, found)
                   : readHistory(next.getVersion(), untilMs)
-                      .thenCompose(winner -> judge(change, next, winner));
+                      .thenCompose(winner -> judge(change, winner));
             });
   }
 
   private static CompletableFuture<AcceptedConfig> judge(
-      ConfigChange change, AcceptedConfig next, AcceptedConfig winner) {
-    return winner.getNonce() == next.getNonce()
-        ? CompletableFuture.completedFuture(next)
+      ConfigChange change, AcceptedConfig winner) {
+    return winner.getNonce() == change.nonce()
+        ? CompletableFuture.completedFuture(winner)
         : CompletableFuture.failedFuture(lost(change, winner));
   }
 
--- a/node/src/main/java/org/currantslip/node/admin/OperatorTokens.java
+++ b/node/src/main/java/org/currantslip/node/admin/OperatorTokens.java
@@ -32,9 +32,7 @@
 
   /** Returns the operator whose token stands in an Authorization header. */
   public Optional<String> operator(@Nullable String authorization) {
-    boolean bearer =
-        authorization != null && authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
-    byte[] hash = hash(bearer ? authorization.substring(SCHEME.length()).strip() : "");
+    byte[] hash = hash(bearerToken(authorization == null ? "" : authorization));
     Optional<String> found = Optional.empty();
     for (Entry entry : entries) {
       // All entries are compared, so that the time tells nothing about which one is close.
@@ -45,6 +43,12 @@
     return found;
   }
 
+  private static String bearerToken(String authorization) {
+    return authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())
+        ? authorization.substring(SCHEME.length()).strip()
+        : "";
+  }
+
   private static byte[] hash(String token) {
     return Hashing.sha256().hashString(token, StandardCharsets.UTF_8).asBytes();
   }
