--- a/cli/src/main/java/org/currantslip/cli/Cli.java
+++ b/cli/src/main/java/org/currantslip/cli/Cli.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -98,7 +99,7 @@
                 commands.stream()
                     .map(c -> "Example: " + c.example() + "\n")
                     .collect(Collectors.joining()));
-    addCommonArguments(parser);
+    addCommonArguments(parser, "text");
     Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
     for (Command command : commands) {
       Subparser subparser =
@@ -108,21 +109,24 @@
               .description(command.help())
               .epilog("Example: " + command.example())
               .setDefault("command", command);
+      addCommonArguments(subparser, Arguments.SUPPRESS);
       command.declare(subparser);
     }
     return parser;
   }
 
-  private static void addCommonArguments(ArgumentParser parser) {
+  /** Lets the common options stand before the command or after it. */
+  private static void addCommonArguments(ArgumentParser parser, Object outputDefault) {
     parser
         .addArgument("--settings")
         .metavar("FILE")
+        .setDefault(outputDefault == Arguments.SUPPRESS ? Arguments.SUPPRESS : null)
         .help(
             "settings of this command; by default $" + SETTINGS_VARIABLE + " or " + SETTINGS_FILE);
     parser
         .addArgument("--output")
         .choices("text", "json")
-        .setDefault("text")
+        .setDefault(outputDefault)
         .help("form of the answer");
   }
 }
--- a/core/src/main/java/org/currantslip/core/rules/FieldKind.java
+++ b/core/src/main/java/org/currantslip/core/rules/FieldKind.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.rules;
 
+import java.math.BigDecimal;
 import java.util.Locale;
 import java.util.regex.Pattern;
 
@@ -64,9 +65,10 @@
         Locale.ROOT, "%s %.0f and at most %.0f", open ? "above" : "at least", min, max);
   }
 
+  /** Reads a number or a percentage; decimal arithmetic keeps 99.9% at exactly 0.999. */
   static double number(String value) {
     return value.endsWith("%")
-        ? Double.parseDouble(value.substring(0, value.length() - 1)) / 100
+        ? new BigDecimal(value.substring(0, value.length() - 1)).movePointLeft(2).doubleValue()
         : Double.parseDouble(value);
   }
 }
