--- /dev/null
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -0,0 +1,347 @@
+package org.currantslip.node.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.base.Splitter;
+import com.google.protobuf.ByteString;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.ledger.LedgerKey;
+import org.currantslip.core.request.AnswerHead;
+import org.currantslip.core.request.CallerSink;
+import org.currantslip.core.request.RouterRequest;
+import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.schema.AccountSettings;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.NodeRecord;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class FrontDoorTest {
+  private static final String TOKEN = "token-of-the-survey-crew";
+  private static final String CHAT = "/v1/chat/completions";
+  private static final String BODY =
+      "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+  private static final int MAX_BODY_BYTES = 4_096;
+
+  private record Started(RouterRequest request, CallerSink sink, CountDownLatch gone) {}
+
+  private final BlockingQueue<Started> started = new LinkedBlockingQueue<>();
+  private final DecisionThread decisions = DecisionThread.create(System::currentTimeMillis);
+  private final HttpClient client = new HttpClient();
+  private volatile EntryView view = EntryView.empty();
+  private FrontDoor door;
+
+  @BeforeEach
+  void open() throws Exception {
+    CallerOptions options =
+        new CallerOptions(
+            "127.0.0.1",
+            0,
+            MAX_BODY_BYTES,
+            2_048,
+            64,
+            8,
+            1 << 16,
+            30_000,
+            60_000,
+            5_000,
+            "record"::equals);
+    AccountSettings crew = AccountSettings.newBuilder().setName("crew").setToken(TOKEN).build();
+    door =
+        FrontDoor.create(
+            options,
+            AccountTokens.of(List.of(crew)),
+            System::currentTimeMillis,
+            decisions,
+            this::start,
+            () -> "n1.1.1",
+            () -> view);
+    decisions.start();
+    door.start();
+    client.start();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    client.stop();
+    door.stop();
+    decisions.stop();
+  }
+
+  private Runnable start(RouterRequest request, CallerSink sink) {
+    CountDownLatch gone = new CountDownLatch(1);
+    started.add(new Started(request, sink, gone));
+    return gone::countDown;
+  }
+
+  private Request request(String method, String path, String headers, String body) {
+    Request request =
+        client
+            .newRequest("http://127.0.0.1:" + door.port() + path)
+            .method(method)
+            .body(new StringRequestContent("application/json", body));
+    Splitter.on('|')
+        .omitEmptyStrings()
+        .withKeyValueSeparator(':')
+        .split(headers)
+        .forEach((name, value) -> request.headers(h -> h.add(name, value)));
+    return request;
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      nullValues = "-",
+      value = {
+        "POST;/v1/chat/completions;;{};1001;no",
+        "POST;/v1/chat/completions;Authorization:Bearer wrong;{};1001;no",
+        "POST;/v1/chat/completions;Authorization:Basic " + TOKEN + ";{};1001;no",
+        "POST;/v1/chat/completions;T;{;1003;no",
+        "POST;/v1/chat/completions;T;[];1003;no",
+        "POST;/v1/chat/completions;T;{\"model\":\"m\"};1003;no",
+        "POST;/v1/chat/completions;T;{\"messages\":[1]};1003;no",
+        "POST;/v1/chat/completions;T;{\"model\":\"m\",\"messages\":[1],\"stream\":3};1003;no",
+        "POST;/v1/chat/completions;T;{\"model\":\"m\",\"messages\":[1],\"max_tokens\":0};1003;no",
+        "POST;/v1/chat/completions;T|Idempotency-Key:abc;BODY;1006;unknown",
+        "POST;/v1/chat/completions;T|Idempotency-Key:abc|Currantslip-Attempt:1;BODY;1006;no",
+        "POST;/v1/chat/completions;T|Idempotency-Key:1-a|Currantslip-Attempt:2;{;1003;unknown",
+        "POST;/v1/chat/completions;T|Currantslip-Attempt:0;BODY;1010;no",
+        "POST;/v1/chat/completions;T|Currantslip-Attempt:x;BODY;1010;no",
+        "POST;/v1/chat/completions;T|Currantslip-Priority:10;BODY;1010;no",
+        "POST;/v1/chat/completions;T|Currantslip-Deadline-Ms:-1;BODY;1010;no",
+        "POST;/v1/chat/completions;T|Currantslip-Deadline-Ms:0;BODY;1009;no",
+        "POST;/v1/chat/completions;T|Currantslip-Session:a b;BODY;1010;no",
+        "POST;/v1/chat/completions;T|Currantslip-Task:{};BODY;1010;no",
+        "POST;/v1/chat/completions;T;HUGE;1004;no",
+        "GET;/v1/chat/completions;T;;1013;no",
+        "POST;/v1/entry;T;;1013;no",
+        "GET;/v2/other;T;;1014;no",
+        "POST;/services/unheard-of/x;T;{};1011;no",
+      })
+  void refusesBadRequestsAndSendsNothingOn(
+      String method, String path, String headers, String body, int code, String ran)
+      throws Exception {
+    String sent =
+        Stream.of(body == null ? "" : body)
+            .map(b -> b.equals("BODY") ? BODY : b)
+            .map(b -> b.equals("HUGE") ? "x".repeat(MAX_BODY_BYTES + 1) : b)
+            .findFirst()
+            .orElseThrow();
+    String fields = headers == null ? "" : headers;
+    if (fields.startsWith("T")) {
+      fields = "Authorization:Bearer " + TOKEN + fields.substring(1);
+    }
+
+    ContentResponse answer = request(method, path, fields, sent).send();
+
+    assertThat(answer.getHeaders().get("Currantslip-Code")).isEqualTo(String.valueOf(code));
+    assertThat(answer.getHeaders().get("Currantslip-Ran")).isEqualTo(ran);
+    assertThat(answer.getHeaders().get("Currantslip-Request-Id")).isEqualTo("n1.1.1");
+    assertThat(answer.getStatus()).isEqualTo(ResultCode.ofNumber(code).orElseThrow().httpStatus());
+    assertThat(answer.getContentAsString()).contains("\"code\":" + code);
+    assertThat(started).isEmpty();
+  }
+
+  @Test
+  void givesAnOversizedHeaderItsNumber() throws Exception {
+    ContentResponse answer = request("POST", CHAT, "X-Long:" + "y".repeat(4_000), BODY).send();
+
+    assertThat(answer.getStatus()).isEqualTo(431);
+    assertThat(answer.getHeaders().get("Currantslip-Code")).isEqualTo("1012");
+  }
+
+  @Test
+  void passesTheFieldsOfAnAcceptedRequestOn() throws Exception {
+    String headers =
+        "Authorization:Bearer "
+            + TOKEN
+            + "|Idempotency-Key:17-ab|Currantslip-Attempt:1|Currantslip-Session:s1"
+            + "|Currantslip-Task:report|Currantslip-Priority:7";
+    CompletableFuture<ContentResponse> answer =
+        new CompletableResponseListener(
+                request("POST", "/services/record/sign-offs?lane=2", headers, "{}"))
+            .send();
+    Started request = started.take();
+    request.sink().head(head(ResultCode.OK, false));
+    request.sink().data(ByteString.copyFromUtf8("{\"ok\":1}"));
+    request.sink().finish(head(ResultCode.OK, false));
+
+    RouterRequest got = request.request();
+    assertThat(got.account()).isEqualTo("crew");
+    assertThat(got.service()).isEqualTo("record");
+    assertThat(got.path()).isEqualTo("/sign-offs?lane=2");
+    assertThat(got.key()).isEqualTo(new LedgerKey("crew", "17-ab", 17));
+    assertThat(got.firstAttempt()).isTrue();
+    assertThat(got.session()).isEqualTo("s1");
+    assertThat(got.task()).isEqualTo("report");
+    assertThat(got.priority()).isEqualTo(7);
+    assertThat(answer.get().getContentAsString()).isEqualTo("{\"ok\":1}");
+    assertThat(answer.get().getHeaders().get("Currantslip-Rule-Lines")).isEqualTo("4,9");
+  }
+
+  @Test
+  void streamsEventsAndEndsWithTheFieldsOfTheAnswer() throws Exception {
+    CompletableFuture<ContentResponse> answer =
+        new CompletableResponseListener(
+                request("POST", CHAT, "Authorization:Bearer " + TOKEN, BODY))
+            .send();
+    Started request = started.take();
+    request.sink().head(head(ResultCode.OK, true));
+    request.sink().data(ByteString.copyFromUtf8("{\"a\":1}"));
+    request.sink().finish(head(ResultCode.OK, true));
+
+    List<String> events =
+        Splitter.on("\n\n").omitEmptyStrings().splitToList(answer.get().getContentAsString());
+    assertThat(events).hasSize(3);
+    assertThat(events.get(0)).isEqualTo("data: {\"a\":1}");
+    assertThat(events.get(1)).startsWith("event: currantslip\ndata: {\"code\":0");
+    assertThat(events.get(1)).contains("\"rule_lines\":[4,9]");
+    assertThat(events.get(2)).isEqualTo("data: [DONE]");
+  }
+
+  @Test
+  void endsAFailedStreamWithoutDone() throws Exception {
+    CompletableFuture<ContentResponse> answer =
+        new CompletableResponseListener(
+                request("POST", CHAT, "Authorization:Bearer " + TOKEN, BODY))
+            .send();
+    Started request = started.take();
+    request.sink().head(head(ResultCode.OK, true));
+    request.sink().finish(head(ResultCode.ANSWER_TRUNCATED, true));
+
+    assertThat(answer.get().getContentAsString()).contains("\"code\":5004");
+    assertThat(answer.get().getContentAsString()).doesNotContain("[DONE]");
+  }
+
+  @Test
+  void answersPipelinedRequestsInTurn() throws Exception {
+    try (Socket socket = openChat(BODY)) {
+      Started first = started.take();
+      write(socket, BODY);
+      first.sink().finish(head(ResultCode.NO_ENDPOINT, false));
+      Started second = started.take();
+      second.sink().finish(head(ResultCode.RATE_LIMITED, false));
+
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+      List<String> codes =
+          reader.lines().filter(l -> l.startsWith("Currantslip-Code")).limit(2).toList();
+      assertThat(codes)
+          .containsExactly("Currantslip-Code: 3005", "Currantslip-Code: 3001")
+          .inOrder();
+    }
+  }
+
+  @Test
+  void answersWithTheEntriesOfTheLastView() throws Exception {
+    NodeRecord node =
+        NodeRecord.newBuilder()
+            .setId(NodeId.newBuilder().setName("entry-1"))
+            .setCallerAddress("10.0.0.1:8080")
+            .build();
+    view = new EntryView(List.of(node), 3, true);
+
+    ContentResponse answer = client.GET("http://127.0.0.1:" + door.port() + "/v1/entry");
+
+    assertThat(answer.getContentAsString())
+        .isEqualTo(
+            "{\"nodes\":[{\"name\":\"entry-1\",\"address\":\"10.0.0.1:8080\"}],\"ttl_ms\":5000}");
+  }
+
+  @Test
+  void refusesNewWorkOnceTheNodeDrains() throws Exception {
+    view = new EntryView(List.of(), 3, false);
+
+    ContentResponse answer = request("POST", CHAT, "Authorization:Bearer " + TOKEN, BODY).send();
+
+    assertThat(answer.getHeaders().get("Currantslip-Code")).isEqualTo("3008");
+    assertThat(answer.getHeaders().get("Currantslip-Ran")).isEqualTo("no");
+  }
+
+  private static AnswerHead head(ResultCode code, boolean stream) {
+    return new AnswerHead(
+        "n1.1.1",
+        code,
+        Ran.YES,
+        200,
+        "application/json",
+        stream,
+        "m",
+        "v1",
+        3,
+        List.of(4, 9),
+        0,
+        "",
+        false,
+        false,
+        "");
+  }
+
+  private Socket openChat(String body) throws IOException {
+    Socket socket = new Socket("127.0.0.1", door.port());
+    write(socket, body);
+    return socket;
+  }
+
+  private static void write(Socket socket, String body) throws IOException {
+    String head =
+        "POST "
+            + CHAT
+            + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+            + TOKEN
+            + "\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n";
+    socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void tellsOfACallerThatHangsUpBeforeTheAnswer() throws Exception {
+    Started request;
+    try (Socket socket = openChat(BODY)) {
+      request = started.take();
+      assertThat(socket.isConnected()).isTrue();
+    }
+
+    request.gone().await();
+
+    assertThat(request.gone().getCount()).isEqualTo(0);
+  }
+
+  @Test
+  void cutsOffACallerThatDoesNotReadItsStream() throws Exception {
+    try (Socket socket = openChat(BODY)) {
+      Started request = started.take();
+      request.sink().head(head(ResultCode.OK, true));
+      ByteString chunk = ByteString.copyFromUtf8("z".repeat(8_192));
+
+      while (request.gone().getCount() > 0) {
+        request.sink().data(chunk);
+      }
+
+      assertWithMessage("socket").that(socket.isConnected()).isTrue();
+    }
+  }
+}
