--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/poll/package-info.java
@@ -0,0 +1,5 @@
+/** Periodic readings of the platform and reports to other nodes. */
+@NullMarked
+package org.currantslip.node.poll;
+
+import org.jspecify.annotations.NullMarked;
