--- a/standin/src/main/java/org/currantslip/standin/http/StandinDesk.java
+++ b/standin/src/main/java/org/currantslip/standin/http/StandinDesk.java
@@ -1,14 +1,14 @@
 package org.currantslip.standin.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable;
 
 /** Takes the requests of one stand-in: its fault switch first, then the stand-in itself. */
 final class StandinDesk {
@@ -18,39 +18,37 @@
 
   private final StandinApp app;
   private final FaultSwitch faults;
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
 
-  private StandinDesk(StandinApp app, FaultSwitch faults, ScheduledExecutorService timer) {
+  private StandinDesk(StandinApp app, FaultSwitch faults, Delays delays) {
     this.app = app;
     this.faults = faults;
-    this.timer = timer;
+    this.delays = delays;
   }
 
-  static StandinDesk create(StandinApp app, FaultSwitch faults, ScheduledExecutorService timer) {
-    return new StandinDesk(app, faults, timer);
+  static StandinDesk create(StandinApp app, FaultSwitch faults, Delays delays) {
+    return new StandinDesk(app, faults, delays);
   }
 
   void take(Request request, Response response, Callback callback) {
-    Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES)
-        .whenComplete(
-            (body, failure) -> {
-              if (failure != null) {
-                callback.failed(failure);
-              } else {
-                route(request, response, callback, body);
-              }
-            });
+    Content.Source.asByteArrayAsync(
+        request,
+        MAX_BODY_BYTES,
+        Promise.Invocable.from(
+            Invocable.InvocationType.NON_BLOCKING,
+            body -> route(request, response, callback, body),
+            callback::failed));
   }
 
   private void route(Request request, Response response, Callback callback, byte[] body) {
     String path = Request.getPathInContext(request);
     if (path.equals(FAULTS_PATH)) {
-      Exchange exchange = new Exchange(request, response, callback, body, FaultSet.NONE, timer);
+      Exchange exchange = new Exchange(request, response, callback, body, FaultSet.NONE, delays);
       serve(exchange, this::switchFaults);
       return;
     }
     FaultSet met = app.isControl(request.getMethod(), path) ? FaultSet.NONE : faults.next(path);
-    Exchange exchange = new Exchange(request, response, callback, body, met, timer);
+    Exchange exchange = new Exchange(request, response, callback, body, met, delays);
     if (met.refuse()) {
       exchange.abort();
     } else if (met.down()) {
@@ -64,7 +62,7 @@
 
   private void serveAfter(Exchange exchange, long delayMs) {
     if (delayMs > 0) {
-      timer.schedule(() -> serve(exchange, app), delayMs, TimeUnit.MILLISECONDS);
+      delays.after(delayMs, () -> serve(exchange, app));
     } else {
       serve(exchange, app);
     }
--- a/standin/src/main/java/org/currantslip/standin/object/ObjectApi.java
+++ b/standin/src/main/java/org/currantslip/standin/object/ObjectApi.java
@@ -1,16 +1,17 @@
 package org.currantslip.standin.object;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.port.ObjectStore;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Exchange;
 import org.currantslip.standin.http.Json;
 import org.currantslip.standin.http.RateLimit;
@@ -38,16 +39,15 @@
   private final AtomicLong watchCalls = new AtomicLong();
   private final AtomicLong refusedCalls = new AtomicLong();
 
-  private ObjectApi(ScheduledExecutorService timer, double readsPerS, double writesPerS) {
-    watches = new Watches(timer);
+  private ObjectApi(Delays delays, double readsPerS, double writesPerS) {
+    watches = new Watches(delays);
     reads = RateLimit.perSecond(readsPerS);
     writes = RateLimit.perSecond(writesPerS);
   }
 
   /** Returns an empty store; a rate of zero means no limit. */
-  public static ObjectApi create(
-      ScheduledExecutorService timer, double readsPerS, double writesPerS) {
-    return new ObjectApi(timer, readsPerS, writesPerS);
+  public static ObjectApi create(Delays delays, double readsPerS, double writesPerS) {
+    return new ObjectApi(delays, readsPerS, writesPerS);
   }
 
   @Override
@@ -99,7 +99,7 @@
       throw RefusalException.notRun(ResultCode.NOT_FOUND, "no such object");
     }
     Map<String, String> headers = Map.of(VERSION_HEADER, Long.toString(entry.get().version()));
-    exchange.reply(OK, BINARY, headers, entry.get().value());
+    exchange.reply(OK, BINARY, headers, entry.get().value().toByteArray());
   }
 
   private void put(Exchange exchange, String name) {
@@ -108,7 +108,7 @@
     if (value.length > ObjectStore.MAX_VALUE_BYTES) {
       throw RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "value exceeds a megabyte");
     }
-    OptionalLong version = table.put(name, value, expectedVersion(exchange));
+    OptionalLong version = table.put(name, ByteString.copyFrom(value), expectedVersion(exchange));
     if (version.isEmpty()) {
       conflict(exchange);
       return;
@@ -143,7 +143,9 @@
 
   private static byte[] line(ObjectTable.Entry entry) {
     ObjectNode line = Json.object();
-    line.put("name", entry.name()).put("version", entry.version()).put("value", entry.value());
+    line.put("name", entry.name())
+        .put("version", entry.version())
+        .put("value", entry.value().toByteArray());
     return Json.bytes(line);
   }
 
--- a/standin/src/main/java/org/currantslip/standin/weights/WeightStoreApp.java
+++ b/standin/src/main/java/org/currantslip/standin/weights/WeightStoreApp.java
@@ -1,11 +1,10 @@
 package org.currantslip.standin.weights;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.standin.http.Delays;
 import org.currantslip.standin.http.Exchange;
 import org.currantslip.standin.http.Json;
 import org.currantslip.standin.http.RateLimit;
@@ -17,22 +16,21 @@
   private static final String CALLS_PATH = "/calls";
   private static final int OK = 200;
 
-  private final ScheduledExecutorService timer;
+  private final Delays delays;
   private final RateLimit limit;
   private final long transferMs;
   private final AtomicLong fetches = new AtomicLong();
   private final AtomicLong refused = new AtomicLong();
 
-  private WeightStoreApp(ScheduledExecutorService timer, double fetchesPerS, long transferMs) {
-    this.timer = timer;
+  private WeightStoreApp(Delays delays, double fetchesPerS, long transferMs) {
+    this.delays = delays;
     limit = RateLimit.perSecond(fetchesPerS);
     this.transferMs = transferMs;
   }
 
   /** Returns a store; a rate of zero means no limit. */
-  public static WeightStoreApp create(
-      ScheduledExecutorService timer, double fetchesPerS, long transferMs) {
-    return new WeightStoreApp(timer, fetchesPerS, transferMs);
+  public static WeightStoreApp create(Delays delays, double fetchesPerS, long transferMs) {
+    return new WeightStoreApp(delays, fetchesPerS, transferMs);
   }
 
   @Override
@@ -61,6 +59,6 @@
       throw RefusalException.notRun(ResultCode.RATE_LIMITED, "rate of fetches exceeded");
     }
     fetches.incrementAndGet();
-    timer.schedule(() -> exchange.reply(OK, body), transferMs, TimeUnit.MILLISECONDS);
+    delays.after(transferMs, () -> exchange.reply(OK, body));
   }
 }
