--- a/core/src/test/java/org/currantslip/core/session/HomeTableTest.java
+++ b/core/src/test/java/org/currantslip/core/session/HomeTableTest.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.currantslip.core.common.DrivenClock;
@@ -60,8 +61,9 @@
   }
 
   private String keep(String node, int session, String proposal) {
+    HomeTable table = Objects.requireNonNull(tables.get(node));
     CompletableFuture<String> kept =
-        tables.get(node).keep(new SessionBinding("crew", "session-" + session, "report", proposal));
+        table.keep(new SessionBinding("crew", "session-" + session, "report", proposal));
     events.advance(200);
     return kept.join();
   }
