--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -1,11 +1,92 @@
 package org.currantslip.node;
 
-/** Placeholder entry point. */
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import javax.net.ssl.SSLException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.node.peer.PeerTls;
+import org.currantslip.node.wiring.RunningNode;
+import org.currantslip.platform.settings.SettingsException;
+import org.currantslip.platform.settings.SettingsLoader;
+import org.currantslip.platform.settings.SettingsProblem;
+import org.currantslip.schema.NodeSettings;
+
+/** The router process: {@code currantslipd --settings FILE}. */
 public final class CurrantslipdMain {
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_NOT_CLEAN = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_SETTINGS = 3;
+  private static final int EXIT_START = 4;
+
   private CurrantslipdMain() {}
 
-  /** Prints the name of this module. */
+  /** Runs a node until it is told to stop. */
   public static void main(String[] args) {
-    System.out.println("node");
+    System.exit(run(args, System.err));
+  }
+
+  static int run(String[] args, PrintStream err) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("currantslipd").build().description("Runs one node of the router.");
+    parser.addArgument("--settings").required(true).metavar("FILE").help("settings in TOML");
+    Path file;
+    try {
+      file = Path.of(parser.parseArgs(args).getString("settings"));
+    } catch (HelpScreenException e) {
+      return EXIT_OK;
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return EXIT_USAGE;
+    }
+    Optional<NodeSettings> settings = load(file, err);
+    return settings.map(s -> serve(s, err)).orElse(EXIT_SETTINGS);
+  }
+
+  private static Optional<NodeSettings> load(Path file, PrintStream err) {
+    try {
+      return Optional.of(SettingsLoader.loadNode(Files.readString(file)));
+    } catch (IOException e) {
+      err.println(ResultCode.FILE_UNREADABLE.number() + " cannot read " + file);
+    } catch (SettingsException e) {
+      e.problems().stream().map(SettingsProblem::toString).forEach(err::println);
+    }
+    return Optional.empty();
+  }
+
+  private static int serve(NodeSettings settings, PrintStream err) {
+    RunningNode node;
+    try {
+      node = RunningNode.start(settings, PeerTls.from(settings.getSecurity()));
+    } catch (SSLException e) {
+      err.println(ResultCode.SETTINGS_UNREADABLE.number() + " security: " + e.getMessage());
+      return EXIT_SETTINGS;
+    } catch (Exception e) {
+      err.println(ResultCode.INTERNAL.number() + " cannot start: " + e.getMessage());
+      return EXIT_START;
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
+    return await(node);
+  }
+
+  /** Ends the process with the outcome of the planned stop in place of the signal's status. */
+  private static void stop(RunningNode node) {
+    node.beginStop();
+    Runtime.getRuntime().halt(await(node));
+  }
+
+  private static int await(RunningNode node) {
+    try {
+      return node.awaitStop() ? EXIT_OK : EXIT_NOT_CLEAN;
+    } catch (Exception e) {
+      return EXIT_NOT_CLEAN;
+    }
   }
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
@@ -11,4 +11,15 @@
 
   /** A frame arrived; {@code reply} sends the answer if the peer asked for one. */
   void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply);
+
+  /** Returns a dispatcher that takes nothing. */
+  static PeerDispatcher none() {
+    return new PeerDispatcher() {
+      @Override
+      public void onLink(NodeRecord peer) {}
+
+      @Override
+      public void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply) {}
+    };
+  }
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -41,7 +41,7 @@
   private final Clock clock;
   private final PeerTransport transport;
   private final Function<String, Optional<NodeRecord>> directory;
-  private final PeerDispatcher dispatcher;
+  private PeerDispatcher dispatcher = PeerDispatcher.none();
   private final Map<String, PeerLink> links = new HashMap<>();
   private final Map<String, Opening> openings = new HashMap<>();
   private final Map<String, Long> notBeforeMs = new HashMap<>();
@@ -57,13 +57,11 @@
       PeerTls tls,
       Clock clock,
       Executor decisions,
-      Function<String, Optional<NodeRecord>> directory,
-      PeerDispatcher dispatcher) {
+      Function<String, Optional<NodeRecord>> directory) {
     this.self = self.getId().getName();
     this.options = options;
     this.clock = clock;
     this.directory = directory;
-    this.dispatcher = dispatcher;
     transport = PeerTransport.create(self, options, tls, clock, decisions, new Events());
   }
 
@@ -79,13 +77,13 @@
       PeerTls tls,
       Clock clock,
       Executor decisions,
-      Function<String, Optional<NodeRecord>> directory,
-      PeerDispatcher dispatcher) {
-    return new PeerLinks(self, options, tls, clock, decisions, directory, dispatcher);
+      Function<String, Optional<NodeRecord>> directory) {
+    return new PeerLinks(self, options, tls, clock, decisions, directory);
   }
 
-  /** Opens the port for other nodes and returns it. */
-  public int listen() throws InterruptedException {
+  /** Opens the port for other nodes and returns it; their frames go to {@code target}. */
+  public int listen(PeerDispatcher target) throws InterruptedException {
+    dispatcher = target;
     return transport.listen();
   }
 
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/wiring/AdminServer.java
@@ -0,0 +1,36 @@
+package org.currantslip.node.wiring;
+
+import org.currantslip.node.admin.AdminHandler;
+import org.currantslip.schema.ListenSettings;
+import org.eclipse.jetty.server.ConnectionLimit;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server of the administration port. */
+final class AdminServer {
+  private static final int MAX_THREADS = 8;
+  private static final int MIN_THREADS = 2;
+  private static final int MAX_CONNECTIONS = 64;
+  private static final long IDLE_MS = 60_000;
+
+  private AdminServer() {}
+
+  static Server create(ListenSettings listen, AdminHandler handler) {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName("admin");
+    Server server = new Server(threads);
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+    connector.setHost(listen.getHost());
+    connector.setPort(listen.getPort());
+    connector.setIdleTimeout(IDLE_MS);
+    server.addConnector(connector);
+    server.addBean(new ConnectionLimit(MAX_CONNECTIONS, connector));
+    server.setHandler(handler);
+    return server;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -0,0 +1,153 @@
+package org.currantslip.node.wiring;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.currantslip.core.audit.DecisionLog;
+import org.currantslip.core.burn.BurnRecorder;
+import org.currantslip.core.cascade.RatedCascade;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.config.ConfigKeeper;
+import org.currantslip.core.config.ConfigOptions;
+import org.currantslip.core.ledger.Ledger;
+import org.currantslip.core.ledger.LedgerOptions;
+import org.currantslip.core.ledger.StoreLedger;
+import org.currantslip.core.limits.AdmissionOptions;
+import org.currantslip.core.limits.FairAdmission;
+import org.currantslip.core.membership.HeartbeatMembership;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.core.request.EndpointCalls;
+import org.currantslip.core.request.EngineOptions;
+import org.currantslip.core.request.RequestEngine;
+import org.currantslip.core.request.RequestOutcome;
+import org.currantslip.core.request.RequestPorts;
+import org.currantslip.core.rollout.EvidenceVersionPolicy;
+import org.currantslip.core.rollout.RolloutOptions;
+import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.core.session.SessionHomes;
+import org.currantslip.core.session.SignedSessions;
+import org.currantslip.core.usage.PeerUsageSpool;
+import org.currantslip.core.usage.UsageOptions;
+import org.currantslip.core.usage.UsageSpool;
+import org.currantslip.schema.DecisionRecord;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.NodeSettings;
+import org.currantslip.schema.TimeoutSettings;
+
+/**
+ * All parts that decide, built in the order in which they need each other.
+ *
+ * <p>They belong to the decision thread.
+ */
+record CoreParts(
+    HeartbeatMembership membership,
+    ConfigKeeper config,
+    FairAdmission admission,
+    Ledger ledger,
+    UsageSpool usage,
+    SessionHomes homes,
+    EvidenceVersionPolicy versions,
+    ExpectedWaitChooser chooser,
+    RatedCascade cascade,
+    DecisionLog decisionLog,
+    BurnRecorder burn,
+    RequestEngine engine) {
+
+  static CoreParts create(
+      NodeSettings settings,
+      HeartbeatMembership membership,
+      ObjectStore store,
+      PeerNetwork peers,
+      EndpointCalls calls,
+      Clock clock,
+      Consumer<DecisionRecord> onDecision,
+      Consumer<RequestOutcome> onOutcome) {
+    NodeId self = membership.self().getId();
+    TimeoutSettings times = settings.getTimeouts();
+    long seed = self.getIncarnation();
+    ConfigKeeper config =
+        ConfigKeeper.create(
+            self,
+            store,
+            peers,
+            membership,
+            clock,
+            ConfigOptions.of(times.getConfigFreshMs(), times.getStoreMs(), seed));
+    FairAdmission admission =
+        FairAdmission.create(self, membership, clock, AdmissionOptions.defaults(), seed);
+    Ledger ledger =
+        StoreLedger.create(
+            self,
+            store,
+            peers,
+            membership,
+            clock,
+            LedgerOptions.defaults().with(times.getKeyWindowMs(), times.getStoreMs()));
+    UsageSpool usage =
+        PeerUsageSpool.create(
+            membership.self(),
+            store,
+            peers,
+            membership,
+            clock,
+            UsageOptions.of(settings.getLimits().getUsageSpoolRecords(), times.getStoreMs()));
+    SessionHomes homes = ProposedHomes.create();
+    EvidenceVersionPolicy versions =
+        EvidenceVersionPolicy.create(self, clock, RolloutOptions.defaults());
+    ExpectedWaitChooser chooser =
+        ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed);
+    RatedCascade cascade = RatedCascade.create(clock);
+    DecisionLog decisionLog = DecisionLog.create(self, store, clock);
+    BurnRecorder burn = BurnRecorder.create(clock, config);
+    byte[] secret = settings.getSecurity().getSessionSecret().getBytes(StandardCharsets.UTF_8);
+    RequestPorts ports =
+        new RequestPorts(
+            clock,
+            self.getName(),
+            config,
+            admission,
+            ledger,
+            usage,
+            SignedSessions.create(secret),
+            homes,
+            versions,
+            chooser,
+            cascade,
+            calls,
+            onDecision.andThen(decisionLog::add),
+            onOutcome.andThen(burn::record));
+    RequestEngine engine =
+        RequestEngine.create(
+            ports, EngineOptions.of(times.getFirstByteMs(), times.getBetweenChunksMs()));
+    return new CoreParts(
+        membership,
+        config,
+        admission,
+        ledger,
+        usage,
+        homes,
+        versions,
+        chooser,
+        cascade,
+        decisionLog,
+        burn,
+        engine);
+  }
+
+  void tick() {
+    membership.tick();
+    config.tick();
+    admission.tick();
+    ledger.tick();
+    usage.tick();
+    engine.tick();
+    decisionLog.tick();
+  }
+
+  /** Writes out all that must last. */
+  CompletableFuture<Void> flush() {
+    decisionLog.flush();
+    return usage.flush();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
@@ -0,0 +1,85 @@
+package org.currantslip.node.wiring;
+
+import java.net.URI;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.request.EndpointCalls;
+import org.currantslip.platform.endpoint.EndpointTimeouts;
+import org.currantslip.platform.endpoint.HttpEndpointCalls;
+import org.currantslip.platform.endpoint.LoadReportClient;
+import org.currantslip.platform.endpoint.LoadReportSource;
+import org.currantslip.platform.http.HttpClients;
+import org.currantslip.platform.rating.RatingClient;
+import org.currantslip.platform.rating.RatingSource;
+import org.currantslip.platform.store.HttpObjectStore;
+import org.currantslip.platform.vmlist.VmListClient;
+import org.currantslip.platform.vmlist.VmListSource;
+import org.currantslip.schema.NodeSettings;
+import org.eclipse.jetty.client.HttpClient;
+
+/** The platform and the endpoints as this node reaches them. */
+final class PlatformPorts {
+  private static final int STORE_THREADS = 4;
+  private static final int ENDPOINT_THREADS = 8;
+  private static final long MAX_ANSWER_BYTES = 8L << 20;
+
+  private final HttpClient platformClient;
+  private final HttpClient endpointClient;
+  private final ObjectStore store;
+  private final VmListSource vmList;
+  private final Optional<RatingSource> ratings;
+  private final EndpointCalls calls;
+  private final LoadReportSource loads;
+
+  private PlatformPorts(NodeSettings settings, Executor decisions) {
+    platformClient = HttpClients.start("platform", STORE_THREADS);
+    endpointClient = HttpClients.start("endpoint", ENDPOINT_THREADS);
+    var platform = settings.getPlatform();
+    var timeouts = settings.getTimeouts();
+    store =
+        HttpObjectStore.create(
+            platformClient, URI.create(platform.getObjectApi()), decisions, timeouts.getStoreMs());
+    vmList = VmListClient.create(platformClient, URI.create(platform.getVmList()), decisions);
+    ratings =
+        Optional.of(platform.getRatingService())
+            .filter(address -> !address.isEmpty())
+            .map(address -> RatingClient.create(platformClient, URI.create(address), decisions));
+    calls =
+        HttpEndpointCalls.create(
+            endpointClient,
+            decisions,
+            new EndpointTimeouts(timeouts.getFirstByteMs(), timeouts.getBetweenChunksMs()),
+            MAX_ANSWER_BYTES);
+    loads = LoadReportClient.create(endpointClient, decisions);
+  }
+
+  static PlatformPorts open(NodeSettings settings, Executor decisions) {
+    return new PlatformPorts(settings, decisions);
+  }
+
+  ObjectStore store() {
+    return store;
+  }
+
+  VmListSource vmList() {
+    return vmList;
+  }
+
+  Optional<RatingSource> ratings() {
+    return ratings;
+  }
+
+  EndpointCalls calls() {
+    return calls;
+  }
+
+  LoadReportSource loads() {
+    return loads;
+  }
+
+  void close() {
+    HttpClients.stop(endpointClient);
+    HttpClients.stop(platformClient);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -0,0 +1,273 @@
+package org.currantslip.node.wiring;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.membership.HeartbeatMembership;
+import org.currantslip.core.membership.Incarnations;
+import org.currantslip.core.membership.MembershipOptions;
+import org.currantslip.core.membership.PlannedStop;
+import org.currantslip.core.request.RequestHandle;
+import org.currantslip.core.request.RequestIds;
+import org.currantslip.node.admin.AdminHandler;
+import org.currantslip.node.admin.AdminParts;
+import org.currantslip.node.admin.NodeAdminOperations;
+import org.currantslip.node.admin.OperatorTokens;
+import org.currantslip.node.caller.AccountTokens;
+import org.currantslip.node.caller.CallerOptions;
+import org.currantslip.node.caller.EntryView;
+import org.currantslip.node.caller.FrontDoor;
+import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.peer.PeerLinks;
+import org.currantslip.node.peer.PeerOptions;
+import org.currantslip.node.peer.PeerTls;
+import org.currantslip.node.poll.LoadPoll;
+import org.currantslip.node.poll.PeerReports;
+import org.currantslip.node.poll.UsedEndpoints;
+import org.currantslip.node.poll.VmListPoll;
+import org.currantslip.schema.ConfigAnnounce;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.NodeSettings;
+import org.currantslip.schema.NodeState;
+import org.currantslip.schema.NodeStatus;
+import org.currantslip.schema.NodeView;
+import org.eclipse.jetty.server.Server;
+
+/** One running node: its threads, ports and parts. */
+public final class RunningNode {
+  private static final long INCARNATION_WAIT_MS = 3_000;
+  private static final long FLUSH_MS = 10_000;
+  private static final long MARK_MS = 3_000;
+  private static final long PUBLISH_MS = 50;
+
+  private final Clock clock = WallClock.create();
+  private final AtomicReference<EntryView> entryView = new AtomicReference<>(EntryView.empty());
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final DecisionThread decisions;
+  private final PlatformPorts platform;
+  private final PeerLinks links;
+  private final HeartbeatMembership membership;
+  private final CoreParts core;
+  private final PeerReports reports;
+  private final LoadPoll loads;
+  private final VmListPoll vmList;
+  private final PlannedStop stop;
+  private final FrontDoor door;
+  private final Server admin;
+  private volatile boolean evicted;
+  private long nextPublishMs;
+
+  private RunningNode(NodeSettings settings, PeerTls tls) throws InterruptedException {
+    decisions = DecisionThread.create(clock);
+    platform = PlatformPorts.open(settings, decisions);
+    decisions.start();
+    NodeRecord self = SelfRecord.of(settings, incarnation(settings.getName()), clock);
+    AtomicReference<HeartbeatMembership> known = new AtomicReference<>();
+    links =
+        PeerLinks.create(
+            self,
+            PeerOptions.from(settings),
+            tls,
+            clock,
+            decisions,
+            name -> Optional.ofNullable(known.get()).flatMap(m -> m.lastKnown(name)));
+    membership =
+        HeartbeatMembership.create(
+            self,
+            platform.store(),
+            links,
+            clock,
+            MembershipOptions.of(
+                settings.getTimeouts().getHeartbeatMs(), settings.getTimeouts().getPeerSilentMs()));
+    known.set(membership);
+    UsedEndpoints calls = UsedEndpoints.create(platform.calls(), clock);
+    core =
+        CoreParts.create(
+            settings, membership, platform.store(), links, calls, clock, d -> {}, o -> {});
+    reports =
+        PeerReports.create(
+            membership,
+            links,
+            core.versions(),
+            core.admission(),
+            clock,
+            self.getId().getIncarnation());
+    loads = LoadPoll.create(platform.loads(), membership, core.chooser(), calls, clock);
+    vmList = VmListPoll.create(platform.vmList(), clock, core.chooser()::onEndpoints);
+    core.versions().setBrakeListener(reports::brake);
+    membership.setConfigStatus(this::configStatus);
+    RequestIds ids = RequestIds.create(self.getId());
+    door =
+        FrontDoor.create(
+            CallerOptions.from(settings),
+            AccountTokens.of(settings.getAccountList()),
+            clock,
+            decisions,
+            (request, sink) -> {
+              RequestHandle handle = core.engine().start(request, sink);
+              return handle::callerGone;
+            },
+            () -> nextId(ids),
+            entryView::get);
+    stop =
+        PlannedStop.create(membership, clock, this::underWay, core::flush, stopOptions(settings));
+    admin =
+        AdminServer.create(
+            settings.getAdmin(),
+            AdminHandler.create(
+                NodeAdminOperations.create(adminParts(), decisions),
+                OperatorTokens.of(settings.getOperatorList())));
+  }
+
+  /** Starts a node: its ports are open when this returns. */
+  public static RunningNode start(NodeSettings settings, PeerTls tls) throws Exception {
+    RunningNode node = new RunningNode(settings, tls);
+    try {
+      node.links.listen(FrameRouter.create(node.core));
+      node.admin.start();
+      node.door.start();
+    } catch (Exception e) {
+      node.close();
+      throw e;
+    }
+    node.decisions.execute(node::begin);
+    return node;
+  }
+
+  private static String nextId(RequestIds ids) {
+    synchronized (ids) {
+      return ids.next();
+    }
+  }
+
+  private static PlannedStop.Options stopOptions(NodeSettings settings) {
+    var times = settings.getTimeouts();
+    long entryMs = (long) times.getEntryTtlMs() + times.getPeerSilentMs();
+    return new PlannedStop.Options(entryMs, times.getDrainMs(), FLUSH_MS, MARK_MS);
+  }
+
+  /** Asks the store for an incarnation, and takes the clock's when the store is out. */
+  private long incarnation(String name) throws InterruptedException {
+    CompletableFuture<Long> found = new CompletableFuture<>();
+    decisions.execute(
+        () ->
+            Incarnations.next(name, platform.store(), clock)
+                .whenComplete(
+                    (number, failure) -> found.complete(failure == null ? number : clock.nowMs())));
+    try {
+      return found.get(INCARNATION_WAIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      return clock.nowMs();
+    }
+  }
+
+  private ConfigAnnounce configStatus() {
+    return ConfigAnnounce.newBuilder()
+        .setVersion(core.config().current().version())
+        .setAgeMs(core.config().ageMs())
+        .build();
+  }
+
+  private AdminParts adminParts() {
+    return new AdminParts(
+        clock,
+        core.config(),
+        core.decisionLog(),
+        membership,
+        core.chooser(),
+        platform.store(),
+        core.burn(),
+        this::nodeStatus,
+        List::of,
+        this::drain);
+  }
+
+  private List<NodeStatus> nodeStatus() {
+    NodeStatus self =
+        NodeStatus.newBuilder()
+            .setNode(membership.self())
+            .setConfigVersion(core.config().current().version())
+            .build();
+    return Stream.concat(Stream.of(self), membership.views().stream().map(RunningNode::status))
+        .toList();
+  }
+
+  private static NodeStatus status(NodeView view) {
+    return NodeStatus.newBuilder()
+        .setNode(view.getNode())
+        .setHeardMsAgo(view.getHeardMsAgo())
+        .setConfigVersion(view.getConfigVersion())
+        .build();
+  }
+
+  private CompletableFuture<String> drain() {
+    stop.begin();
+    return CompletableFuture.completedFuture(stop.phase().name());
+  }
+
+  private int underWay() {
+    return door.inFlight() + core.engine().activeCount();
+  }
+
+  private void begin() {
+    core.config().start();
+    decisions.onTick(this::tick);
+  }
+
+  private void tick() {
+    core.tick();
+    links.tick();
+    vmList.tick();
+    loads.tick();
+    reports.tick();
+    stop.tick();
+    if (membership.self().getState() == NodeState.JOINING && core.config().isFresh()) {
+      membership.serve();
+    }
+    if (clock.nowMs() >= nextPublishMs) {
+      nextPublishMs = clock.nowMs() + PUBLISH_MS;
+      publish();
+    }
+    evicted |= membership.supersededBy().isPresent();
+    if (evicted || stop.phase() == PlannedStop.Phase.DONE) {
+      stopped.countDown();
+    }
+  }
+
+  private void publish() {
+    List<NodeRecord> entries = membership.entries();
+    boolean serving = stop.phase() == PlannedStop.Phase.RUNNING;
+    entryView.set(
+        new EntryView(
+            entries.isEmpty() && serving ? List.of(membership.self()) : entries,
+            core.config().current().version(),
+            stop.acceptsRequests()));
+  }
+
+  /** Begins a planned stop. */
+  public void beginStop() {
+    decisions.execute(stop::begin);
+  }
+
+  /** Waits until the node has stopped, and closes it; returns whether nothing was cut short. */
+  public boolean awaitStop() throws Exception {
+    stopped.await();
+    close();
+    return !evicted && stop.isClean();
+  }
+
+  private synchronized void close() throws Exception {
+    door.stop();
+    admin.stop();
+    links.close();
+    platform.close();
+    decisions.stop();
+  }
+}
