--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -25,6 +25,7 @@
 import org.currantslip.core.rollout.EvidenceVersionPolicy;
 import org.currantslip.core.rollout.RolloutOptions;
 import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.core.session.HomeTable;
 import org.currantslip.core.session.SessionHomes;
 import org.currantslip.core.session.SignedSessions;
 import org.currantslip.core.usage.PeerUsageSpool;
@@ -92,7 +93,7 @@
             membership,
             clock,
             UsageOptions.of(settings.getLimits().getUsageSpoolRecords(), times.getStoreMs()));
-    SessionHomes homes = ProposedHomes.create();
+    SessionHomes homes = HomeTable.create(membership, peers);
     EvidenceVersionPolicy versions =
         EvidenceVersionPolicy.create(self, clock, RolloutOptions.defaults());
     ExpectedWaitChooser chooser =
