--- a/standin/src/main/java/org/currantslip/standin/http/Exchange.java
+++ b/standin/src/main/java/org/currantslip/standin/http/Exchange.java
@@ -61,6 +61,11 @@
     return value == null ? "" : value;
   }
 
+  /** Returns the port of the other end, which tells connections apart. */
+  public int clientPort() {
+    return Request.getRemotePort(request);
+  }
+
   /** Returns the request's body. */
   public byte[] body() {
     return body.clone();
--- a/standin/src/main/java/org/currantslip/standin/service/PlainService.java
+++ b/standin/src/main/java/org/currantslip/standin/service/PlainService.java
@@ -48,6 +48,7 @@
             .put("method", exchange.method())
             .put("path", exchange.path())
             .put("key", key)
+            .put("client_port", exchange.clientPort())
             .put("run", count(key));
     exchange.reply(
         OK,
--- /dev/null
+++ b/standin/src/test/java/org/currantslip/standin/contract/RecordedEvents.java
@@ -0,0 +1,49 @@
+package org.currantslip.standin.contract;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.request.CallFailure;
+import org.currantslip.core.request.EndpointListener;
+import org.currantslip.core.request.EndpointUsage;
+
+/** Records the events of a call; {@link #over} completes with the last one's name. */
+final class RecordedEvents implements EndpointListener {
+  final CompletableFuture<String> over = new CompletableFuture<>();
+  final CompletableFuture<Void> firstData = new CompletableFuture<>();
+  final List<String> data = new ArrayList<>();
+  int status;
+  String contentType = "";
+  String correlation = "";
+  EndpointUsage usage = EndpointUsage.none();
+  int heads;
+  int ends;
+
+  @Override
+  public void onHead(int status, String contentType, String correlation) {
+    this.status = status;
+    this.contentType = contentType;
+    this.correlation = correlation;
+    heads++;
+  }
+
+  @Override
+  public void onData(ByteString part) {
+    data.add(part.toStringUtf8());
+    firstData.complete(null);
+  }
+
+  @Override
+  public void onEnd(EndpointUsage usage) {
+    this.usage = usage;
+    ends++;
+    over.complete("END");
+  }
+
+  @Override
+  public void onFailure(CallFailure failure, String detail) {
+    ends++;
+    over.complete(failure.name());
+  }
+}
