--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
@@ -49,6 +50,8 @@
   private final BlockingQueue<Started> started = new LinkedBlockingQueue<>();
   private final DecisionThread decisions = DecisionThread.create(System::currentTimeMillis);
   private final HttpClient client = new HttpClient();
+  private final AtomicInteger falseHangUps = new AtomicInteger();
+  private volatile boolean answerAtOnce;
   private volatile EntryView view = EntryView.empty();
   private FrontDoor door;
 
@@ -90,6 +93,13 @@
   }
 
   private Runnable start(RouterRequest request, CallerSink sink) {
+    if (answerAtOnce) {
+      AnswerHead head = head(ResultCode.OK, false);
+      sink.head(head);
+      sink.data(ByteString.copyFromUtf8("read"));
+      sink.finish(head);
+      return () -> falseHangUps.incrementAndGet();
+    }
     CountDownLatch gone = new CountDownLatch(1);
     started.add(new Started(request, sink, gone));
     return gone::countDown;
@@ -109,6 +119,21 @@
     return request;
   }
 
+  @Test
+  void requestsWithoutBodyOnOneConnectionAreAllAnswered() throws Exception {
+    answerAtOnce = true;
+    for (int i = 0; i < 2_000; i++) {
+      ContentResponse response =
+          client
+              .newRequest("http://127.0.0.1:" + door.port() + "/services/record/readings/1")
+              .method("GET")
+              .headers(h -> h.add("Authorization", "Bearer " + TOKEN))
+              .send();
+      assertThat(response.getContentAsString()).isEqualTo("read");
+    }
+    assertThat(falseHangUps.get()).isEqualTo(0);
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = ';',
