--- a/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
@@ -190,7 +190,8 @@
         "/v1/chat/completions",
         "application/json",
         ByteString.copyFromUtf8(
-            "{\"model\":\"%s\",\"stream\":%s,\"messages\":[{\"role\":\"user\",\"content\":\"how wet\"}]}"
+            """
+            {"model":"%s","stream":%s,"messages":[{"role":"user","content":"how wet"}]}"""
                 .formatted(bodyModel, stream)),
         "m",
         "v1",
