--- a/standin/src/main/java/org/currantslip/standin/demo/ChatStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/ChatStep.java
@@ -110,7 +110,8 @@
   }
 
   private CallerCall chatAs(String token, String model) {
-    return CallerCall.chat(plan.nodes().get(0).address(), token, model, plan.prompt(), false);
+    return CallerCall.chat(plan.nodes().get(0).address(), token, model, plan.prompt(), false)
+        .with("Currantslip-Task", plan.task());
   }
 
   private CallerCall chat(int index, String model, String prompt, boolean stream) {
