--- a/cli/src/main/java/org/currantslip/cli/RolloutCommand.java
+++ b/cli/src/main/java/org/currantslip/cli/RolloutCommand.java
@@ -28,7 +28,7 @@
 
   @Override
   public String example() {
-    return "currantslip rollout pause --model reports --version v3 --asked-by Ana --why 'odd totals'";
+    return "currantslip rollout pause --model reports --version v3 --asked-by Ana --why odd";
   }
 
   @Override
--- a/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
@@ -183,7 +183,7 @@
             failure -> {
               throw ApplyException.of(
                   ResultCode.STORE_UNAVAILABLE,
-                  "the store did not say whether configuration %d was accepted; run status before trying again"
+                  "no word whether configuration %d was accepted; look before trying again"
                       .formatted(next.getVersion()));
             })
         .thenCompose(
--- a/core/src/main/java/org/currantslip/core/rules/RuleForm.java
+++ b/core/src/main/java/org/currantslip/core/rules/RuleForm.java
@@ -11,120 +11,82 @@
 enum RuleForm {
   ALLOW_MODEL(
       "allow",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "task", FieldKind.NAME_OR_ANY,
           "model", FieldKind.NAME_OR_ANY,
           "version", FieldKind.NAME_OR_ANY),
-      (o, f) ->
-          new Rule.AllowModel(
-              o, f.text("account"), f.text("task"), f.text("model"), f.text("version"))),
+      RuleMakers::allowModel),
   ALLOW_SERVICE(
       "allow",
-      fields("account", FieldKind.NAME_OR_ANY, "service", FieldKind.NAME_OR_ANY),
-      (o, f) -> new Rule.AllowService(o, f.text("account"), f.text("service"))),
-  SERVE(
-      "serve",
-      fields("model", FieldKind.NAME, "version", FieldKind.NAME),
-      (o, f) -> new Rule.Serve(o, f.text("model"), f.text("version"))),
+      fieldMap("account", FieldKind.NAME_OR_ANY, "service", FieldKind.NAME_OR_ANY),
+      RuleMakers::allowService),
+  SERVE("serve", fieldMap("model", FieldKind.NAME, "version", FieldKind.NAME), RuleMakers::serve),
   ROLLOUT(
       "rollout",
-      fields(
+      fieldMap(
           "model", FieldKind.NAME,
           "version", FieldKind.NAME,
           "stage", FieldKind.STAGE,
           "share", FieldKind.SHARE,
           "min_requests", FieldKind.COUNT),
-      (o, f) ->
-          new Rule.RolloutStage(
-              o,
-              f.text("model"),
-              f.text("version"),
-              (int) f.number("stage"),
-              f.number("share"),
-              (int) f.number("min_requests"))),
-  PAUSE(
-      "pause",
-      fields("model", FieldKind.NAME, "version", FieldKind.NAME),
-      (o, f) -> new Rule.PauseRollout(o, f.text("model"), f.text("version"))),
+      RuleMakers::rollout),
+  PAUSE("pause", fieldMap("model", FieldKind.NAME, "version", FieldKind.NAME), RuleMakers::pause),
   RESUME(
       "resume",
-      fields("model", FieldKind.NAME, "version", FieldKind.NAME, "stage", FieldKind.STAGE),
-      (o, f) ->
-          new Rule.ResumeRollout(o, f.text("model"), f.text("version"), (int) f.number("stage"))),
+      fieldMap("model", FieldKind.NAME, "version", FieldKind.NAME, "stage", FieldKind.STAGE),
+      RuleMakers::resume),
   WITHDRAW(
       "withdraw",
-      fields("model", FieldKind.NAME, "version", FieldKind.NAME_OR_ANY),
-      (o, f) -> new Rule.Withdraw(o, f.text("model"), f.text("version"))),
+      fieldMap("model", FieldKind.NAME, "version", FieldKind.NAME_OR_ANY),
+      RuleMakers::withdraw),
   ONCE(
       "once",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "service", FieldKind.NAME_OR_ANY,
           "method", FieldKind.METHOD,
           "path", FieldKind.PATH),
-      (o, f) ->
-          new Rule.AtMostOnce(
-              o, f.text("account"), f.text("service"), f.text("method"), f.text("path"))),
+      RuleMakers::once),
   TIER(
       "tier",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "task", FieldKind.NAME_OR_ANY,
           "model", FieldKind.NAME,
           "order", FieldKind.ORDER),
-      (o, f) ->
-          new Rule.Tier(
-              o, f.text("account"), f.text("task"), f.text("model"), (int) f.number("order"))),
+      RuleMakers::tier),
   PRICE(
       "price",
-      fields(
+      fieldMap(
           "model", FieldKind.NAME,
           "version", FieldKind.NAME_OR_ANY,
           "prompt_micros_per_ktok", FieldKind.MICROS,
           "completion_micros_per_ktok", FieldKind.MICROS),
-      (o, f) ->
-          new Rule.Price(
-              o,
-              f.text("model"),
-              f.text("version"),
-              (long) f.number("prompt_micros_per_ktok"),
-              (long) f.number("completion_micros_per_ktok"))),
+      RuleMakers::price),
   QUALITY(
       "quality",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "task", FieldKind.NAME_OR_ANY,
           "target", FieldKind.SHARE),
-      (o, f) -> new Rule.QualityTarget(o, f.text("account"), f.text("task"), f.number("target"))),
+      RuleMakers::quality),
   LIMIT(
       "limit",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "requests_per_s", FieldKind.RATE,
           "tokens_per_s", FieldKind.RATE,
           "burst_s", FieldKind.BURST_S),
-      (o, f) ->
-          new Rule.Limit(
-              o,
-              f.text("account"),
-              f.number("requests_per_s"),
-              f.number("tokens_per_s"),
-              f.number("burst_s"))),
+      RuleMakers::limit),
   LEVEL(
       "level",
-      fields(
+      fieldMap(
           "account", FieldKind.NAME_OR_ANY,
           "task", FieldKind.NAME_OR_ANY,
           "availability", FieldKind.SHARE,
           "latency_ms", FieldKind.LATENCY_MS),
-      (o, f) ->
-          new Rule.ServiceLevel(
-              o,
-              f.text("account"),
-              f.text("task"),
-              f.number("availability"),
-              (long) f.number("latency_ms")));
+      RuleMakers::level);
 
   private final String verb;
   private final ImmutableMap<String, FieldKind> fields;
@@ -185,7 +147,7 @@
     return maker.make(origin, new Values(values));
   }
 
-  private static ImmutableMap<String, FieldKind> fields(Object... keysAndKinds) {
+  private static ImmutableMap<String, FieldKind> fieldMap(Object... keysAndKinds) {
     ImmutableMap.Builder<String, FieldKind> map = ImmutableMap.builder();
     for (int i = 0; i < keysAndKinds.length; i += 2) {
       map.put((String) keysAndKinds[i], (FieldKind) keysAndKinds[i + 1]);
--- a/core/src/test/java/org/currantslip/core/rules/RulesParserTest.java
+++ b/core/src/test/java/org/currantslip/core/rules/RulesParserTest.java
@@ -35,7 +35,7 @@
   }
 
   @Test
-  void reportsEveryProblemOfAFile() {
+  void reportsEveryProblem() {
     String text = "serve model=m\n\n# note\nnonsense\nallow account=a service=s\n";
     assertThat(problems(text)).isEqualTo("1:1:6004,1:14:6002,4:1:6001,4:9:6002,5:26:6002");
   }
--- a/node/src/main/java/org/currantslip/node/admin/AdminHandler.java
+++ b/node/src/main/java/org/currantslip/node/admin/AdminHandler.java
@@ -161,7 +161,7 @@
 
   private static void send(Response response, Callback callback, int status, Message reply) {
     try {
-      String json = PRINTER.print(reply);
+      final String json = PRINTER.print(reply);
       response.setStatus(status);
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
       response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
--- a/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
+++ b/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
@@ -75,7 +75,7 @@
                     .setView(view())
                     .addAllNode(parts.nodes().get())
                     .addAllEndpoint(
-                        parts.endpoints().endpoints().stream().map(this::status).toList())
+                        parts.endpoints().endpoints().stream().map(this::endpointStatus).toList())
                     .addAllRollout(parts.rollouts().get())
                     .build()));
   }
@@ -166,14 +166,14 @@
         .thenApply(
             found ->
                 found
-                    .map(NodeAdminOperations::config)
+                    .map(NodeAdminOperations::parse)
                     .orElseThrow(
                         () ->
                             AdminException.of(
                                 ResultCode.NOT_FOUND, "no configuration " + version)));
   }
 
-  private static AcceptedConfig config(StoredObject object) {
+  private static AcceptedConfig parse(StoredObject object) {
     try {
       return AcceptedConfig.parseFrom(object.value());
     } catch (InvalidProtocolBufferException e) {
@@ -190,7 +190,7 @@
     }
   }
 
-  private EndpointStatus status(EndpointRecord endpoint) {
+  private EndpointStatus endpointStatus(EndpointRecord endpoint) {
     EndpointStatus.Builder status = EndpointStatus.newBuilder().setEndpoint(endpoint);
     parts.endpoints().load(endpoint.getId()).ifPresent(l -> addLoad(status, l));
     return status.build();
