--- a/core/src/main/java/org/currantslip/core/config/ApplyTally.java
+++ b/core/src/main/java/org/currantslip/core/config/ApplyTally.java
@@ -67,6 +67,10 @@
   /** Asks again and finishes when due; returns whether it has finished. */
   boolean tick() {
     long now = clock.nowMs();
+    boolean asking = now >= nextAskMs;
+    if (asking) {
+      ring.renew();
+    }
     ImmutableListMultimap<String, NodeRecord> byDomain =
         Multimaps.index(ring.live(), PeerRing::domain);
     ring.live().forEach(n -> expected.add(n.getId().getName()));
@@ -75,7 +79,7 @@
       done.complete(reply(now));
       return true;
     }
-    if (now >= nextAskMs) {
+    if (asking) {
       nextAskMs = now + ASK_INTERVAL_MS;
       byDomain.keySet().forEach(d -> ask(d, byDomain.get(d)));
     }
--- a/core/src/main/java/org/currantslip/core/config/ConfigKeeper.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigKeeper.java
@@ -146,6 +146,7 @@
           .check(change)
           .thenApply(c -> ApplyReply.newBuilder().setVersion(c.getVersion()).build());
     }
+    ring.renew();
     if (!freshness.seesMajority()) {
       return fail(
           ResultCode.STORE_UNAVAILABLE,
--- a/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigWriter.java
@@ -179,13 +179,6 @@
   private CompletableFuture<AcceptedConfig> settle(
       ConfigChange change, AcceptedConfig next, long storeVersion, long untilMs) {
     return readCurrent(untilMs)
-        .exceptionally(
-            failure -> {
-              throw ApplyException.of(
-                  ResultCode.STORE_UNAVAILABLE,
-                  "no word whether configuration %d was accepted; look before trying again"
-                      .formatted(next.getVersion()));
-            })
         .thenCompose(
             current -> {
               AcceptedConfig found = current.config();
@@ -196,9 +189,23 @@
                   ? judge(change, found)
                   : readHistory(next.getVersion(), untilMs)
                       .thenCompose(winner -> judge(change, winner));
+            })
+        .exceptionally(
+            failure -> {
+              throw Throwables.getRootCause(failure) instanceof ApplyException e
+                      && e.code() == ResultCode.CONFIG_CONFLICT
+                  ? e
+                  : unsettled(next);
             });
   }
 
+  private static ApplyException unsettled(AcceptedConfig next) {
+    return ApplyException.of(
+        ResultCode.STORE_UNAVAILABLE,
+        "no word whether configuration %d was accepted; look before trying again"
+            .formatted(next.getVersion()));
+  }
+
   private static CompletableFuture<AcceptedConfig> judge(
       ConfigChange change, AcceptedConfig winner) {
     return winner.getNonce() == change.nonce()
--- a/core/src/main/java/org/currantslip/core/config/PeerRing.java
+++ b/core/src/main/java/org/currantslip/core/config/PeerRing.java
@@ -68,10 +68,14 @@
   }
 
   private void refresh() {
-    long now = clock.nowMs();
-    if (now < refreshedMs + REFRESH_MS && refreshedMs != Long.MIN_VALUE) {
-      return;
+    if (refreshedMs == Long.MIN_VALUE || clock.nowMs() >= refreshedMs + REFRESH_MS) {
+      renew();
     }
+  }
+
+  /** Reads the membership again at once. */
+  void renew() {
+    long now = clock.nowMs();
     refreshedMs = now;
     live = ImmutableList.copyOf(membership.live());
     live.forEach(n -> known.put(n.getId().getName(), new Sighting(n, now)));
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/config/ConfigFleet.java
@@ -0,0 +1,193 @@
+package org.currantslip.core.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.fake.FakeEvents;
+import org.currantslip.core.fake.FakeMembership;
+import org.currantslip.core.fake.FakeObjectStore;
+import org.currantslip.core.fake.FakePeerNetwork;
+import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.schema.ApplyReply;
+import org.currantslip.schema.ApplyRequest;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+
+/** Configuration keepers of a whole fleet on one store, one network and one driven clock. */
+final class ConfigFleet {
+  static final long START_MS = 1_700_000_000_000L;
+  static final long FRESH_MS = 4_000;
+  static final long STORE_TIMEOUT_MS = 2_000;
+
+  private static final long TICK_MS = 10;
+
+  final FakeEvents events = FakeEvents.on(DrivenClock.startingAt(START_MS));
+  final FakeObjectStore store = FakeObjectStore.on(events);
+  final FakePeerNetwork network = FakePeerNetwork.create(events);
+  final Map<String, Member> members = new TreeMap<>();
+  private final Map<String, Long> versions = new HashMap<>();
+  private final List<String> reversions = new ArrayList<>();
+  private final int domains;
+  private long incarnation;
+
+  /** One node of the fleet. */
+  static final class Member {
+    final ConfigKeeper keeper;
+    final FakeMembership membership;
+    final FakeObjectStore.Link link;
+    final NodeRecord record;
+    boolean frozen;
+
+    Member(
+        ConfigKeeper keeper,
+        FakeMembership membership,
+        FakeObjectStore.Link link,
+        NodeRecord record) {
+      this.keeper = keeper;
+      this.membership = membership;
+      this.link = link;
+      this.record = record;
+    }
+  }
+
+  private ConfigFleet(int domains) {
+    this.domains = domains;
+  }
+
+  /** Returns a fleet of started nodes n000, n001 and so on, spread over failure domains. */
+  static ConfigFleet of(int nodes, int domains) {
+    ConfigFleet fleet = new ConfigFleet(domains);
+    for (int i = 0; i < nodes; i++) {
+      fleet.start("n%03d".formatted(i));
+    }
+    return fleet;
+  }
+
+  /** Starts a node, or starts it anew with a new incarnation. */
+  Member start(String name) {
+    long number = ++incarnation;
+    String domain = "d" + Integer.parseInt(name.substring(1)) % domains;
+    NodeRecord record = FakeMembership.node(name, number, domain);
+    FakeMembership membership = FakeMembership.of(record);
+    members.values().forEach(m -> membership.add(m.record));
+    members.values().forEach(m -> m.membership.add(record));
+    FakeObjectStore.Link link = store.newLink();
+    ConfigKeeper[] own = new ConfigKeeper[1];
+    PeerNetwork peers = network.join(name, (from, frame) -> answer(own[0], from, frame));
+    own[0] =
+        ConfigKeeper.create(
+            record.getId(),
+            link,
+            peers,
+            membership,
+            events.clock(),
+            ConfigOptions.of(FRESH_MS, STORE_TIMEOUT_MS, number));
+    Member member = new Member(own[0], membership, link, record);
+    members.put(name, member);
+    versions.remove(name);
+    own[0].start();
+    return member;
+  }
+
+  /** Ends a node; the others keep it on their lists until they are told. */
+  void kill(String name) {
+    network.remove(name);
+    member(name).link.kill();
+    members.remove(name);
+  }
+
+  void freeze(String name) {
+    member(name).frozen = true;
+    member(name).link.freeze();
+    network.freeze(name);
+  }
+
+  void thaw(String name) {
+    member(name).frozen = false;
+    member(name).link.thaw();
+    network.thaw(name);
+  }
+
+  Member member(String name) {
+    Member member = members.get(name);
+    if (member == null) {
+      throw new IllegalArgumentException("no node " + name);
+    }
+    return member;
+  }
+
+  CompletableFuture<ApplyReply> apply(String node, long base, String rules) {
+    return apply(node, base, rules, 0);
+  }
+
+  CompletableFuture<ApplyReply> apply(String node, long base, String rules, long nonce) {
+    return member(node)
+        .keeper
+        .apply(
+            "op",
+            ApplyRequest.newBuilder()
+                .setBaseVersion(base)
+                .setRulesText(rules)
+                .setAskedBy("Ana")
+                .setNonce(nonce)
+                .build());
+  }
+
+  /** Lets time pass. */
+  void run(long ms) {
+    runUntil(() -> false, ms);
+  }
+
+  /** Lets time pass until a condition holds; returns whether it does within the time. */
+  boolean runUntil(BooleanSupplier condition, long atMostMs) {
+    for (long t = 0; t < atMostMs && !condition.getAsBoolean(); t++) {
+      events.advance(1);
+      if (events.clock().nowMs() % TICK_MS == 0) {
+        members.values().stream().filter(m -> !m.frozen).forEach(m -> m.keeper.tick());
+        members.forEach(this::watchVersion);
+      }
+    }
+    return condition.getAsBoolean();
+  }
+
+  /** Returns whether a version is in force on every node that is not frozen. */
+  boolean everywhere(long version) {
+    return members.values().stream()
+        .filter(m -> !m.frozen)
+        .allMatch(m -> m.keeper.current().version() >= version);
+  }
+
+  /** Returns each step back of a node's version; there must be none. */
+  List<String> reversions() {
+    return reversions;
+  }
+
+  static String rules(String version) {
+    return "serve model=m version=" + version + " # Ana: test\n";
+  }
+
+  private void watchVersion(String name, Member member) {
+    long now = member.keeper.current().version();
+    Long before = versions.put(name, now);
+    if (before != null && now < before) {
+      reversions.add(name + " went from " + before + " to " + now);
+    }
+  }
+
+  private static CompletableFuture<PeerFrame> answer(
+      ConfigKeeper keeper, String from, PeerFrame frame) {
+    if (frame.hasConfigAnnounce()) {
+      keeper.onAnnounce(from, frame.getConfigAnnounce());
+    } else if (frame.hasConfigRequest()) {
+      PeerFrame.Builder reply = PeerFrame.newBuilder().setReply(true);
+      keeper.onRequest(frame.getConfigRequest()).ifPresent(reply::setConfig);
+      return CompletableFuture.completedFuture(reply.build());
+    }
+    return new CompletableFuture<>();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/config/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the spread of configuration. */
+@NullMarked
+package org.currantslip.core.config;
+
+import org.jspecify.annotations.NullMarked;
