Membership: rounds without an answer are given up; GONE is told only once stored

Tests on a driven clock over fake links and a fake store came first and failed in two cases. A store call that never answers held up the join record for good: each round now has an end and late answers of older rounds are ignored. A node that ended a planned stop during a store outage told its peers that it was gone without a stored mark: it now stays LEAVING until the mark is stored. The lists of live nodes are made anew only when a node changes.

--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -45,11 +45,11 @@
   private final TreeMap<String, Member> members = new TreeMap<>();
   private Supplier<ConfigAnnounce> configStatus = ConfigAnnounce::getDefaultInstance;
   private NodeRecord self;
+  private Lists lists = Lists.STALE;
   private long startedMs;
   private long nextBeatMs;
   private long nextRefreshMs;
   private long beats;
-  private boolean refreshing;
   private String probed = "";
 
   private HeartbeatMembership(
@@ -90,19 +90,60 @@
 
   @Override
   public List<NodeRecord> live() {
-    long nowMs = clock.nowMs();
-    Stream<NodeRecord> others =
-        members.values().stream()
-            .filter(m -> m.isLive(nowMs, options.suspicionMs()))
-            .map(Member::rec);
-    return Stream.concat(Stream.of(self), others)
-        .sorted(Comparator.comparing(n -> n.getId().getName()))
-        .toList();
+    return lists().live();
   }
 
   @Override
   public List<NodeRecord> entries() {
-    return live().stream().filter(n -> n.getState() == NodeState.SERVING).toList();
+    return lists().entries();
+  }
+
+  /** Returns the lists of nodes, made anew only when a node changed or a suspicion ran out. */
+  private Lists lists() {
+    long nowMs = clock.nowMs();
+    if (lists.isValid(nowMs)) {
+      return lists;
+    }
+    List<NodeRecord> live =
+        Stream.concat(
+                Stream.of(self),
+                members.values().stream()
+                    .filter(m -> m.isLive(nowMs, options.suspicionMs()))
+                    .map(Member::rec))
+            .sorted(Comparator.comparing(n -> n.getId().getName()))
+            .toList();
+    long untilMs =
+        members.values().stream()
+            .filter(m -> m.isSuspected() && m.isLive(nowMs, options.suspicionMs()))
+            .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs())
+            .min()
+            .orElse(Long.MAX_VALUE);
+    lists =
+        new Lists(
+            live,
+            live.stream().filter(n -> n.getState() == NodeState.SERVING).toList(),
+            HeartbeatRing.targets(self, live, options),
+            untilMs);
+    return lists;
+  }
+
+  /**
+   * Lists of nodes.
+   *
+   * @param untilMs time at which a suspicion runs out
+   */
+  private record Lists(
+      List<NodeRecord> live, List<NodeRecord> entries, Set<String> targets, long untilMs) {
+    static final Lists STALE = new Lists(List.of(), List.of(), Set.of(), Long.MIN_VALUE);
+
+    boolean isValid(long nowMs) {
+      return nowMs < untilMs;
+    }
+  }
+
+  private void changed(String name) {
+    lists = Lists.STALE;
+    news.add(name, spreads());
   }
 
   @Override
@@ -161,14 +202,18 @@
 
   /** Ends a planned stop; the future completes when the store has the mark. */
   public CompletableFuture<Void> complete() {
-    return changeState(NodeState.GONE);
+    return join.want(NodeState.GONE).thenRun(() -> tellState(NodeState.GONE));
+  }
+
+  private void changeState(NodeState state) {
+    tellState(state);
+    join.want(state);
   }
 
-  private CompletableFuture<Void> changeState(NodeState state) {
+  private void tellState(NodeState state) {
     self = self.toBuilder().setState(state).build();
-    news.add(self.getId().getName(), spreads());
+    changed(self.getId().getName());
     nextBeatMs = 0;
-    return join.want(state);
   }
 
   /** Takes the record that a peer showed when its link opened. */
@@ -186,7 +231,7 @@
   public void tick() {
     join.tick();
     long nowMs = clock.nowMs();
-    if (nowMs >= nextRefreshMs && !refreshing) {
+    if (nowMs >= nextRefreshMs) {
       refresh(nowMs);
     }
     if (nowMs >= nextBeatMs) {
@@ -197,8 +242,8 @@
 
   private void beat(long nowMs) {
     beats++;
-    Set<String> targets = HeartbeatRing.targets(self, live(), options);
-    targets.forEach(name -> ping(name));
+    Set<String> targets = lists().targets();
+    targets.forEach(this::ping);
     if (beats % PROBE_EVERY == 0) {
       nextSilent(nowMs).ifPresent(this::ping);
     }
@@ -335,27 +380,27 @@
     if (known == null) {
       known = Member.of(rec, clock.nowMs());
       members.put(name, known);
-      news.add(name, spreads());
+      changed(name);
       return Optional.of(known);
     }
     if (rec.getId().getIncarnation() < known.rec().getId().getIncarnation()) {
       return Optional.empty();
     }
     if (known.merge(rec)) {
-      news.add(name, spreads());
+      changed(name);
     }
     return Optional.of(known);
   }
 
   private void markHeard(Member member, long atMs) {
     if (member.heard(atMs)) {
-      news.add(member.rec().getId().getName(), spreads());
+      changed(member.rec().getId().getName());
     }
   }
 
   private void suspect(Member member, long nowMs) {
     if (!member.isGone() && member.suspect(nowMs)) {
-      news.add(member.rec().getId().getName(), spreads());
+      changed(member.rec().getId().getName());
     }
   }
 
@@ -364,7 +409,6 @@
   }
 
   private void refresh(long nowMs) {
-    refreshing = true;
     nextRefreshMs = nowMs + (members.isEmpty() ? LONELY_REFRESH_MS : options.refreshMs());
     refreshFrom("");
   }
@@ -372,15 +416,14 @@
   private void refreshFrom(String startAfter) {
     store
         .list(JoinRecord.PREFIX, startAfter, LIST_PAGE)
-        .whenComplete(
-            (page, failure) -> {
-              if (failure != null || page.isEmpty()) {
-                refreshing = false;
-                return;
-              }
+        .thenAccept(
+            page -> {
               page.stream().flatMap(o -> JoinRecord.parse(o).stream()).forEach(this::learn);
-              refreshFrom(page.get(page.size() - 1).name());
-            });
+              if (page.size() == LIST_PAGE) {
+                refreshFrom(page.get(page.size() - 1).name());
+              }
+            })
+        .exceptionally(failure -> null);
   }
 
   private void markGone(NodeRecord dead) {
--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -14,18 +14,20 @@
  * Brings the stored join record of this node up to its wanted state.
  *
  * <p>Each round reads the record and then writes it under the version that was read, so a lost
- * answer is settled by the next round.
+ * answer is settled by the next round. A round without an answer is given up after a while.
  */
 final class JoinRecord {
   static final String PREFIX = "node/";
   private static final long RETRY_MS = 1_000;
+  private static final long ROUND_MS = 10_000;
 
   private final ObjectStore store;
   private final Clock clock;
   private NodeRecord wanted;
   private @Nullable NodeRecord stored;
   private @Nullable NodeRecord supersededBy;
-  private boolean inFlight;
+  private long round;
+  private long roundEndMs;
   private boolean stale;
   private long nextMs;
   private CompletableFuture<Void> settled = new CompletableFuture<>();
@@ -77,29 +79,32 @@
 
   void tick() {
     boolean upToDate = wanted.equals(stored) && !stale;
-    if (inFlight || supersededBy != null || upToDate || clock.nowMs() < nextMs) {
+    boolean underWay = clock.nowMs() < roundEndMs;
+    if (underWay || supersededBy != null || upToDate || clock.nowMs() < nextMs) {
       return;
     }
-    inFlight = true;
     stale = false;
+    long mine = ++round;
     nextMs = clock.nowMs() + RETRY_MS;
+    roundEndMs = clock.nowMs() + ROUND_MS;
     NodeRecord target = wanted;
     store
         .get(nameOf(target.getId().getName()))
         .thenCompose(found -> write(found, target))
         .whenComplete(
             (done, failure) -> {
-              inFlight = false;
+              if (mine == round) {
+                roundEndMs = 0;
+                stale |= failure != null;
+              }
               if (failure == null) {
                 onStored(target);
-              } else {
-                stale = true;
               }
             });
   }
 
   private void onStored(NodeRecord target) {
-    if (supersededBy != null) {
+    if (supersededBy != null || isAfter(target)) {
       return;
     }
     stored = target;
@@ -108,6 +113,11 @@
     }
   }
 
+  /** Returns whether a later state than this is known to be stored. */
+  private boolean isAfter(NodeRecord target) {
+    return stored != null && stored.getStateValue() > target.getStateValue();
+  }
+
   private CompletableFuture<?> write(Optional<StoredObject> found, NodeRecord target) {
     String name = nameOf(target.getId().getName());
     if (found.isEmpty()) {
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
@@ -0,0 +1,226 @@
+package org.currantslip.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.fake.FakeObjectStore;
+import org.currantslip.core.fake.StoreFault;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.NodeState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class HeartbeatMembershipTest {
+  private static final long SETTLE_MS = 4_000;
+  private static final long DEAD_MS = 8_000;
+  private static final long GONE_MS = 45_000;
+
+  private static FakeFleet settled(int count) {
+    FakeFleet fleet = FakeFleet.ofSize(count);
+    fleet.run(SETTLE_MS);
+    return fleet;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 6, 24})
+  void allNodesSeeAllOthers(int count) {
+    FakeFleet fleet = settled(count);
+
+    List<String> names = fleet.all().stream().map(m -> m.self().getId().getName()).toList();
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).isEqualTo(names);
+      assertThat(FakeFleet.entries(node)).isEqualTo(names);
+      assertThat(node.isJoined()).isTrue();
+    }
+  }
+
+  @Test
+  void aKilledNodeIsDeadEverywhereButGoneOnlyOnceMarked() {
+    FakeFleet fleet = settled(24);
+
+    fleet.kill("n007");
+    fleet.run(DEAD_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).doesNotContain("n007");
+      assertThat(node.isGone(FakeFleet.id("n007", 1))).isFalse();
+    }
+
+    fleet.run(GONE_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(node.isGone(FakeFleet.id("n007", 1))).isTrue();
+      assertThat(node.isGone(FakeFleet.id("n007", 2))).isFalse();
+    }
+  }
+
+  @Test
+  void silenceAloneNeverMakesANodeGone() {
+    FakeFleet fleet = settled(6);
+
+    fleet.store.setOut(true);
+    fleet.kill("n003");
+    fleet.run(2 * GONE_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).doesNotContain("n003");
+      assertThat(node.isGone(FakeFleet.id("n003", 1))).isFalse();
+    }
+  }
+
+  @Test
+  void aRestartAtTheSameAddressShowsAsANewIncarnation() {
+    FakeFleet fleet = settled(6);
+
+    fleet.kill("n002");
+    fleet.start("n002", 2);
+    fleet.run(SETTLE_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(node.isGone(FakeFleet.id("n002", 1))).isTrue();
+      assertThat(node.isGone(FakeFleet.id("n002", 2))).isFalse();
+      assertThat(FakeFleet.live(node)).contains("n002");
+    }
+  }
+
+  @Test
+  void aLeavingNodeIsOffAllEntryAnswersWithinTwoSecondsAndStaysLive() {
+    FakeFleet fleet = settled(24);
+
+    fleet.at("n005").leave();
+    fleet.run(2_000);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.entries(node)).doesNotContain("n005");
+      assertThat(FakeFleet.live(node)).contains("n005");
+    }
+  }
+
+  @Test
+  void aCompletedLeaveMakesTheIncarnationGone() {
+    FakeFleet fleet = settled(6);
+
+    CompletableFuture<Void> marked = fleet.at("n004").complete();
+    fleet.run(2_000);
+    fleet.kill("n004");
+
+    assertThat(marked.isDone()).isTrue();
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(node.isGone(FakeFleet.id("n004", 1))).isTrue();
+    }
+  }
+
+  @Test
+  void aCutLinkBetweenTwoNodesKillsNeither() {
+    FakeFleet fleet = settled(6);
+
+    fleet.network.setCut("n000", "n001", true);
+    fleet.run(GONE_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).hasSize(6);
+    }
+  }
+
+  @Test
+  void aNodeCutFromTheStoreKeepsItsPeers() {
+    FakeFleet fleet = settled(6);
+
+    fleet.cutFromStore("n001", true);
+    fleet.run(2 * GONE_MS);
+
+    assertThat(FakeFleet.live(fleet.at("n001"))).hasSize(6);
+    assertThat(FakeFleet.live(fleet.at("n002"))).contains("n001");
+  }
+
+  @Test
+  void aNodeFrozenUntilItWasMarkedGoneFindsOutWhenItWakes() {
+    FakeFleet fleet = settled(6);
+
+    fleet.freeze("n003");
+    fleet.run(2 * GONE_MS);
+    assertThat(fleet.at("n000").isGone(FakeFleet.id("n003", 1))).isTrue();
+    fleet.thaw("n003");
+    fleet.run(SETTLE_MS);
+
+    assertThat(fleet.at("n003").supersededBy().map(NodeRecord::getState)).hasValue(NodeState.GONE);
+  }
+
+  @Test
+  void aShortFreezeIsForgiven() {
+    FakeFleet fleet = settled(6);
+
+    fleet.freeze("n003");
+    fleet.run(DEAD_MS);
+    assertThat(FakeFleet.live(fleet.at("n000"))).doesNotContain("n003");
+    fleet.thaw("n003");
+    fleet.run(DEAD_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).hasSize(6);
+      assertThat(node.supersededBy()).isEmpty();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(StoreFault.class)
+  void joiningSettlesEveryFaultOfTheStore(StoreFault fault) {
+    FakeFleet fleet = new FakeFleet();
+    fleet.store.inject(FakeObjectStore.Call.CREATE, "node/n000", fault);
+
+    HeartbeatMembership node = fleet.start("n000", 1);
+    fleet.run(FakeObjectStore.LATE_EFFECT_MS + 2 * DEAD_MS);
+
+    assertWithMessage(fault.name()).that(node.isJoined()).isTrue();
+    assertThat(node.supersededBy()).isEmpty();
+    assertThat(fleet.store.peek("node/")).hasSize(1);
+  }
+
+  @Test
+  void partsOfTheFleetFindEachOtherAgainAfterACut() {
+    FakeFleet fleet = settled(12);
+    Set<String> apart = Set.of("n000", "n004", "n008");
+
+    fleet.network.setLossPlan((from, to, frame) -> apart.contains(from) != apart.contains(to));
+    fleet.run(2 * DEAD_MS);
+    assertThat(FakeFleet.live(fleet.at("n000"))).containsExactlyElementsIn(apart);
+    fleet.network.setLossPlan((from, to, frame) -> false);
+    fleet.run(2 * DEAD_MS);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).hasSize(12);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {6, 24, 102, 420})
+  void everyNodeIsWatchedBySeveralAndWatchesFew(int count) {
+    MembershipOptions options = MembershipOptions.of(500, 2_500);
+    List<NodeRecord> nodes =
+        java.util.stream.IntStream.range(0, count)
+            .mapToObj(
+                i ->
+                    NodeRecord.newBuilder()
+                        .setId(FakeFleet.id(FakeFleet.nameOf(i), 1))
+                        .setFailureDomain("d" + i % 17)
+                        .build())
+            .toList();
+
+    Map<String, Integer> watchers = new HashMap<>();
+    for (NodeRecord node : nodes) {
+      Set<String> targets = HeartbeatRing.targets(node, nodes, options);
+      assertThat(targets.size()).isAtMost(options.domainTargets() + options.ringTargets());
+      targets.forEach(name -> watchers.merge(name, 1, Integer::sum));
+    }
+
+    nodes.forEach(
+        n -> assertThat(watchers.get(n.getId().getName())).isAtLeast(options.ringTargets()));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -0,0 +1,72 @@
+package org.currantslip.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.currantslip.schema.NodeState;
+import org.junit.jupiter.api.Test;
+
+final class PlannedStopTest {
+  private static final PlannedStop.Options OPTIONS =
+      new PlannedStop.Options(5_000, 60_000, 3_000, 3_000);
+
+  private final FakeFleet fleet = FakeFleet.ofSize(3);
+  private final HeartbeatMembership node = fleet.at("n000");
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final CompletableFuture<Void> flushed = new CompletableFuture<>();
+  private final PlannedStop stop =
+      PlannedStop.create(node, fleet.events.clock(), inFlight::get, () -> flushed, OPTIONS);
+
+  private void run(long forMs) {
+    for (long i = 0; i < forMs; i += 10) {
+      stop.tick();
+      fleet.run(10);
+    }
+  }
+
+  @Test
+  void servesUntilNoCallerHoldsAnOldEntryAnswer() {
+    run(3_000);
+    stop.begin();
+    run(4_990);
+
+    assertThat(stop.acceptsRequests()).isTrue();
+    assertThat(FakeFleet.entries(fleet.at("n001"))).doesNotContain("n000");
+
+    run(20);
+    assertThat(stop.acceptsRequests()).isFalse();
+  }
+
+  @Test
+  void cutsNoRequestAndFlushesOnlyAfterTheLastOne() {
+    inFlight.set(1);
+    stop.begin();
+    run(30_000);
+    assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.DRAINING);
+
+    inFlight.set(0);
+    run(20);
+    assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.FLUSHING);
+
+    flushed.complete(null);
+    run(1_500);
+    assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.DONE);
+    assertThat(stop.isClean()).isTrue();
+    assertThat(node.self().getState()).isEqualTo(NodeState.GONE);
+    assertThat(fleet.at("n001").isGone(FakeFleet.id("n000", 1))).isTrue();
+  }
+
+  @Test
+  void endsInBoundedTimeWhenARequestHangsAndTheStoreIsOut() {
+    run(3_000);
+    fleet.store.setOut(true);
+    inFlight.set(1);
+    stop.begin();
+    run(5_000 + 60_000 + 3_000 + 3_000 + 100);
+
+    assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.DONE);
+    assertThat(stop.isClean()).isFalse();
+    assertThat(fleet.at("n001").isGone(FakeFleet.id("n000", 1))).isFalse();
+  }
+}
