Endpoint adapter's silence bounds leave room for late at-most-once answers

Ruled out: dropping the adapter's bounds, since calls that the engine forgot would then keep their connections. Measured: nothing; the engine's case is silentAtMostOnceCallIsAnsweredAtOnce. Conclusion: the engine judges silence, the adapter only cleans up.

--- a/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.request.EndpointCalls;
+import org.currantslip.core.request.EngineOptions;
 import org.currantslip.platform.endpoint.EndpointTimeouts;
 import org.currantslip.platform.endpoint.HttpEndpointCalls;
 import org.currantslip.platform.endpoint.LoadReportClient;
@@ -16,6 +17,7 @@
 import org.currantslip.platform.vmlist.VmListClient;
 import org.currantslip.platform.vmlist.VmListSource;
 import org.currantslip.schema.NodeSettings;
+import org.currantslip.schema.TimeoutSettings;
 import org.eclipse.jetty.client.HttpClient;
 
 /** The platform and the endpoints as this node reaches them. */
@@ -47,13 +49,22 @@
             .map(address -> RatingClient.create(platformClient, URI.create(address), decisions));
     calls =
         HttpEndpointCalls.create(
-            endpointClient,
-            decisions,
-            new EndpointTimeouts(timeouts.getFirstByteMs(), timeouts.getBetweenChunksMs()),
-            MAX_ANSWER_BYTES);
+            endpointClient, decisions, silenceBounds(timeouts), MAX_ANSWER_BYTES);
     loads = LoadReportClient.create(endpointClient, decisions);
   }
 
+  /**
+   * The request engine judges silence, and may wait longer for an at-most-once answer than its
+   * caller does; the adapter only ends calls that the engine has forgotten.
+   */
+  private static EndpointTimeouts silenceBounds(TimeoutSettings times) {
+    EngineOptions engine =
+        EngineOptions.of(times.getFirstByteMs(), times.getBetweenChunksMs());
+    return new EndpointTimeouts(
+        engine.firstByteMs() + engine.lateAnswerMs(),
+        engine.betweenDataMs() + engine.lateAnswerMs());
+  }
+
   static PlatformPorts open(NodeSettings settings, Executor decisions) {
     return new PlatformPorts(settings, decisions);
   }
