Fault matrix of the request path; three faults it found mended

Three causes were in the request engine: - a connection refused by the endpoint (nothing sent) made the key's outcome unknown for good, because the second dispatch asked the ledger again; - a first attempt delayed by a frozen node was told ran=no although its caller had sent the key elsewhere meanwhile; the caller's word now counts for 5 s after the key's issue; - refusals whose outcome may still change named no time to come back.

--- a/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
+++ b/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.ledger.Ledger;
 import org.currantslip.core.ledger.LedgerDecision;
@@ -13,20 +14,26 @@
 
 /** One request's side of the ledger: what it has reserved, and what it may say of its key. */
 final class AtMostOnceGuard {
+  /** How long after its issue a key's first sending is believed to be the only one. */
+  private static final long FIRST_ATTEMPT_MS = 5_000;
+
   private final Ledger ledger;
+  private final Clock clock;
   private final RouterRequest request;
   private boolean demanded;
   private boolean reserved;
   private boolean consulted;
   private boolean finished;
+  private boolean marked;
 
-  private AtMostOnceGuard(Ledger ledger, RouterRequest request) {
+  private AtMostOnceGuard(Ledger ledger, Clock clock, RouterRequest request) {
     this.ledger = ledger;
+    this.clock = clock;
     this.request = request;
   }
 
-  static AtMostOnceGuard create(Ledger ledger, RouterRequest request) {
-    return new AtMostOnceGuard(ledger, request);
+  static AtMostOnceGuard create(Ledger ledger, Clock clock, RouterRequest request) {
+    return new AtMostOnceGuard(ledger, clock, request);
   }
 
   /** Sets whether a rule demands that the request runs at most once. */
@@ -47,7 +54,7 @@
   }
 
   CompletableFuture<LedgerDecision> reserve() {
-    return ledger.begin(key(), bodyHash(), request.requestId(), request.firstAttempt());
+    return ledger.begin(key(), bodyHash(), request.requestId(), isFirstAttempt());
   }
 
   /** The intent is stored. */
@@ -66,12 +73,20 @@
    * ledger.
    */
   boolean mayHaveRunBefore() {
-    return request.key() != null && !consulted && !request.firstAttempt();
+    return request.key() != null && !consulted && !isFirstAttempt();
+  }
+
+  /** A caller that waited for long may have sent the key to another node meanwhile. */
+  private boolean isFirstAttempt() {
+    return request.firstAttempt() && clock.nowMs() - key().issuedMs() <= FIRST_ATTEMPT_MS;
   }
 
-  /** Returns whether the first byte may go out now. */
+  /** Returns whether the first byte may go out now, or again after a call that sent none. */
   boolean mayDispatch() {
-    return !reserved || ledger.markDispatched(key(), request.requestId());
+    if (reserved && !marked) {
+      marked = ledger.markDispatched(key(), request.requestId());
+    }
+    return !reserved || marked;
   }
 
   /** Stores that the request was answered; completes at once when no rule demands it. */
--- a/core/src/main/java/org/currantslip/core/request/Refusals.java
+++ b/core/src/main/java/org/currantslip/core/request/Refusals.java
@@ -30,9 +30,16 @@
     return RefusalException.of(code, ran, RETRY_MS + spread, detail);
   }
 
-  /** Returns the same refusal with another {@code ran}. */
-  static RefusalException withRan(RefusalException e, Ran ran) {
-    return RefusalException.of(e.code(), ran, e.retryAfterMs(), e.detail());
+  /**
+   * Returns the refusal with what was found out about the request. An unknown outcome may still
+   * become known, and a new deadline may be met, so that both get a time to come back.
+   */
+  static RefusalException complete(RefusalException e, Ran ran, RouterRequest r) {
+    boolean mayChange =
+        e.code() == ResultCode.OUTCOME_UNKNOWN || e.code() == ResultCode.DEADLINE_PASSED;
+    return e.retryAfterMs() == 0 && mayChange
+        ? comeBack(e.code(), ran, r, e.detail())
+        : RefusalException.of(e.code(), ran, e.retryAfterMs(), e.detail());
   }
 
   /** Returns the code that tells a caller of this fault. */
--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -55,6 +55,7 @@
   private int attemptsInTier;
   private int attempts;
   private Ran ran = Ran.NO;
+  private boolean sent;
   private boolean detached;
   private long detachedUntilMs;
   private @Nullable SessionVersions sessions;
@@ -69,7 +70,7 @@
     this.request = request;
     answer = CallerAnswer.create(request, sink);
     report = RequestReport.create(ports, request, answer);
-    guard = AtMostOnceGuard.create(ports.ledger(), request);
+    guard = AtMostOnceGuard.create(ports.ledger(), ports.clock(), request);
   }
 
   static RequestFlow create(
@@ -381,14 +382,14 @@
 
   @Override
   public void onFault(Attempt a, Attempt.Fault fault) {
-    boolean sent = fault != Attempt.Fault.NOT_SENT;
-    if (sent && ran == Ran.NO) {
-      ran = Ran.UNKNOWN;
+    boolean reached = fault != Attempt.Fault.NOT_SENT;
+    if (reached) {
+      noteSent();
     }
     if (!request.isService()) {
-      ports.versions().finished(answer.model(), answer.version(), sent);
+      ports.versions().finished(answer.model(), answer.version(), reached);
     }
-    if (guard.isReserved() && sent) {
+    if (guard.isReserved() && reached) {
       guard.finish(LedgerResult.UNKNOWN);
       refuse(
           Refusals.comeBack(
@@ -400,6 +401,13 @@
     }
   }
 
+  private void noteSent() {
+    sent = true;
+    if (ran == Ran.NO) {
+      ran = Ran.UNKNOWN;
+    }
+  }
+
   private boolean mayRetry(Attempt.Fault fault) {
     return !detached
         && fault != Attempt.Fault.TOO_LARGE
@@ -438,9 +446,7 @@
     if (attempt != null && !attempt.isEnded()) {
       attempt.cancel();
       countCancelled();
-      if (ran == Ran.NO) {
-        ran = Ran.UNKNOWN;
-      }
+      noteSent();
     }
     refuse(
         Refusals.comeBack(
@@ -497,7 +503,8 @@
 
   private void refuse(RefusalException e) {
     finishUndispatched();
-    RefusalException truthful = e.ran() == Ran.NO ? Refusals.withRan(e, ranOfRefusal()) : e;
+    Ran said = e.ran() == Ran.NO ? ranOfRefusal() : e.ran();
+    RefusalException truthful = Refusals.complete(e, said, request);
     answer.refuse(truthful);
     ran = truthful.ran();
     end(truthful.code());
@@ -509,14 +516,10 @@
 
   private void finishUndispatched() {
     if (guard.isReserved() && !guard.isFinished()) {
-      guard.finish(attemptsSent() ? LedgerResult.UNKNOWN : LedgerResult.NOT_DISPATCHED);
+      guard.finish(sent ? LedgerResult.UNKNOWN : LedgerResult.NOT_DISPATCHED);
     }
   }
 
-  private boolean attemptsSent() {
-    return ran != Ran.NO;
-  }
-
   private void end(ResultCode code) {
     stage = Stage.DONE;
     if (permit != null) {
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/fleet/FleetCaller.java
@@ -0,0 +1,126 @@
+package org.currantslip.core.fleet;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.ledger.LedgerKey;
+import org.currantslip.core.request.AnswerHead;
+import org.currantslip.core.request.CallerSink;
+import org.currantslip.core.request.RequestHandle;
+import org.currantslip.core.request.RouterRequest;
+import org.jspecify.annotations.Nullable;
+
+/** A caller that sends one request, and sends it again elsewhere until it is answered. */
+final class FleetCaller {
+  private static final long DEADLINE_MS = 8_000;
+  private static final long GIVE_UP_MS = 10_000;
+
+  /** One sending of the request. */
+  final class Sending implements CallerSink {
+    final FleetNode node;
+    final RouterRequest request;
+    final int number;
+    final long sentMs;
+    final StringBuilder body = new StringBuilder();
+    final List<AnswerHead> ends = new ArrayList<>();
+    int heads;
+    @Nullable RequestHandle handle;
+
+    private Sending(FleetNode node, RouterRequest request, int number) {
+      this.node = node;
+      this.request = request;
+      this.number = number;
+      sentMs = fleet.clock.nowMs();
+    }
+
+    @Override
+    public void head(AnswerHead head) {
+      heads++;
+    }
+
+    @Override
+    public void data(ByteString data) {
+      body.append(data.toStringUtf8());
+    }
+
+    @Override
+    public void finish(AnswerHead end) {
+      ends.add(end);
+      fleet.checks.onEnd(this, end);
+    }
+
+    boolean isOk() {
+      return !ends.isEmpty() && ends.get(0).code() == ResultCode.OK;
+    }
+
+    boolean isGivenUp() {
+      return !ends.isEmpty() || fleet.clock.nowMs() - sentMs >= GIVE_UP_MS;
+    }
+
+    boolean saidNotRun() {
+      return !ends.isEmpty() && ends.get(0).ran() == Ran.NO;
+    }
+  }
+
+  final Fleet fleet;
+  final String key;
+  final boolean service;
+  final List<Sending> sendings = new ArrayList<>();
+  private final long issuedMs;
+
+  FleetCaller(Fleet fleet, String name, boolean service) {
+    this.fleet = fleet;
+    this.service = service;
+    issuedMs = fleet.clock.nowMs();
+    key = issuedMs + "-" + name;
+  }
+
+  Sending send(FleetNode node) {
+    int number = sendings.size() + 1;
+    Sending s = new Sending(node, request(node, number), number);
+    sendings.add(s);
+    node.onNode(() -> s.handle = node.engine.start(s.request, s));
+    return s;
+  }
+
+  Sending last() {
+    return sendings.get(sendings.size() - 1);
+  }
+
+  boolean isAnswered() {
+    return sendings.stream().anyMatch(Sending::isOk);
+  }
+
+  void hangUp() {
+    Sending s = last();
+    RequestHandle handle = s.handle;
+    if (handle != null) {
+      s.node.onNode(handle::callerGone);
+    }
+  }
+
+  private RouterRequest request(FleetNode node, int number) {
+    return new RouterRequest(
+        node.newRequestId(),
+        "vestry",
+        "quote",
+        service ? "" : FleetEndpoints.MODEL,
+        service ? FleetEndpoints.SERVICE : "",
+        "POST",
+        service ? "/bookings" : "/v1/chat/completions",
+        "application/json",
+        ByteString.copyFromUtf8(key),
+        false,
+        service ? new LedgerKey("vestry", key, issuedMs) : null,
+        number == 1,
+        "",
+        "",
+        fleet.clock.nowMs() + DEADLINE_MS,
+        5,
+        10,
+        100,
+        0);
+  }
+}
