Numbered log events, metrics page, rating feed, and failure tests of the peer links

Ratings are read by one node a failure domain and brought to the node that gave the answer, which counts each once. Tables of events and metrics are held against the code. The peer links refuse a wrong secret, a replayed hello, oversized and malformed frames, frames before the handshake and silence.

--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -0,0 +1,62 @@
+package org.currantslip.core.common;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Numbered log events.
+ *
+ * <p>The table for operators is {@code docs/LOG_EVENTS.md}. Numbers are never reused.
+ */
+public enum LogEvent {
+  NODE_STARTED(1001, Level.INFO),
+  NODE_SERVING(1002, Level.INFO),
+  NODE_STOP_PHASE(1003, Level.INFO),
+  NODE_STOPPED(1004, Level.INFO),
+  NODE_SUPERSEDED(1005, Level.ERROR),
+  MEMBER_LIVE(1101, Level.INFO),
+  MEMBER_LOST(1102, Level.WARN),
+  LINK_OPENED(1201, Level.INFO),
+  LINK_CLOSED(1202, Level.INFO),
+  LINK_REFUSED(1203, Level.WARN),
+  TLS_RELOADED(1204, Level.INFO),
+  TLS_UNUSABLE(1205, Level.WARN),
+  CONFIG_IN_FORCE(2001, Level.INFO),
+  CONFIG_STALE(2002, Level.WARN),
+  CONFIG_FRESH(2003, Level.INFO),
+  VERSION_STOPPED(3001, Level.WARN),
+  REQUEST_ENDED(4001, Level.DEBUG),
+  ENDPOINTS_CHANGED(5001, Level.INFO),
+  TASK_FAILED(9001, Level.ERROR);
+
+  /** How grave an event is. */
+  public enum Level {
+    DEBUG,
+    INFO,
+    WARN,
+    ERROR
+  }
+
+  private final int number;
+  private final Level level;
+
+  LogEvent(int number, Level level) {
+    this.number = number;
+    this.level = level;
+  }
+
+  /** Returns the event with this number. */
+  public static Optional<LogEvent> ofNumber(int number) {
+    return Arrays.stream(values()).filter(e -> e.number == number).findFirst();
+  }
+
+  /** Returns the number of this event. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns how grave the event is. */
+  public Level level() {
+    return level;
+  }
+}
--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.node.log.LogSetup;
 import org.currantslip.node.peer.PeerTls;
 import org.currantslip.node.wiring.RunningNode;
 import org.currantslip.platform.settings.SettingsException;
@@ -62,6 +63,7 @@
   }
 
   private static int serve(NodeSettings settings, PrintStream err) {
+    LogSetup.apply(settings.getLog());
     RunningNode node;
     try {
       node = RunningNode.start(settings, PeerTls.from(settings.getSecurity()));
--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -1,6 +1,5 @@
 package org.currantslip.node.duty;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +7,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
+import org.currantslip.node.log.EventLog;
 
 /**
  * The one thread that owns all state of the decisions.
@@ -17,7 +18,6 @@
  * lost.
  */
 public final class DecisionThread implements Executor {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int REQUEST_CAPACITY = 1 << 12;
   private static final int COMPLETION_CAPACITY = 1 << 14;
   private static final int BATCH = 256;
@@ -135,7 +135,7 @@
     try {
       task.run();
     } catch (RuntimeException e) {
-      logger.atSevere().withCause(e).log("a task of the decision thread failed");
+      EventLog.write(LogEvent.TASK_FAILED, "thread=decision", e);
     }
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/log/EventLog.java
@@ -0,0 +1,31 @@
+package org.currantslip.node.log;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
+import org.currantslip.core.common.LogEvent;
+
+/** Writes numbered events. */
+public final class EventLog {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private EventLog() {}
+
+  /** Writes an event with its fields, such as {@code node=entry-1}. */
+  public static void write(LogEvent event, String fields) {
+    logger.at(levelOf(event)).log("%d %s %s", event.number(), event, fields);
+  }
+
+  /** Writes an event with its fields and cause. */
+  public static void write(LogEvent event, String fields, Throwable cause) {
+    logger.at(levelOf(event)).withCause(cause).log("%d %s %s", event.number(), event, fields);
+  }
+
+  private static Level levelOf(LogEvent event) {
+    return switch (event.level()) {
+      case DEBUG -> Level.FINE;
+      case INFO -> Level.INFO;
+      case WARN -> Level.WARNING;
+      case ERROR -> Level.SEVERE;
+    };
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -0,0 +1,64 @@
+package org.currantslip.node.metrics;
+
+import java.util.List;
+
+/**
+ * All metrics of a node.
+ *
+ * <p>The table for operators is {@code docs/METRICS.md}. Label values come from bounded sets.
+ */
+public enum Metric {
+  REQUESTS("currantslip.requests", Kind.COUNTER, "", List.of("kind", "code", "ran")),
+  REQUEST_DURATION("currantslip.request.duration", Kind.TIMER, "seconds", List.of("kind")),
+  FIRST_BYTE("currantslip.request.first.byte", Kind.TIMER, "seconds", List.of("kind")),
+  ENDPOINT_CALLS("currantslip.endpoint.calls", Kind.COUNTER, "", List.of("kind")),
+  COST("currantslip.cost.micros", Kind.COUNTER, "", List.of()),
+  IN_FLIGHT("currantslip.requests.in.flight", Kind.GAUGE, "", List.of()),
+  DECISION_BACKLOG("currantslip.decision.backlog", Kind.GAUGE, "", List.of()),
+  LIVE_NODES("currantslip.nodes.live", Kind.GAUGE, "", List.of()),
+  ENTRY_NODES("currantslip.nodes.entry", Kind.GAUGE, "", List.of()),
+  PEER_LINKS("currantslip.peer.links", Kind.GAUGE, "", List.of()),
+  PEER_FRAMES("currantslip.peer.frames", Kind.COUNTER, "", List.of()),
+  ENDPOINTS("currantslip.endpoints", Kind.GAUGE, "", List.of()),
+  CONFIG_VERSION("currantslip.config.version", Kind.GAUGE, "", List.of()),
+  CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of());
+
+  /** How a metric behaves. */
+  public enum Kind {
+    COUNTER,
+    GAUGE,
+    TIMER
+  }
+
+  private final String meter;
+  private final Kind kind;
+  private final String unit;
+  private final List<String> labels;
+
+  Metric(String meter, Kind kind, String unit, List<String> labels) {
+    this.meter = meter;
+    this.kind = kind;
+    this.unit = unit;
+    this.labels = labels;
+  }
+
+  /** Returns the name before the registry adapts it. */
+  public String meter() {
+    return meter;
+  }
+
+  /** Returns how the metric behaves. */
+  public Kind kind() {
+    return kind;
+  }
+
+  /** Returns the unit, or nothing for a plain count. */
+  public String unit() {
+    return unit;
+  }
+
+  /** Returns the names of the labels. */
+  public List<String> labels() {
+    return labels;
+  }
+}
--- a/node/src/main/java/org/currantslip/node/peer/LinkHandler.java
+++ b/node/src/main/java/org/currantslip/node/peer/LinkHandler.java
@@ -1,7 +1,6 @@
 package org.currantslip.node.peer;
 
 import com.google.common.base.Strings;
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleState;
@@ -9,6 +8,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
+import org.currantslip.node.log.EventLog;
 import org.currantslip.schema.Hello;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
@@ -16,8 +17,6 @@
 
 /** Authenticates one connection and passes its frames to the decision thread. */
 final class LinkHandler extends SimpleChannelInboundHandler<PeerFrame> {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private final Handshake handshake;
   private final String expected;
   private final PeerOptions options;
@@ -129,8 +128,8 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     reason = Strings.nullToEmpty(cause.getMessage());
-    logger.atWarning().log(
-        "peer link %s closed: %s", ctx.channel().remoteAddress(), cause.toString());
+    LogEvent event = link == null ? LogEvent.LINK_REFUSED : LogEvent.LINK_CLOSED;
+    EventLog.write(event, "address=" + ctx.channel().remoteAddress() + " reason=" + reason);
     ctx.close();
   }
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.Executor;
 import java.util.function.Function;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.port.PeerException;
 import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.node.log.EventLog;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
 
@@ -50,6 +52,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Ask::deadlineMs));
   private final List<Replaced> closing = new ArrayList<>();
   private long lastCorrelation;
+  private long framesTaken;
 
   private PeerLinks(
       NodeRecord self,
@@ -97,6 +100,11 @@
     return links.size();
   }
 
+  /** Returns how many frames peers have sent so far. */
+  public long framesTaken() {
+    return framesTaken;
+  }
+
   @Override
   public void send(String node, PeerFrame frame) {
     transmit(node, frame);
@@ -203,6 +211,7 @@
         closing.add(new Replaced(kept == link ? old : link, clock.nowMs()));
       }
       links.put(link.name(), kept);
+      EventLog.write(LogEvent.LINK_OPENED, "node=" + link.name());
       dispatcher.onLink(link.peer());
       Opening opening = openings.remove(link.name());
       if (opening != null) {
@@ -212,6 +221,7 @@
 
     @Override
     public void onFrame(PeerLink link, PeerFrame frame) {
+      framesTaken++;
       if (frame.getReply()) {
         CompletableFuture<PeerFrame> reply = asks.remove(frame.getCorrelation());
         if (reply != null) {
@@ -232,6 +242,7 @@
     @Override
     public void onClosed(PeerLink link) {
       if (links.remove(link.name(), link)) {
+        EventLog.write(LogEvent.LINK_CLOSED, "node=" + link.name());
         failAsks(link.name(), "the link broke to ");
       }
     }
--- a/node/src/main/java/org/currantslip/node/peer/PeerTls.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerTls.java
@@ -1,6 +1,5 @@
 package org.currantslip.node.peer;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.handler.ssl.ClientAuth;
@@ -10,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import javax.net.ssl.SSLException;
+import org.currantslip.core.common.LogEvent;
+import org.currantslip.node.log.EventLog;
 import org.currantslip.schema.SecuritySettings;
 import org.jspecify.annotations.Nullable;
 
@@ -20,8 +21,6 @@
  * called by number; the handshake above proves the node.
  */
 public final class PeerTls {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private record Contexts(SslContext opener, SslContext accepter, long stamp) {}
 
   private final List<File> files;
@@ -70,8 +69,9 @@
     try {
       now = load();
       contexts = now;
+      EventLog.write(LogEvent.TLS_RELOADED, "");
     } catch (SSLException e) {
-      logger.atWarning().log("changed TLS files cannot be used yet: %s", e.getMessage());
+      EventLog.write(LogEvent.TLS_UNUSABLE, "reason=" + e.getMessage());
     }
     return now;
   }
--- a/node/src/main/java/org/currantslip/node/wiring/AdminServer.java
+++ b/node/src/main/java/org/currantslip/node/wiring/AdminServer.java
@@ -1,8 +1,10 @@
 package org.currantslip.node.wiring;
 
 import org.currantslip.node.admin.AdminHandler;
+import org.currantslip.node.metrics.MetricsHandler;
 import org.currantslip.schema.ListenSettings;
 import org.eclipse.jetty.server.ConnectionLimit;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -18,7 +20,7 @@
 
   private AdminServer() {}
 
-  static Server create(ListenSettings listen, AdminHandler handler) {
+  static Server create(ListenSettings listen, MetricsHandler metrics, AdminHandler handler) {
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("admin");
     Server server = new Server(threads);
@@ -30,7 +32,7 @@
     connector.setIdleTimeout(IDLE_MS);
     server.addConnector(connector);
     server.addBean(new ConnectionLimit(MAX_CONNECTIONS, connector));
-    server.setHandler(handler);
+    server.setHandler(new Handler.Sequence(metrics, handler));
     return server;
   }
 }
--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -31,6 +31,7 @@
 import org.currantslip.core.usage.PeerUsageSpool;
 import org.currantslip.core.usage.UsageOptions;
 import org.currantslip.core.usage.UsageSpool;
+import org.currantslip.node.poll.RatedAnswers;
 import org.currantslip.schema.DecisionRecord;
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeSettings;
@@ -53,6 +54,7 @@
     RatedCascade cascade,
     DecisionLog decisionLog,
     BurnRecorder burn,
+    RatedAnswers answers,
     RequestEngine engine) {
 
   static CoreParts create(
@@ -62,7 +64,6 @@
       PeerNetwork peers,
       EndpointCalls calls,
       Clock clock,
-      Consumer<DecisionRecord> onDecision,
       Consumer<RequestOutcome> onOutcome) {
     NodeId self = membership.self().getId();
     TimeoutSettings times = settings.getTimeouts();
@@ -101,6 +102,8 @@
     RatedCascade cascade = RatedCascade.create(clock);
     DecisionLog decisionLog = DecisionLog.create(self, store, clock);
     BurnRecorder burn = BurnRecorder.create(clock, config);
+    RatedAnswers answers = RatedAnswers.create(versions, cascade, burn);
+    Consumer<DecisionRecord> onDecision = answers::answered;
     byte[] secret = settings.getSecurity().getSessionSecret().getBytes(StandardCharsets.UTF_8);
     RequestPorts ports =
         new RequestPorts(
@@ -133,6 +136,7 @@
         cascade,
         decisionLog,
         burn,
+        answers,
         engine);
   }
 
--- a/node/src/main/java/org/currantslip/node/wiring/FrameRouter.java
+++ b/node/src/main/java/org/currantslip/node/wiring/FrameRouter.java
@@ -8,13 +8,15 @@
 /** Gives each frame of a peer to the part it is for. */
 final class FrameRouter implements PeerDispatcher {
   private final CoreParts core;
+  private final NodePolls polls;
 
-  private FrameRouter(CoreParts core) {
+  private FrameRouter(CoreParts core, NodePolls polls) {
     this.core = core;
+    this.polls = polls;
   }
 
-  static FrameRouter create(CoreParts core) {
-    return new FrameRouter(core);
+  static FrameRouter create(CoreParts core, NodePolls polls) {
+    return new FrameRouter(core, polls);
   }
 
   @Override
@@ -51,6 +53,7 @@
       case SESSION_QUERY ->
           reply.accept(
               answer.setSessionAnswer(core.homes().answer(frame.getSessionQuery())).build());
+      case RATING -> polls.onRating(frame.getRating());
       default -> {
         // Replies reach their askers before they come here; newer kinds of frames are ignored.
       }
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/wiring/NodeStatusView.java
@@ -0,0 +1,30 @@
+package org.currantslip.node.wiring;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.currantslip.schema.NodeStatus;
+import org.currantslip.schema.NodeView;
+
+/** The nodes as this one sees them, for operators. */
+final class NodeStatusView {
+  private NodeStatusView() {}
+
+  static List<NodeStatus> of(CoreParts core) {
+    NodeStatus self =
+        NodeStatus.newBuilder()
+            .setNode(core.membership().self())
+            .setConfigVersion(core.config().current().version())
+            .build();
+    return Stream.concat(
+            Stream.of(self), core.membership().views().stream().map(NodeStatusView::status))
+        .toList();
+  }
+
+  private static NodeStatus status(NodeView view) {
+    return NodeStatus.newBuilder()
+        .setNode(view.getNode())
+        .setHeardMsAgo(view.getHeardMsAgo())
+        .setConfigVersion(view.getConfigVersion())
+        .build();
+  }
+}
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.membership.HeartbeatMembership;
 import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.MembershipOptions;
@@ -25,19 +25,17 @@
 import org.currantslip.node.caller.EntryView;
 import org.currantslip.node.caller.FrontDoor;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.log.EventLog;
+import org.currantslip.node.metrics.MetricsHandler;
+import org.currantslip.node.metrics.NodeMetrics;
 import org.currantslip.node.peer.PeerLinks;
 import org.currantslip.node.peer.PeerOptions;
 import org.currantslip.node.peer.PeerTls;
-import org.currantslip.node.poll.LoadPoll;
-import org.currantslip.node.poll.PeerReports;
 import org.currantslip.node.poll.UsedEndpoints;
-import org.currantslip.node.poll.VmListPoll;
 import org.currantslip.schema.ConfigAnnounce;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.NodeSettings;
 import org.currantslip.schema.NodeState;
-import org.currantslip.schema.NodeStatus;
-import org.currantslip.schema.NodeView;
 import org.eclipse.jetty.server.Server;
 
 /** One running node: its threads, ports and parts. */
@@ -45,24 +43,21 @@
   private static final long INCARNATION_WAIT_MS = 3_000;
   private static final long FLUSH_MS = 10_000;
   private static final long MARK_MS = 3_000;
-  private static final long PUBLISH_MS = 50;
 
   private final Clock clock = WallClock.create();
-  private final AtomicReference<EntryView> entryView = new AtomicReference<>(EntryView.empty());
+  private final NodeMetrics metrics = NodeMetrics.create();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final DecisionThread decisions;
   private final PlatformPorts platform;
   private final PeerLinks links;
   private final HeartbeatMembership membership;
   private final CoreParts core;
-  private final PeerReports reports;
-  private final LoadPoll loads;
-  private final VmListPoll vmList;
+  private final NodePolls polls;
+  private final NodePublisher publisher;
   private final PlannedStop stop;
   private final FrontDoor door;
   private final Server admin;
   private volatile boolean evicted;
-  private long nextPublishMs;
 
   private RunningNode(NodeSettings settings, PeerTls tls) throws InterruptedException {
     decisions = DecisionThread.create(clock);
@@ -90,18 +85,8 @@
     UsedEndpoints calls = UsedEndpoints.create(platform.calls(), clock);
     core =
         CoreParts.create(
-            settings, membership, platform.store(), links, calls, clock, d -> {}, o -> {});
-    reports =
-        PeerReports.create(
-            membership,
-            links,
-            core.versions(),
-            core.admission(),
-            clock,
-            self.getId().getIncarnation());
-    loads = LoadPoll.create(platform.loads(), membership, core.chooser(), calls, clock);
-    vmList = VmListPoll.create(platform.vmList(), clock, core.chooser()::onEndpoints);
-    core.versions().setBrakeListener(reports::brake);
+            settings, membership, platform.store(), links, calls, clock, metrics::record);
+    polls = NodePolls.create(core, platform, links, calls, core.answers(), clock);
     membership.setConfigStatus(this::configStatus);
     RequestIds ids = RequestIds.create(self.getId());
     door =
@@ -115,12 +100,15 @@
               return handle::callerGone;
             },
             () -> nextId(ids),
-            entryView::get);
+            this::entryView);
     stop =
         PlannedStop.create(membership, clock, this::underWay, core::flush, stopOptions(settings));
+    publisher =
+        NodePublisher.create(core, links, stop, metrics, door::inFlight, decisions::waiting, clock);
     admin =
         AdminServer.create(
             settings.getAdmin(),
+            MetricsHandler.create(metrics),
             AdminHandler.create(
                 NodeAdminOperations.create(adminParts(), decisions),
                 OperatorTokens.of(settings.getOperatorList())));
@@ -130,13 +118,19 @@
   public static RunningNode start(NodeSettings settings, PeerTls tls) throws Exception {
     RunningNode node = new RunningNode(settings, tls);
     try {
-      node.links.listen(FrameRouter.create(node.core));
+      node.links.listen(FrameRouter.create(node.core, node.polls));
       node.admin.start();
       node.door.start();
     } catch (Exception e) {
       node.close();
       throw e;
     }
+    EventLog.write(
+        LogEvent.NODE_STARTED,
+        "node="
+            + settings.getName()
+            + " incarnation="
+            + node.membership.self().getId().getIncarnation());
     node.decisions.execute(node::begin);
     return node;
   }
@@ -184,27 +178,13 @@
         core.chooser(),
         platform.store(),
         core.burn(),
-        this::nodeStatus,
+        () -> NodeStatusView.of(core),
         List::of,
         this::drain);
   }
 
-  private List<NodeStatus> nodeStatus() {
-    NodeStatus self =
-        NodeStatus.newBuilder()
-            .setNode(membership.self())
-            .setConfigVersion(core.config().current().version())
-            .build();
-    return Stream.concat(Stream.of(self), membership.views().stream().map(RunningNode::status))
-        .toList();
-  }
-
-  private static NodeStatus status(NodeView view) {
-    return NodeStatus.newBuilder()
-        .setNode(view.getNode())
-        .setHeardMsAgo(view.getHeardMsAgo())
-        .setConfigVersion(view.getConfigVersion())
-        .build();
+  private EntryView entryView() {
+    return publisher.entryView();
   }
 
   private CompletableFuture<String> drain() {
@@ -224,31 +204,26 @@
   private void tick() {
     core.tick();
     links.tick();
-    vmList.tick();
-    loads.tick();
-    reports.tick();
+    polls.tick();
     stop.tick();
     if (membership.self().getState() == NodeState.JOINING && core.config().isFresh()) {
       membership.serve();
+      EventLog.write(LogEvent.NODE_SERVING, "");
     }
-    if (clock.nowMs() >= nextPublishMs) {
-      nextPublishMs = clock.nowMs() + PUBLISH_MS;
-      publish();
-    }
-    evicted |= membership.supersededBy().isPresent();
+    publisher.tick();
+    membership.supersededBy().ifPresent(this::evict);
     if (evicted || stop.phase() == PlannedStop.Phase.DONE) {
       stopped.countDown();
     }
   }
 
-  private void publish() {
-    List<NodeRecord> entries = membership.entries();
-    boolean serving = stop.phase() == PlannedStop.Phase.RUNNING;
-    entryView.set(
-        new EntryView(
-            entries.isEmpty() && serving ? List.of(membership.self()) : entries,
-            core.config().current().version(),
-            stop.acceptsRequests()));
+  private void evict(NodeRecord other) {
+    if (!evicted) {
+      evicted = true;
+      EventLog.write(
+          LogEvent.NODE_SUPERSEDED,
+          "incarnation=" + other.getId().getIncarnation() + " state=" + other.getState());
+    }
   }
 
   /** Begins a planned stop. */
@@ -260,7 +235,9 @@
   public boolean awaitStop() throws Exception {
     stopped.await();
     close();
-    return !evicted && stop.isClean();
+    boolean clean = !evicted && stop.isClean();
+    EventLog.write(LogEvent.NODE_STOPPED, "clean=" + clean);
+    return clean;
   }
 
   private synchronized void close() throws Exception {
@@ -269,5 +246,6 @@
     links.close();
     platform.close();
     decisions.stop();
+    metrics.close();
   }
 }
--- /dev/null
+++ b/node/src/test/java/org/currantslip/node/log/LogEventsTest.java
@@ -0,0 +1,60 @@
+package org.currantslip.node.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.currantslip.core.common.LogEvent;
+import org.junit.jupiter.api.Test;
+
+final class LogEventsTest {
+  private static final Path TABLE = Path.of("..", "docs", "LOG_EVENTS.md");
+
+  @Test
+  void theTableNamesEveryEventAndNoOther() throws IOException {
+    List<String> rows =
+        Files.readAllLines(TABLE).stream()
+            .filter(line -> line.matches("\\| [0-9]{4} .*"))
+            .map(line -> String.join("|", Arrays.copyOf(line.split("\\|"), 4)))
+            .toList();
+
+    assertThat(rows)
+        .containsExactlyElementsIn(
+            Arrays.stream(LogEvent.values())
+                .map(e -> "| " + e.number() + " | " + e + " | " + e.level() + " ")
+                .toList());
+  }
+
+  @Test
+  void numbersAreUniqueAndFound() {
+    for (LogEvent event : LogEvent.values()) {
+      assertThat(LogEvent.ofNumber(event.number())).hasValue(event);
+    }
+  }
+
+  @Test
+  void anEventBecomesOneLineOfJson() throws IOException {
+    LoggerContext context = new LoggerContext();
+    LoggingEvent entry =
+        new LoggingEvent(
+            "", context.getLogger("x"), Level.WARN, "1102 MEMBER_LOST node=\"a\"\nb", null, null);
+
+    byte[] line = JsonLineEncoder.create().encode(entry);
+
+    JsonNode json = new ObjectMapper().readTree(line);
+    assertThat(json.path("event").asInt()).isEqualTo(1102);
+    assertThat(json.path("name").asText()).isEqualTo("MEMBER_LOST");
+    assertThat(json.path("message").asText()).isEqualTo("node=\"a\"\nb");
+    assertThat(json.path("level").asText()).isEqualTo("WARN");
+    assertThat(new String(line, java.nio.charset.StandardCharsets.UTF_8).strip())
+        .doesNotContain("\n");
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
@@ -0,0 +1,285 @@
+package org.currantslip.node.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.currantslip.core.port.PeerException;
+import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.schema.Heartbeat;
+import org.currantslip.schema.Hello;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class PeerLinksTest {
+  private static final String SECRET = "secret-of-all-the-nodes";
+  private static final int MAX_FRAME_BYTES = 8_192;
+
+  private final Map<String, NodeRecord> directory = new HashMap<>();
+  private final List<TestNode> nodes = new ArrayList<>();
+
+  /** One node that answers every request with the request's own heartbeat. */
+  private final class TestNode implements PeerDispatcher {
+    final DecisionThread decisions = DecisionThread.create(System::currentTimeMillis);
+    final BlockingQueue<String> opened = new LinkedBlockingQueue<>();
+    final BlockingQueue<PeerFrame> frames = new LinkedBlockingQueue<>();
+    final PeerLinks links;
+    final int port;
+
+    TestNode(String name, String secret, long silentMs) throws InterruptedException {
+      PeerOptions options =
+          new PeerOptions("127.0.0.1", 0, secret, MAX_FRAME_BYTES, 64, silentMs / 5, silentMs);
+      links =
+          PeerLinks.create(
+              record(name, 0),
+              options,
+              PeerTls.none(),
+              System::currentTimeMillis,
+              decisions,
+              this::find);
+      port = links.listen(this);
+      directory.put(name, record(name, port));
+      decisions.onTick(links::tick);
+      decisions.start();
+      nodes.add(this);
+    }
+
+    private Optional<NodeRecord> find(String name) {
+      return Optional.ofNullable(directory.get(name));
+    }
+
+    @Override
+    public void onLink(NodeRecord peer) {
+      opened.add(peer.getId().getName());
+    }
+
+    @Override
+    public void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply) {
+      frames.add(frame);
+      reply.accept(PeerFrame.newBuilder().setHeartbeat(frame.getHeartbeat()).build());
+    }
+
+    CompletableFuture<PeerFrame> ask(String node, PeerFrame frame, long timeoutMs) {
+      return on(() -> links.ask(node, frame, timeoutMs)).thenCompose(reply -> reply);
+    }
+
+    <T> CompletableFuture<T> on(Supplier<T> task) {
+      return CompletableFuture.supplyAsync(task, decisions);
+    }
+  }
+
+  private static NodeRecord record(String name, int port) {
+    return NodeRecord.newBuilder()
+        .setId(NodeId.newBuilder().setName(name).setIncarnation(1))
+        .setPeerAddress("127.0.0.1:" + port)
+        .build();
+  }
+
+  private static PeerFrame beat(long version) {
+    return PeerFrame.newBuilder()
+        .setHeartbeat(Heartbeat.newBuilder().setConfigVersion(version))
+        .build();
+  }
+
+  @AfterEach
+  void close() throws InterruptedException {
+    for (TestNode node : nodes) {
+      node.links.close();
+      node.decisions.stop();
+    }
+  }
+
+  private TestNode node(String name) throws InterruptedException {
+    return new TestNode(name, SECRET, 60_000);
+  }
+
+  private static void assertFails(CompletableFuture<?> future) {
+    CompletionException failure = Assertions.assertThrows(CompletionException.class, future::join);
+    assertThat(failure).hasCauseThat().isInstanceOf(PeerException.class);
+  }
+
+  @Test
+  void asksOverALinkThatIsOpenedOnDemand() throws Exception {
+    TestNode a = node("a");
+    TestNode b = node("b");
+
+    PeerFrame reply = a.ask("b", beat(7), 60_000).get();
+
+    assertThat(reply.getHeartbeat().getConfigVersion()).isEqualTo(7);
+    assertThat(b.opened.take()).isEqualTo("a");
+    assertThat(b.ask("a", beat(8), 60_000).get().getHeartbeat().getConfigVersion()).isEqualTo(8);
+    assertThat(a.on(a.links::openLinks).get()).isEqualTo(1);
+  }
+
+  @Test
+  void failsARequestToANodeThatNobodyKnowsOrThatIsDown() throws Exception {
+    TestNode a = node("a");
+    try (ServerSocket gone = new ServerSocket(0)) {
+      directory.put("down", record("down", gone.getLocalPort()));
+    }
+
+    assertFails(a.ask("unknown", beat(1), 60_000));
+    assertFails(a.ask("down", beat(1), 60_000));
+  }
+
+  @Test
+  void refusesAWrongSecretInBothDirections() throws Exception {
+    TestNode a = node("a");
+    TestNode b = new TestNode("b", "another secret altogether", 60_000);
+
+    assertFails(a.ask("b", beat(1), 60_000));
+    assertFails(b.ask("a", beat(1), 60_000));
+    assertThat(a.opened).isEmpty();
+    assertThat(b.opened).isEmpty();
+  }
+
+  @Test
+  void refusesAnotherNodeAtTheAddress() throws Exception {
+    TestNode a = node("a");
+    TestNode b = node("b");
+    directory.put("c", record("c", b.port));
+
+    assertFails(a.ask("c", beat(1), 60_000));
+  }
+
+  @Test
+  void givesUpAPeerThatAcceptsAndStaysSilent() throws Exception {
+    TestNode a = new TestNode("a", SECRET, 300);
+    try (ServerSocket silent = new ServerSocket(0)) {
+      directory.put("silent", record("silent", silent.getLocalPort()));
+
+      assertFails(a.ask("silent", beat(1), 600_000));
+    }
+  }
+
+  private static void write(Socket socket, PeerFrame frame) throws IOException {
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    byte[] bytes = frame.toByteArray();
+    out.writeInt(bytes.length);
+    out.write(bytes);
+    out.flush();
+  }
+
+  private static PeerFrame read(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    byte[] bytes = new byte[in.readInt()];
+    in.readFully(bytes);
+    return PeerFrame.parseFrom(bytes);
+  }
+
+  private static PeerFrame hello(Hello hello) {
+    return PeerFrame.newBuilder().setHello(hello).build();
+  }
+
+  /** Shakes hands as a peer would and returns the last hello sent. */
+  private static Hello shakeHands(Socket socket, long nonce) throws IOException {
+    Hello first = Hello.newBuilder().setNode(record("x", 1)).setNonce(nonce).build();
+    write(socket, hello(first));
+    long theirs = read(socket).getHello().getNonce();
+    Hello last =
+        first.toBuilder()
+            .setMac(HelloMac.of(SECRET).sign(true, nonce, theirs, first.getNode()))
+            .build();
+    write(socket, hello(last));
+    return last;
+  }
+
+  private static void assertClosed(Socket socket) throws IOException {
+    while (socket.getInputStream().read() >= 0) {
+      // What was sent before the close is read away.
+    }
+  }
+
+  @Test
+  void refusesAReplayedHello() throws Exception {
+    TestNode a = node("a");
+    Hello recorded;
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      recorded = shakeHands(socket, 5);
+      assertThat(a.opened.take()).isEqualTo("x");
+    }
+
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      write(socket, hello(recorded.toBuilder().setMac(ByteString.EMPTY).build()));
+      write(socket, hello(recorded));
+      assertClosed(socket);
+    }
+    assertThat(a.opened).isEmpty();
+  }
+
+  @Test
+  void closesALinkWhosePeerFallsSilent() throws Exception {
+    TestNode a = new TestNode("a", SECRET, 300);
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      shakeHands(socket, 5);
+      assertThat(a.opened.take()).isEqualTo("x");
+
+      assertClosed(socket);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {MAX_FRAME_BYTES + 1, Integer.MAX_VALUE, -1})
+  void closesALinkThatAnnouncesAnOversizedFrame(int bytes) throws Exception {
+    TestNode a = node("a");
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      shakeHands(socket, 5);
+      assertThat(a.opened.take()).isEqualTo("x");
+      new DataOutputStream(socket.getOutputStream()).writeInt(bytes);
+
+      assertClosed(socket);
+    }
+  }
+
+  @Test
+  void acceptsOnlyAHelloBeforeTheHandshakeAndNoneAfter() throws Exception {
+    TestNode a = node("a");
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      write(socket, beat(1));
+      assertClosed(socket);
+    }
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      Hello last = shakeHands(socket, 5);
+      write(socket, hello(last));
+      assertClosed(socket);
+    }
+    assertThat(a.frames).isEmpty();
+  }
+
+  @Test
+  void aFrameThatIsNoMessageClosesOnlyItsLink() throws Exception {
+    TestNode a = node("a");
+    TestNode b = node("b");
+    assertThat(b.ask("a", beat(1), 60_000).get().hasHeartbeat()).isTrue();
+    try (Socket socket = new Socket("127.0.0.1", a.port)) {
+      shakeHands(socket, 5);
+      DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+      out.writeInt(3);
+      out.write(new byte[] {(byte) 0xff, (byte) 0xff, (byte) 0xff});
+
+      assertClosed(socket);
+    }
+    assertThat(b.ask("a", beat(2), 60_000).get().hasHeartbeat()).isTrue();
+  }
+}
