--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -10,10 +10,12 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.currantslip.bench.exposure.ExposureBench;
+import org.currantslip.bench.membership.MembershipBench;
 
 /** Runs one experiment by name. */
 public final class BenchMain {
-  private static final List<Bench> BENCHES = List.of(ExposureBench.create());
+  private static final List<Bench> BENCHES =
+      List.of(ExposureBench.create(), MembershipBench.create());
 
   private BenchMain() {}
 
--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -104,7 +104,7 @@
   }
 
   private void onStored(NodeRecord target) {
-    if (supersededBy != null || isAfter(target)) {
+    if (supersededBy != null || isBehind(target)) {
       return;
     }
     stored = target;
@@ -114,7 +114,7 @@
   }
 
   /** Returns whether a later state than this is known to be stored. */
-  private boolean isAfter(NodeRecord target) {
+  private boolean isBehind(NodeRecord target) {
     return stored != null && stored.getStateValue() > target.getStateValue();
   }
 
--- a/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
@@ -42,7 +42,7 @@
   }
 
   @Test
-  void aKilledNodeIsDeadEverywhereButGoneOnlyOnceMarked() {
+  void killedNodesAreDeadEverywhereButGoneOnlyOnceMarked() {
     FakeFleet fleet = settled(24);
 
     fleet.kill("n007");
@@ -62,7 +62,7 @@
   }
 
   @Test
-  void silenceAloneNeverMakesANodeGone() {
+  void silenceAloneMakesNoNodeGone() {
     FakeFleet fleet = settled(6);
 
     fleet.store.setOut(true);
@@ -76,7 +76,7 @@
   }
 
   @Test
-  void aRestartAtTheSameAddressShowsAsANewIncarnation() {
+  void restartsAtTheSameAddressShowAsNewIncarnations() {
     FakeFleet fleet = settled(6);
 
     fleet.kill("n002");
@@ -91,7 +91,7 @@
   }
 
   @Test
-  void aLeavingNodeIsOffAllEntryAnswersWithinTwoSecondsAndStaysLive() {
+  void leavingNodesAreOffAllEntryAnswersWithinTwoSecondsAndStayLive() {
     FakeFleet fleet = settled(24);
 
     fleet.at("n005").leave();
@@ -104,7 +104,7 @@
   }
 
   @Test
-  void aCompletedLeaveMakesTheIncarnationGone() {
+  void completedLeavesMakeTheIncarnationGone() {
     FakeFleet fleet = settled(6);
 
     CompletableFuture<Void> marked = fleet.at("n004").complete();
@@ -118,7 +118,7 @@
   }
 
   @Test
-  void aCutLinkBetweenTwoNodesKillsNeither() {
+  void cutLinksBetweenTwoNodesKillNeither() {
     FakeFleet fleet = settled(6);
 
     fleet.network.setCut("n000", "n001", true);
@@ -130,7 +130,7 @@
   }
 
   @Test
-  void aNodeCutFromTheStoreKeepsItsPeers() {
+  void nodesCutFromTheStoreKeepTheirPeers() {
     FakeFleet fleet = settled(6);
 
     fleet.cutFromStore("n001", true);
@@ -141,7 +141,7 @@
   }
 
   @Test
-  void aNodeFrozenUntilItWasMarkedGoneFindsOutWhenItWakes() {
+  void nodesFrozenUntilMarkedGoneFindOutWhenTheyWake() {
     FakeFleet fleet = settled(6);
 
     fleet.freeze("n003");
@@ -154,7 +154,7 @@
   }
 
   @Test
-  void aShortFreezeIsForgiven() {
+  void shortFreezesAreForgiven() {
     FakeFleet fleet = settled(6);
 
     fleet.freeze("n003");
@@ -184,7 +184,7 @@
   }
 
   @Test
-  void partsOfTheFleetFindEachOtherAgainAfterACut() {
+  void partsOfTheFleetFindEachOtherAgainOnceJoined() {
     FakeFleet fleet = settled(12);
     Set<String> apart = Set.of("n000", "n004", "n008");
 
--- a/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void endsInBoundedTimeWhenARequestHangsAndTheStoreIsOut() {
+  void endsInBoundedTimeWithoutTheStoreAndWithHangingRequests() {
     run(3_000);
     fleet.store.setOut(true);
     inFlight.set(1);
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -246,7 +246,7 @@
   }
 
   @Test
-  void endsAFailedStreamWithoutDone() throws Exception {
+  void endsFailedStreamsWithoutDone() throws Exception {
     CompletableFuture<ContentResponse> answer =
         new CompletableResponseListener(
                 request("POST", CHAT, "Authorization:Bearer " + TOKEN, BODY))
@@ -343,7 +343,7 @@
   }
 
   @Test
-  void tellsOfACallerThatHangsUpBeforeTheAnswer() throws Exception {
+  void tellsOfCallersThatHangUpBeforeTheAnswer() throws Exception {
     Started request;
     try (Socket socket = openChat(BODY)) {
       request = started.take();
@@ -356,7 +356,7 @@
   }
 
   @Test
-  void cutsOffACallerThatDoesNotReadItsStream() throws Exception {
+  void cutsOffCallersThatDoNotReadTheirStream() throws Exception {
     try (Socket socket = openChat(BODY)) {
       Started request = started.take();
       request.sink().head(head(ResultCode.OK, true));
--- a/node/src/test/java/org/currantslip/node/metrics/MetricsTest.java
+++ b/node/src/test/java/org/currantslip/node/metrics/MetricsTest.java
@@ -38,7 +38,7 @@
   }
 
   @Test
-  void thePageShowsEveryMetricOnceARequestHasEnded() {
+  void thePageShowsEveryMetricOnceRequestsHaveEnded() {
     NodeMetrics metrics = NodeMetrics.create();
     metrics.record(
         new RequestOutcome("crew", "t", "m", "v", "", ResultCode.OK, Ran.YES, 200, 5, 9, 7, 1));
--- a/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
+++ b/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
@@ -120,7 +120,7 @@
   }
 
   @Test
-  void asksOverALinkThatIsOpenedOnDemand() throws Exception {
+  void asksOverLinksThatAreOpenedOnDemand() throws Exception {
     TestNode a = node("a");
     TestNode b = node("b");
 
@@ -133,7 +133,7 @@
   }
 
   @Test
-  void failsARequestToANodeThatNobodyKnowsOrThatIsDown() throws Exception {
+  void failsRequestsToNodesThatAreUnknownOrDown() throws Exception {
     TestNode a = node("a");
     try (ServerSocket gone = new ServerSocket(0)) {
       directory.put("down", record("down", gone.getLocalPort()));
@@ -144,7 +144,7 @@
   }
 
   @Test
-  void refusesAWrongSecretInBothDirections() throws Exception {
+  void refusesWrongSecretsInBothDirections() throws Exception {
     TestNode a = node("a");
     TestNode b = new TestNode("b", "another secret altogether", 60_000);
 
@@ -164,7 +164,7 @@
   }
 
   @Test
-  void givesUpAPeerThatAcceptsAndStaysSilent() throws Exception {
+  void givesUpPeersThatAcceptAndStaySilent() throws Exception {
     TestNode a = new TestNode("a", SECRET, 300);
     try (ServerSocket silent = new ServerSocket(0)) {
       directory.put("silent", record("silent", silent.getLocalPort()));
@@ -212,7 +212,7 @@
   }
 
   @Test
-  void refusesAReplayedHello() throws Exception {
+  void refusesReplayedHellos() throws Exception {
     TestNode a = node("a");
     Hello recorded;
     try (Socket socket = new Socket("127.0.0.1", a.port)) {
@@ -229,7 +229,7 @@
   }
 
   @Test
-  void closesALinkWhosePeerFallsSilent() throws Exception {
+  void closesLinksWhosePeerFallsSilent() throws Exception {
     TestNode a = new TestNode("a", SECRET, 300);
     try (Socket socket = new Socket("127.0.0.1", a.port)) {
       shakeHands(socket, 5);
@@ -241,7 +241,7 @@
 
   @ParameterizedTest
   @ValueSource(ints = {MAX_FRAME_BYTES + 1, Integer.MAX_VALUE, -1})
-  void closesALinkThatAnnouncesAnOversizedFrame(int bytes) throws Exception {
+  void closesLinksThatAnnounceOversizedFrames(int bytes) throws Exception {
     TestNode a = node("a");
     try (Socket socket = new Socket("127.0.0.1", a.port)) {
       shakeHands(socket, 5);
@@ -253,7 +253,7 @@
   }
 
   @Test
-  void acceptsOnlyAHelloBeforeTheHandshakeAndNoneAfter() throws Exception {
+  void acceptsOnlyHellosBeforeTheHandshakeAndNoneAfter() throws Exception {
     TestNode a = node("a");
     try (Socket socket = new Socket("127.0.0.1", a.port)) {
       write(socket, beat(1));
@@ -268,7 +268,7 @@
   }
 
   @Test
-  void aFrameThatIsNoMessageClosesOnlyItsLink() throws Exception {
+  void malformedFramesCloseOnlyTheirLink() throws Exception {
     TestNode a = node("a");
     TestNode b = node("b");
     assertThat(b.ask("a", beat(1), 60_000).get().hasHeartbeat()).isTrue();
