--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -9,11 +9,13 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.bench.config.ConfigSpreadBench;
 import org.currantslip.bench.exposure.ExposureBench;
 
 /** Runs one experiment by name. */
 public final class BenchMain {
-  private static final List<Bench> BENCHES = List.of(ExposureBench.create());
+  private static final List<Bench> BENCHES =
+      List.of(ExposureBench.create(), ConfigSpreadBench.create());
 
   private BenchMain() {}
 
--- a/core/src/test/java/org/currantslip/core/config/ConfigFleet.java
+++ b/core/src/test/java/org/currantslip/core/config/ConfigFleet.java
@@ -19,10 +19,15 @@
 import org.currantslip.schema.PeerFrame;
 
 /** Configuration keepers of a whole fleet on one store, one network and one driven clock. */
-final class ConfigFleet {
-  static final long START_MS = 1_700_000_000_000L;
-  static final long FRESH_MS = 4_000;
-  static final long STORE_TIMEOUT_MS = 2_000;
+public final class ConfigFleet {
+  /** Time at which the clock starts. */
+  public static final long START_MS = 1_700_000_000_000L;
+
+  /** Freshness bound of the nodes. */
+  public static final long FRESH_MS = 4_000;
+
+  /** Longest wait for a call to the store. */
+  public static final long STORE_TIMEOUT_MS = 2_000;
 
   private static final long TICK_MS = 10;
 
@@ -60,7 +65,7 @@
   }
 
   /** Returns a fleet of started nodes n000, n001 and so on, spread over failure domains. */
-  static ConfigFleet of(int nodes, int domains) {
+  public static ConfigFleet of(int nodes, int domains) {
     ConfigFleet fleet = new ConfigFleet(domains);
     for (int i = 0; i < nodes; i++) {
       fleet.start("n%03d".formatted(i));
@@ -95,19 +100,21 @@
   }
 
   /** Ends a node; the others keep it on their lists until they are told. */
-  void kill(String name) {
+  public void kill(String name) {
     network.remove(name);
     member(name).link.kill();
     members.remove(name);
   }
 
-  void freeze(String name) {
+  /** Stops a node as a signal would; what is sent to it waits. */
+  public void freeze(String name) {
     member(name).frozen = true;
     member(name).link.freeze();
     network.freeze(name);
   }
 
-  void thaw(String name) {
+  /** Lets a stopped node go on. */
+  public void thaw(String name) {
     member(name).frozen = false;
     member(name).link.thaw();
     network.thaw(name);
@@ -121,7 +128,8 @@
     return member;
   }
 
-  CompletableFuture<ApplyReply> apply(String node, long base, String rules) {
+  /** Applies rules through a node. */
+  public CompletableFuture<ApplyReply> apply(String node, long base, String rules) {
     return apply(node, base, rules, 0);
   }
 
@@ -139,12 +147,12 @@
   }
 
   /** Lets time pass. */
-  void run(long ms) {
+  public void run(long ms) {
     runUntil(() -> false, ms);
   }
 
   /** Lets time pass until a condition holds; returns whether it does within the time. */
-  boolean runUntil(BooleanSupplier condition, long atMostMs) {
+  public boolean runUntil(BooleanSupplier condition, long atMostMs) {
     for (long t = 0; t < atMostMs && !condition.getAsBoolean(); t++) {
       events.advance(1);
       if (events.clock().nowMs() % TICK_MS == 0) {
@@ -156,7 +164,7 @@
   }
 
   /** Returns whether a version is in force on every node that is not frozen. */
-  boolean everywhere(long version) {
+  public boolean everywhere(long version) {
     return members.values().stream()
         .filter(m -> !m.frozen)
         .allMatch(m -> m.keeper.current().version() >= version);
@@ -167,6 +175,38 @@
     return reversions;
   }
 
+  /** Returns the store of the fleet. */
+  public FakeObjectStore store() {
+    return store;
+  }
+
+  /** Returns the links between the nodes. */
+  public FakePeerNetwork network() {
+    return network;
+  }
+
+  /** Makes the others believe, or no longer believe, that a node is alive. */
+  public void setSuspected(String name, boolean suspected) {
+    NodeRecord record = member(name).record;
+    members.values().stream()
+        .filter(m -> !m.record.equals(record))
+        .forEach(
+            m -> {
+              if (suspected) {
+                m.membership.suspect(name);
+              } else {
+                m.membership.add(record);
+              }
+            });
+  }
+
+  /** Returns how many nodes that are not frozen have a version in force. */
+  public long reached(long version) {
+    return members.values().stream()
+        .filter(m -> !m.frozen && m.keeper.current().version() >= version)
+        .count();
+  }
+
   static String rules(String version) {
     return "serve model=m version=" + version + " # Ana: test\n";
   }
