--- a/cli/src/main/java/org/currantslip/cli/AdminClient.java
+++ b/cli/src/main/java/org/currantslip/cli/AdminClient.java
@@ -109,7 +109,9 @@
 
   private static CliException failure(AdminError error) {
     return CliException.of(
-        ResultCode.ofNumber(error.getCode()).orElse(ResultCode.INTERNAL),
+        ResultCode.ofNumber(error.getCode())
+            .filter(c -> c != ResultCode.OK)
+            .orElse(ResultCode.INTERNAL),
         error.getDetail(),
         error.getProblemList().stream().map(RulesException::describe).collect(Collectors.toList()));
   }
--- a/cli/src/main/java/org/currantslip/cli/Cli.java
+++ b/cli/src/main/java/org/currantslip/cli/Cli.java
@@ -19,6 +19,8 @@
 /** Parses the command line and runs the command it names. */
 final class Cli {
   private static final String SETTINGS_VARIABLE = "CURRANTSLIP_SETTINGS";
+  private static final String TEXT = "text";
+  private static final String JSON = "json";
   private static final String SETTINGS_FILE = "currantslip.toml";
 
   private final ImmutableList<Command> commands;
@@ -70,7 +72,7 @@
   }
 
   private ExitCode run(Namespace args) {
-    boolean json = args.getString("output").equals("json");
+    boolean json = args.getString("output").equals(JSON);
     Output output = Output.create(out, err, json);
     Command command = args.get("command");
     try (CliContext context = CliContext.create(output, settings(args))) {
@@ -99,7 +101,8 @@
                 commands.stream()
                     .map(c -> "Example: " + c.example() + "\n")
                     .collect(Collectors.joining()));
-    addCommonArguments(parser, "text");
+    addCommonArguments(parser);
+    parser.setDefault("output", TEXT);
     Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
     for (Command command : commands) {
       Subparser subparser =
@@ -109,24 +112,24 @@
               .description(command.help())
               .epilog("Example: " + command.example())
               .setDefault("command", command);
-      addCommonArguments(subparser, Arguments.SUPPRESS);
+      addCommonArguments(subparser);
       command.declare(subparser);
     }
     return parser;
   }
 
   /** Lets the common options stand before the command or after it. */
-  private static void addCommonArguments(ArgumentParser parser, Object outputDefault) {
+  private static void addCommonArguments(ArgumentParser parser) {
     parser
         .addArgument("--settings")
         .metavar("FILE")
-        .setDefault(outputDefault == Arguments.SUPPRESS ? Arguments.SUPPRESS : null)
+        .setDefault(Arguments.SUPPRESS)
         .help(
             "settings of this command; by default $" + SETTINGS_VARIABLE + " or " + SETTINGS_FILE);
     parser
         .addArgument("--output")
-        .choices("text", "json")
-        .setDefault(outputDefault)
-        .help("form of the answer");
+        .choices(TEXT, JSON)
+        .setDefault(Arguments.SUPPRESS)
+        .help("form of the answer, by default " + TEXT);
   }
 }
--- /dev/null
+++ b/cli/src/test/java/org/currantslip/cli/CliTest.java
@@ -0,0 +1,185 @@
+package org.currantslip.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.base.Splitter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class CliTest {
+  private static final String VIEW =
+      "\"view\":{\"node\":\"entry-2\",\"view_age_ms\":\"12\",\"config_version\":\"3\"}";
+  private static final String RULES =
+      "serve model=m version=a # Ana: x\\nrollout model=m version=b stage=1 share=1%"
+          + " min_requests=1 # Ana: y\\npause model=m version=b # Bo: wait\\n";
+  private static final String CONFIG =
+      "{" + VIEW + ",\"config\":{\"version\":\"3\",\"rules_text\":\"" + RULES + "\"}}";
+
+  @TempDir private Path dir = Path.of("");
+  private final Map<String, String> answers = new ConcurrentHashMap<>();
+  private final List<String> bodies = Collections.synchronizedList(new ArrayList<>());
+  private final Server server = new Server();
+  private final ServerConnector connector = new ServerConnector(server);
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private int status = 200;
+
+  @BeforeEach
+  void start() throws Exception {
+    connector.setHost("127.0.0.1");
+    server.addConnector(connector);
+    server.setHandler(
+        new Handler.Abstract() {
+          @Override
+          public boolean handle(Request request, Response response, Callback callback)
+              throws Exception {
+            bodies.add(Content.Source.asString(request));
+            String path = Request.getPathInContext(request).replace("/admin/v1/", "");
+            String answer = answers.get(path);
+            response.setStatus(answer == null ? 404 : path.equals("apply") ? status : 200);
+            Content.Sink.write(response, true, answer == null ? "{}" : answer, callback);
+            return true;
+          }
+        });
+    server.start();
+    write(
+        "cli.toml",
+        "admin = [\"http://127.0.0.1:1\", \"http://127.0.0.1:%d\"]\ntoken = \"0123456789abcdef\"\n"
+            .formatted(connector.getLocalPort()));
+    answers.put("config", CONFIG);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    server.stop();
+  }
+
+  @Test
+  void namesNodeAndAgeAfterSkippingAnUnreachableAddress() throws Exception {
+    answers.put("status", "{" + VIEW + "}");
+    assertThat(run("status")).isEqualTo(0);
+    assertThat(out.toString(UTF_8)).startsWith("node entry-2, view 12 ms old, configuration 3\n");
+    assertThat(run("--output", "json", "status")).isEqualTo(0);
+    assertThat(out.toString(UTF_8)).contains("\"view_age_ms\": \"12\"");
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "check good.txt | 0",
+        "check bad.txt | 2",
+        "check absent.txt | 2",
+        "diff good.txt --from good.txt | 0",
+        "codes | 0",
+        "--help | 0",
+        "apply --help | 0",
+        "nonsense | 2",
+        "apply | 2",
+        "--settings absent.toml status | 2",
+        "--settings bad.txt status | 2",
+        "--settings nobody.toml status | 3",
+        "why n.1.2 | 1",
+        "rollout resume --model m --version b --asked-by A --why y | 2",
+        "apply good.txt --base 2 | 4",
+      })
+  void endsWithDocumentedCodeAndNoStackTrace(String line, int code) throws Exception {
+    write("good.txt", "serve model=m version=a # Ana: x\n");
+    write("bad.txt", "serve model=m\n");
+    write("nobody.toml", "admin = [\"http://127.0.0.1:1\"]\ntoken = \"0123456789abcdef\"\n");
+    assertThat(run(Splitter.on(' ').splitToList(line).toArray(new String[0]))).isEqualTo(code);
+    assertThat(out + err.toString(UTF_8)).doesNotContain("\tat ");
+  }
+
+  @Test
+  void appliesInTheNameOfThoseWhomChangedLinesName() throws Exception {
+    answers.put("apply", "{" + VIEW + ",\"version\":\"4\",\"missing_on\":[\"entry-5\"]}");
+    write("new.txt", "serve model=m version=c # Carla: newer\n");
+    assertThat(run("apply", "new.txt")).isEqualTo(5);
+    assertThat(bodies.get(bodies.size() - 1)).contains("\"asked_by\": \"Carla\"");
+    assertThat(bodies.get(bodies.size() - 1)).contains("\"base_version\": \"3\"");
+    assertThat(out.toString(UTF_8)).contains("not yet in force on: entry-5");
+  }
+
+  @Test
+  void resumesByReplacingThePause() throws Exception {
+    answers.put("apply", "{" + VIEW + ",\"version\":\"4\"}");
+    assertThat(
+            run(
+                "rollout",
+                "resume",
+                "--model",
+                "m",
+                "--version",
+                "b",
+                "--stage",
+                "1",
+                "--asked-by",
+                "Bo",
+                "--why",
+                "fine now"))
+        .isEqualTo(0);
+    String sent = bodies.get(bodies.size() - 1);
+    assertThat(sent).contains("resume model\\u003dm version\\u003db stage\\u003d1 # Bo: fine now");
+    assertThat(sent).doesNotContain("pause");
+  }
+
+  @Test
+  void showsWhyTheLoserLost() throws Exception {
+    status = 409;
+    answers.put("apply", "{\"code\":8002,\"detail\":\"configuration 4 was applied by eve\"}");
+    write("new.txt", "serve model=m version=c # Carla: newer\n");
+    assertThat(run("apply", "new.txt")).isEqualTo(4);
+    assertThat(err.toString(UTF_8)).contains("configuration 4 was applied by eve");
+  }
+
+  @Test
+  void pageNamesEveryCommandAndExitCode() throws Exception {
+    String page = Files.readString(Path.of("..", "docs", "CLI.md"));
+    Cli.commands().forEach(c -> assertThat(page).contains("| `" + c.name()));
+    for (ExitCode code : ExitCode.values()) {
+      assertThat(page).contains("| %d | %s |".formatted(code.number(), code.meaning()));
+    }
+  }
+
+  private int run(String... args) {
+    out.reset();
+    err.reset();
+    String[] inDir = new String[args.length];
+    for (int i = 0; i < args.length; i++) {
+      boolean file = args[i].endsWith(".txt") || args[i].endsWith(".toml");
+      inDir[i] = file ? dir.resolve(args[i]).toString() : args[i];
+    }
+    return Cli.create(
+            new PrintStream(out, true, UTF_8),
+            new PrintStream(err, true, UTF_8),
+            Map.of("CURRANTSLIP_SETTINGS", dir.resolve("cli.toml").toString()))
+        .run(inDir);
+  }
+
+  private void write(String file, String text) throws IOException {
+    Files.writeString(dir.resolve(file), text);
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/currantslip/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the operators' command. */
+@NullMarked
+package org.currantslip.cli;
+
+import org.jspecify.annotations.NullMarked;
