--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/demo/BillingStep.java
@@ -0,0 +1,54 @@
+package org.currantslip.standin.demo;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.currantslip.core.port.ObjectStore;
+import org.currantslip.core.port.StoredObject;
+import org.currantslip.platform.http.HttpClients;
+import org.currantslip.platform.store.HttpObjectStore;
+import org.currantslip.schema.UsageBatch;
+import org.currantslip.schema.UsageRecord;
+import org.eclipse.jetty.client.HttpClient;
+
+/** Reads what was billed from the object API once every node has ended. */
+final class BillingStep {
+  private static final long TIMEOUT_MS = 5_000;
+  private static final int PAGE = 1_000;
+
+  private BillingStep() {}
+
+  /** Checks that each answered request has exactly one usage record. */
+  static void run(URI objectApi, List<String> answered, Checks checks) {
+    HttpClient http = HttpClients.start("billing", 4);
+    Map<String, Long> billed;
+    try {
+      ObjectStore store = HttpObjectStore.create(http, objectApi, Runnable::run, TIMEOUT_MS);
+      billed =
+          store.list("usage/", "", PAGE).join().stream()
+              .flatMap(o -> records(o).stream())
+              .collect(Collectors.groupingBy(UsageRecord::getRequestId, Collectors.counting()));
+    } finally {
+      HttpClients.stop(http);
+    }
+    List<String> wrong =
+        answered.stream()
+            .filter(id -> billed.getOrDefault(id, 0L) != 1)
+            .map(id -> id + " " + billed.getOrDefault(id, 0L) + " times")
+            .toList();
+    checks.that(
+        "each of " + answered.size() + " answered requests is billed once",
+        wrong.isEmpty() && !answered.isEmpty(),
+        "billed wrongly: " + wrong);
+  }
+
+  private static List<UsageRecord> records(StoredObject object) {
+    try {
+      return UsageBatch.parseFrom(object.value()).getRecordList();
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(object.name() + " is no usage batch", e);
+    }
+  }
+}
--- a/standin/src/main/java/org/currantslip/standin/demo/ChatStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/ChatStep.java
@@ -4,7 +4,6 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.standin.caller.CallerAnswer;
 import org.currantslip.standin.caller.CallerCall;
-import org.currantslip.standin.caller.CallerClient;
 
 /** Sends chat requests through a cascade, and some that must be refused. */
 final class ChatStep {
@@ -15,20 +14,20 @@
   private static final String VERSION = "Currantslip-Version";
 
   private final DemoPlan plan;
-  private final CallerClient client;
+  private final DemoCaller client;
   private final Checks checks;
 
-  private ChatStep(DemoPlan plan, CallerClient client, Checks checks) {
+  private ChatStep(DemoPlan plan, DemoCaller client, Checks checks) {
     this.plan = plan;
     this.client = client;
     this.checks = checks;
   }
 
-  static ChatStep create(DemoPlan plan, CallerClient client, Checks checks) {
+  static ChatStep create(DemoPlan plan, DemoCaller client, Checks checks) {
     return new ChatStep(plan, client, checks);
   }
 
-  /** Returns the id of an answered request. */
+  /** Returns the id of a request that the second node answered. */
   String run() {
     whole();
     String requestId = streamed();
@@ -53,7 +52,8 @@
 
   private String streamed() {
     int whole = 0;
-    CallerAnswer last = client.ask(chat(0, "auto", plan.prompt(), true));
+    CallerAnswer last = client.ask(chat(1, "auto", plan.prompt(), true));
+    String requestId = last.requestId();
     for (int i = 0; i < CHATS; i++) {
       String prompt = plan.prompt() + " (" + i + ")";
       last = client.ask(chat(i, "auto", prompt, true));
@@ -63,7 +63,7 @@
         CHATS + " streamed chats over all nodes are whole and their own",
         whole == CHATS,
         whole + " whole; last: " + last.describe());
-    return last.requestId();
+    return requestId;
   }
 
   private void session() {
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/demo/DemoCaller.java
@@ -0,0 +1,49 @@
+package org.currantslip.standin.demo;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.standin.caller.CallerAnswer;
+import org.currantslip.standin.caller.CallerCall;
+import org.currantslip.standin.caller.CallerClient;
+
+/** Sends calls to nodes and keeps the ids of those that were answered and have to be billed. */
+final class DemoCaller {
+  private final CallerClient client;
+  private final List<String> answered = new CopyOnWriteArrayList<>();
+
+  private DemoCaller(CallerClient client) {
+    this.client = client;
+  }
+
+  static DemoCaller create(CallerClient client) {
+    return new DemoCaller(client);
+  }
+
+  CallerAnswer ask(CallerCall call) {
+    return send(call, part -> {}).join();
+  }
+
+  CompletableFuture<CallerAnswer> send(CallerCall call, Consumer<String> parts) {
+    return client.send(call, parts).thenApply(this::keep);
+  }
+
+  /** Returns the ids of the answered requests. */
+  List<String> answered() {
+    return List.copyOf(answered);
+  }
+
+  private CallerAnswer keep(CallerAnswer answer) {
+    boolean ranNow =
+        answer.failure().isEmpty()
+            && answer.code() == ResultCode.OK.number()
+            && answer.ran().equals("yes")
+            && !answer.header("Currantslip-Replayed").equals("true");
+    if (ranNow) {
+      answered.add(answer.requestId());
+    }
+    return answer;
+  }
+}
--- a/standin/src/main/java/org/currantslip/standin/demo/DemoCommands.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/DemoCommands.java
@@ -1,9 +1,11 @@
 package org.currantslip.standin.demo;
 
 import java.io.IOException;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.stream.Collectors;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -16,10 +18,17 @@
   /** Declares the arguments. */
   public static void declare(Subparser parser) {
     parser.help("parts of bin/demo");
-    parser.addArgument("part").choices("ports", "entry", "traffic", "stop");
+    parser.addArgument("part").choices("ports", "entry", "traffic", "stop", "billing");
     parser.addArgument("--plan").help("TOML file that says what runs");
     parser.addArgument("--count").type(Integer.class).setDefault(1).help("ports to find");
     parser.addArgument("--request-id-file").help("file for the id of an answered request");
+    parser.addArgument("--answered-file").help("file of the ids of all answered requests");
+    parser.addArgument("--object-api").help("address of the object API");
+    parser
+        .addArgument("--first-node")
+        .type(Integer.class)
+        .setDefault(0)
+        .help("nodes that are not stopped yet");
   }
 
   /** Runs one part and returns the exit code. */
@@ -34,17 +43,25 @@
     }
     DemoPlan plan = DemoPlan.read(Path.of(args.getString("plan")));
     Checks checks = Checks.create();
+    Path answeredFile = Path.of(args.getString("answered_file"));
     try (CallerClient client = CallerClient.start()) {
+      DemoCaller caller = DemoCaller.create(client);
       switch (part) {
         case "entry" -> EntryStep.run(plan, client, checks);
         case "traffic" -> {
-          String id = ChatStep.create(plan, client, checks).run();
-          OnceStep.create(plan, client, checks).run();
-          Path file = Path.of(args.getString("request_id_file"));
-          Files.writeString(file, id, StandardCharsets.UTF_8);
+          String id = ChatStep.create(plan, caller, checks).run();
+          Path idFile = Path.of(args.getString("request_id_file"));
+          Files.writeString(idFile, id, StandardCharsets.UTF_8);
+          OnceStep.create(plan, caller, AppRuns.create(client, plan.apps()), checks).run();
+        }
+        case "stop" -> StopStep.run(plan, args.getInt("first_node"), caller, checks);
+        default -> {
+          URI objectApi = URI.create(args.getString("object_api"));
+          BillingStep.run(objectApi, Files.readAllLines(answeredFile), checks);
         }
-        default -> StopStep.run(plan, client, checks);
       }
+      Files.write(
+          answeredFile, caller.answered(), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     }
     return checks.finish();
   }
--- a/standin/src/main/java/org/currantslip/standin/demo/OnceStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/OnceStep.java
@@ -4,7 +4,6 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.standin.caller.CallerAnswer;
 import org.currantslip.standin.caller.CallerCall;
-import org.currantslip.standin.caller.CallerClient;
 import org.currantslip.standin.http.Json;
 
 /** Sends calls that run at most once, with retries, lost answers and a killed node. */
@@ -14,20 +13,20 @@
   private static final int RETRIES = 2;
 
   private final DemoPlan plan;
-  private final CallerClient client;
+  private final DemoCaller client;
   private final Checks checks;
   private final AppRuns runs;
   private final long issuedMs = System.currentTimeMillis();
 
-  private OnceStep(DemoPlan plan, CallerClient client, Checks checks) {
+  private OnceStep(DemoPlan plan, DemoCaller client, AppRuns runs, Checks checks) {
     this.plan = plan;
     this.client = client;
     this.checks = checks;
-    runs = AppRuns.create(client, plan.apps());
+    this.runs = runs;
   }
 
-  static OnceStep create(DemoPlan plan, CallerClient client, Checks checks) {
-    return new OnceStep(plan, client, checks);
+  static OnceStep create(DemoPlan plan, DemoCaller client, AppRuns runs, Checks checks) {
+    return new OnceStep(plan, client, runs, checks);
   }
 
   void run() {
@@ -79,7 +78,8 @@
 
   private void lostAnswer() {
     String key = key("lost");
-    runs.setFaults(Json.object().put("lose_answer_after_effect", true).put("times", 1));
+    runs.setFaults(
+        Json.object().put("lose_answer_after_effect", true).put("path", plan.oncePath()));
     CallerAnswer first = client.ask(once(0, "lost").withKey(key, 1));
     runs.clearFaults();
     checks.that(
@@ -93,9 +93,9 @@
   private void killedNode() {
     String key = key("killed");
     DemoPlan.NodeProcess victim = plan.nodes().get(plan.nodes().size() - 1);
-    runs.setFaults(Json.object().put("late_ms", LATE_MS));
+    runs.setFaults(Json.object().put("late_ms", LATE_MS).put("path", plan.oncePath()));
     CompletableFuture<CallerAnswer> pending =
-        client.send(once(plan.nodes().size() - 1, "killed").withKey(key, 1));
+        client.send(once(plan.nodes().size() - 1, "killed").withKey(key, 1), part -> {});
     boolean ran = Waiting.until(LIMIT_MS, () -> runs.of(key) == 1 || pending.isDone());
     victim.process().destroyForcibly();
     CallerAnswer cut = pending.join();
--- a/standin/src/main/java/org/currantslip/standin/demo/StopStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/StopStep.java
@@ -5,7 +5,6 @@
 import java.util.stream.IntStream;
 import org.currantslip.standin.caller.CallerAnswer;
 import org.currantslip.standin.caller.CallerCall;
-import org.currantslip.standin.caller.CallerClient;
 
 /** Stops the nodes that still run while each of them streams an answer. */
 final class StopStep {
@@ -13,9 +12,10 @@
 
   private StopStep() {}
 
-  static void run(DemoPlan plan, CallerClient client, Checks checks) {
+  static void run(DemoPlan plan, int firstNode, DemoCaller client, Checks checks) {
     List<DemoPlan.NodeProcess> alive =
         plan.nodes().stream()
+            .skip(firstNode)
             .filter(n -> ProcessHandle.of(n.pid()).map(ProcessHandle::isAlive).orElse(false))
             .toList();
     List<CompletableFuture<Void>> started =
