Failed requests stop a version only when another one takes its requests

Ruled out: not counting broken connections as errors, since a version that crashes its engines during a roll-out shows as just that; ratings still stop a version without a fallback, because a bad answer is worse than none.

--- a/core/src/main/java/org/currantslip/core/rollout/EvidenceVersionPolicy.java
+++ b/core/src/main/java/org/currantslip/core/rollout/EvidenceVersionPolicy.java
@@ -230,7 +230,7 @@
       return;
     }
     seen(key)
-        .stopReason()
+        .stopReason(hasFallback(key))
         .ifPresent(
             reason -> {
               BrakeNotice notice =
@@ -246,6 +246,11 @@
             });
   }
 
+  /** Returns whether another version takes this one's requests when it is stopped. */
+  private boolean hasFallback(VersionKey key) {
+    return plan.serves(key.model()).stream().anyMatch(r -> !r.version().equals(key.version()));
+  }
+
   @Override
   public void onEvidence(EvidenceReport report) {
     report.getBrakeList().forEach(this::onBrake);
--- a/core/src/main/java/org/currantslip/core/rollout/VersionEvidence.java
+++ b/core/src/main/java/org/currantslip/core/rollout/VersionEvidence.java
@@ -113,12 +113,17 @@
     return ratings.good() + ratings.bad();
   }
 
-  /** Returns why the version must be stopped, in words and figures. */
-  Optional<String> stopReason() {
+  /**
+   * Returns why the version must be stopped, in words and figures.
+   *
+   * @param hasFallback whether another version takes its requests; without one, failed requests are
+   *     no reason, since a stop would make all of them fail
+   */
+  Optional<String> stopReason(boolean hasFallback) {
     if (ratings.stopped()) {
       return Optional.of(reason("rated answers bad", ratings, opts.baseBadRate()));
     }
-    if (errors.stopped()) {
+    if (hasFallback && errors.stopped()) {
       return Optional.of(reason("requests failed", errors, opts.baseErrorRate()));
     }
     return Optional.empty();
