--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -10,10 +10,13 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.currantslip.bench.exposure.ExposureBench;
+import org.currantslip.bench.ledger.LedgerBench;
+import org.currantslip.bench.ledger.UsageBench;
 
 /** Runs one experiment by name. */
 public final class BenchMain {
-  private static final List<Bench> BENCHES = List.of(ExposureBench.create());
+  private static final List<Bench> BENCHES =
+      List.of(ExposureBench.create(), LedgerBench.create(), UsageBench.create());
 
   private BenchMain() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/currantslip/bench/ledger/package-info.java
@@ -0,0 +1,5 @@
+/** Cost and latency of the ledger and of the usage spool. */
+@NullMarked
+package org.currantslip.bench.ledger;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/currantslip/core/ledger/StoreLedger.java
+++ b/core/src/main/java/org/currantslip/core/ledger/StoreLedger.java
@@ -125,6 +125,7 @@
   }
 
   private void onVerdict(LedgerEntry entry, LedgerVerdict verdict) {
+    expireBegins();
     if (entry.state() != State.PENDING) {
       return;
     }
--- a/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
+++ b/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
@@ -68,6 +68,7 @@
     writer = BatchWriter.create(self.getId(), store, clock, options.storeMs());
     copyPeers = CopyPeers.create(self, membership, clock);
     held = HeldCopies.create(options.maxHeldRecords());
+    nextReleaseMs = clock.nowMs() + RELEASE_EVERY_MS;
   }
 
   /** Returns the spool of one node. */
@@ -98,6 +99,11 @@
     return batch.add(rec);
   }
 
+  /** Returns how many records are kept for other nodes. */
+  int heldRecords() {
+    return held.size();
+  }
+
   // Copies of this node's records.
 
   private void copyOut(OwnBatch batch) {
--- a/core/src/test/java/org/currantslip/core/ledger/SlotCompactionTest.java
+++ b/core/src/test/java/org/currantslip/core/ledger/SlotCompactionTest.java
@@ -49,7 +49,7 @@
   @Test
   void compactsAndStillReplaysOldKeys() {
     LedgerCluster cluster = twoWriters(LedgerOptions.defaults());
-    List<Attempt> sent = sendMany(cluster, "n0", 200);
+    final List<Attempt> sent = sendMany(cluster, "n0", 200);
     cluster.run(2_000);
     assertThat(cluster.store.peek(PARTS)).isNotEmpty();
     assertThat(cluster.store.peek(SEGMENTS).size()).isLessThan(200);
@@ -141,7 +141,7 @@
     cluster.start("n1");
     cluster.isolate("n0");
     cluster.isolate("n1");
-    Attempt old = sendMany(cluster, "n0", 150).get(0);
+    final Attempt old = sendMany(cluster, "n0", 150).get(0);
     cluster.run(200_000);
     sendMany(cluster, "n0", 150);
     cluster.run(5_000);
--- a/core/src/test/java/org/currantslip/core/ledger/StoreLedgerPropertyTest.java
+++ b/core/src/test/java/org/currantslip/core/ledger/StoreLedgerPropertyTest.java
@@ -17,6 +17,7 @@
   private static final int NODES = 4;
   private static final int KEYS = 6;
   private static final int STEPS = 120;
+  private static final long[] DISPATCH_MS = {0, 2, 15, 400, 2_500, 6_000};
   private static final long SETTLE_MS = 40_000;
 
   private static final class Schedule {
@@ -45,7 +46,7 @@
         case 5 -> anyNode().membership.suspect(anyNode().name());
         case 6 -> anyNode().membership.add(anyNode().record);
         case 7 -> cluster.network.setCut(anyNode().name(), anyNode().name(), random.nextBoolean());
-        case 8 -> cluster.dispatchMs = random.nextInt(4) == 0 ? 6_000 : random.nextInt(30);
+        case 8 -> cluster.dispatchMs = DISPATCH_MS[random.nextInt(DISPATCH_MS.length)];
         case 9 -> cluster.runMs = random.nextInt(4) == 0 ? 4_000 : random.nextInt(100);
         case 10 -> cluster.store.setLatencyMs(random.nextInt(5) == 0 ? 700 : 5);
         default -> send();
@@ -113,7 +114,7 @@
     assertWithMessage("seed %s", seed).that(cluster.violations).isEmpty();
   }
 
-  /** Every sending to a node that lives has ended, and no refusal without a run is vague twice. */
+  /** Checks that every sending to a node that lives has ended, and what its refusal says. */
   private static void checkEnds(LedgerCluster cluster) {
     for (Attempt a : cluster.attempts) {
       boolean lost = a.node.dead;
--- a/core/src/test/java/org/currantslip/core/ledger/StoreLedgerTest.java
+++ b/core/src/test/java/org/currantslip/core/ledger/StoreLedgerTest.java
@@ -12,6 +12,7 @@
 import org.currantslip.core.fake.FakeObjectStore.Call;
 import org.currantslip.core.fake.StoreFault;
 import org.currantslip.core.ledger.LedgerCluster.Attempt;
+import org.currantslip.schema.LedgerIntent;
 import org.currantslip.schema.LedgerOutcome;
 import org.currantslip.schema.LedgerResult;
 import org.junit.jupiter.api.Test;
@@ -73,7 +74,7 @@
     Attempt other = cluster.send("n1", LedgerCluster.key("k"), "other body", false);
     LedgerKey foreign =
         new LedgerKey("other", LedgerCluster.key("k").key(), LedgerCluster.START_MS);
-    Attempt elsewhere = cluster.send("n1", foreign, "other body", true);
+    final Attempt elsewhere = cluster.send("n1", foreign, "other body", true);
     cluster.run(1_000);
     assertThat(refusal(other).code()).isEqualTo(ResultCode.IDEMPOTENCY_KEY_BODY_DIFFERS);
     assertThat(refusal(other).ran()).isEqualTo(Ran.YES);
@@ -113,13 +114,75 @@
     assertSound(cluster);
   }
 
+  /** A request that waits for its dispatch keeps the key, and is dispatched once. */
+  @Test
+  void storedIntentIsNotSupersededWhileItMayBeDispatched() {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.dispatchMs = 3_000;
+    final Attempt first = cluster.send("n0", "k", true);
+    cluster.run(1_000);
+    cluster.dispatchMs = 2;
+    Attempt again = cluster.send("n1", "k", false);
+    cluster.run(5_000);
+    assertThat(refusal(again).code()).isEqualTo(ResultCode.KEY_IN_FLIGHT);
+    assertThat(first.dispatched).isTrue();
+    assertSound(cluster);
+  }
+
+  /** The intent is stored only after its request was given up. */
+  @Test
+  void lateStoredIntentIsNeverDispatched() {
+    LedgerCluster cluster = LedgerCluster.of(1);
+    cluster.send("n0", "k", true);
+    cluster.run(1_000);
+    LedgerKey key = cluster.keyIn(LedgerNames.slotOf(intentOf("k")), "late");
+    cluster.store.inject(Call.CREATE, "ledger/", StoreFault.SLOW);
+    cluster.store.inject(Call.GET, "snapshot", StoreFault.SLOW);
+    Attempt late = cluster.send("n0", key, "body", true);
+    cluster.run(2_500);
+    assertThat(refusal(late).ran()).isEqualTo(Ran.NO);
+    for (int i = 0; i < 3_000; i++) {
+      cluster.run(1);
+      assertThat(cluster.node("n0").ledger.markDispatched(key, late.requestId)).isFalse();
+    }
+  }
+
+  private static LedgerIntent intentOf(String opaque) {
+    LedgerKey key = LedgerCluster.key(opaque);
+    return LedgerIntent.newBuilder().setAccount(key.account()).setKey(key.key()).build();
+  }
+
+  /** An intent of unknown fate reaches the log long after its request was given up. */
+  @ParameterizedTest
+  @CsvSource({"n0", "n1", "n2"})
+  void intentThatArrivesAfterGivingUpIsNeverDispatched(String nextNode) {
+    LedgerCluster cluster = LedgerCluster.of(3);
+    cluster.isolate("n0");
+    LedgerKey sameSlot = cluster.keyIn(LedgerNames.slotOf(intentOf("k")), "before");
+    cluster.send("n0", sameSlot, "body", true);
+    cluster.run(1_000);
+    cluster.store.inject(Call.CREATE, "ledger/", StoreFault.LATE_EFFECT);
+    final Attempt first = cluster.send("n0", "k", true);
+    cluster.run(12);
+    cluster.node("n0").link.setCut(true);
+    cluster.run(LONG_MS);
+    assertThat(refusal(first).ran()).isEqualTo(Ran.NO);
+    final Attempt again = cluster.send(nextNode, "k", true);
+    cluster.run(5_000);
+    cluster.node("n0").link.setCut(false);
+    cluster.run(LONG_MS);
+    assertThat(first.dispatched).isFalse();
+    assertThat(again.dispatched).isEqualTo(!nextNode.equals("n0"));
+    assertSound(cluster);
+  }
+
   @Test
   void neverRunsAgainAfterTheWriterIsGone() {
     LedgerCluster cluster = LedgerCluster.of(3);
     cluster.runMs = 5_000;
     Attempt first = cluster.send("n0", "k", true);
     cluster.run(500);
-    LedgerCluster.Node gone = first.node;
+    final LedgerCluster.Node gone = first.node;
     cluster.kill("n0");
     Attempt early = cluster.send("n1", "k", false);
     cluster.run(3_000);
@@ -154,14 +217,16 @@
     LedgerCluster cluster = LedgerCluster.of(3);
     Attempt first = cluster.send("n0", "k", true);
     cluster.run(freezeAtMs);
+    final boolean dispatchedBefore = first.dispatched;
     cluster.freeze("n0");
     cluster.declareGone(first.node);
     cluster.run(LONG_MS);
-    Attempt again = cluster.send("n1", "k", false);
+    final Attempt again = cluster.send("n1", "k", false);
     cluster.run(LONG_MS);
     cluster.thaw("n0");
     cluster.run(LONG_MS);
     assertThat(again.ended).isTrue();
+    assertThat(first.dispatched).isEqualTo(dispatchedBefore);
     cluster.send("n2", "k", false);
     cluster.run(LONG_MS);
     assertThat(cluster.runsOf(first.key)).isAtMost(1);
@@ -216,7 +281,7 @@
   @Test
   void wokenNodeDoesNotClaimThatTheKeyDidNotRun() {
     LedgerCluster cluster = LedgerCluster.of(2);
-    Attempt first = cluster.send("n0", "k", true);
+    final Attempt first = cluster.send("n0", "k", true);
     cluster.run(1);
     cluster.freeze("n0");
     cluster.run(LONG_MS);
