--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -11,6 +11,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.currantslip.bench.config.ConfigSpreadBench;
 import org.currantslip.bench.exposure.ExposureBench;
+import org.currantslip.bench.ledger.LedgerBench;
+import org.currantslip.bench.ledger.UsageBench;
 import org.currantslip.bench.membership.MembershipBench;
 
 /** Runs one experiment by name. */
@@ -19,7 +21,9 @@
       List.of(
           ConfigSpreadBench.create(),
           ExposureBench.create(),
-          MembershipBench.create());
+          LedgerBench.create(),
+          MembershipBench.create(),
+          UsageBench.create());
 
   private BenchMain() {}
 
