Burn report over all nodes, from counts that outlive each node

Counts are kept per minute and hour in one object an incarnation; the report sums buckets and merges histograms before it takes rates and percentiles. A planned stop now waits until decisions and counts are stored.

--- a/core/src/main/java/org/currantslip/core/audit/DecisionLog.java
+++ b/core/src/main/java/org/currantslip/core/audit/DecisionLog.java
@@ -56,6 +56,7 @@
   private boolean writing;
   private long nextWriteMs;
   private long dropped;
+  private CompletableFuture<Void> flushed = new CompletableFuture<>();
 
   private DecisionLog(NodeId self, ObjectStore store, Clock clock) {
     this.self = self;
@@ -111,13 +112,13 @@
     }
   }
 
-  /** Hands the open batch over for writing, and returns whether everything is stored. */
-  public boolean flush() {
+  /** Hands the open batch over for writing; completes when everything is stored. */
+  public CompletableFuture<Void> flush() {
     if (open.getRecordCount() > 0) {
       close();
     }
     tick();
-    return waiting.isEmpty();
+    return waiting.isEmpty() ? CompletableFuture.completedFuture(null) : flushed;
   }
 
   private void close() {
@@ -140,13 +141,22 @@
             (version, failure) -> {
               writing = false;
               if (failure == null || isConflict(failure)) {
-                waiting.remove(batch);
+                stored(batch);
               } else {
                 nextWriteMs = clock.nowMs() + RETRY_MS;
               }
             });
   }
 
+  private void stored(Batch batch) {
+    waiting.remove(batch);
+    if (waiting.isEmpty()) {
+      CompletableFuture<Void> done = flushed;
+      flushed = new CompletableFuture<>();
+      done.complete(null);
+    }
+  }
+
   private CompletableFuture<Optional<DecisionRecord>> scan(
       String prefix, String after, String requestId) {
     return store
--- a/core/src/main/java/org/currantslip/core/burn/BurnRecorder.java
+++ b/core/src/main/java/org/currantslip/core/burn/BurnRecorder.java
@@ -1,20 +1,13 @@
 package org.currantslip.core.burn;
 
-import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.HdrHistogram.Histogram;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.config.ConfigSource;
-import org.currantslip.core.config.ConfigView;
 import org.currantslip.core.request.RequestOutcome;
-import org.currantslip.core.rules.Rule;
-import org.currantslip.schema.BurnReply;
-import org.currantslip.schema.BurnRow;
-import org.currantslip.schema.BurnWindow;
+import org.currantslip.schema.BurnSnapshot;
+import org.currantslip.schema.NodeId;
 
 /**
  * Counts on this node how well each client account and task is served.
@@ -23,14 +16,6 @@
  * or an account past its own rate limit says nothing about the service.
  */
 public final class BurnRecorder {
-  /** Lengths of the windows of a report. */
-  public static final List<Long> WINDOWS_MS =
-      List.of(
-          5 * BurnSeries.MINUTE_MS,
-          BurnSeries.HOUR_MS,
-          6 * BurnSeries.HOUR_MS,
-          BurnSeries.LONGEST_MS);
-
   /** Name under which accounts and tasks past the bound are counted together. */
   public static final String OTHER = "(other)";
 
@@ -81,61 +66,28 @@
     row.add(now, BurnSeries.GOOD, good ? 1 : 0);
   }
 
-  /** Returns the counts of this node, judged by the targets of a configuration. */
-  public BurnReply report(ConfigView view) {
-    List<BurnRow> rows =
-        series.entrySet().stream()
-            .map(e -> row(e.getKey(), e.getValue(), view))
-            .sorted(Comparator.comparing(BurnRow::getAccount).thenComparing(BurnRow::getTask))
-            .toList();
-    return BurnReply.newBuilder().addAllRow(rows).build();
-  }
-
-  private BurnRow row(Key key, BurnSeries row, ConfigView view) {
+  /** Returns the counts of this node. */
+  public BurnSnapshot snapshot(NodeId self) {
     long now = clock.nowMs();
-    Histogram latencies = row.latencies(now);
-    long rated = row.sum(now, BurnSeries.RATED, BurnSeries.LONGEST_MS);
-    long good = row.sum(now, BurnSeries.GOOD, BurnSeries.LONGEST_MS);
-    long bad =
-        row.byVersion().entrySet().stream()
-            .filter(
-                e -> view.rules().withdrawn(e.getKey().model(), e.getKey().version()).isPresent())
-            .mapToLong(Map.Entry::getValue)
-            .sum();
-    BurnRow.Builder built =
-        BurnRow.newBuilder()
-            .setAccount(key.account())
-            .setTask(key.task())
-            .setTarget(level(view, key).map(Rule.ServiceLevel::availability).orElse(0.0))
-            .setRequests(row.sum(now, BurnSeries.REQUESTS, BurnSeries.LONGEST_MS))
-            .setBadVersionRequests(bad)
-            .setCostMicros(row.sum(now, BurnSeries.COST_MICROS, BurnSeries.LONGEST_MS))
-            .setRated(rated)
-            .setRatedGood(good)
-            .setLatencyHistogram(BurnMerger.encode(latencies));
-    WINDOWS_MS.forEach(
-        length ->
-            built.addWindow(
-                BurnWindow.newBuilder()
-                    .setLengthMs(length)
-                    .setRequests(row.sum(now, BurnSeries.REQUESTS, length))
-                    .setFailures(row.sum(now, BurnSeries.FAILURES, length))));
-    return BurnMerger.judged(built);
+    BurnSnapshot.Builder snapshot = BurnSnapshot.newBuilder().setNode(self).setAtMs(now);
+    series.forEach(
+        (key, row) ->
+            snapshot.addCounts(row.export(now).setAccount(key.account()).setTask(key.task())));
+    return snapshot.build();
   }
 
   private boolean failed(RequestOutcome outcome) {
     if (outcome.code() != ResultCode.OK) {
       return true;
     }
-    return level(config.current(), new Key(outcome.account(), outcome.task()))
+    return config
+        .current()
+        .rules()
+        .serviceLevel(outcome.account(), outcome.task())
         .filter(l -> outcome.firstByteMs() > l.latencyMs())
         .isPresent();
   }
 
-  private static Optional<Rule.ServiceLevel> level(ConfigView view, Key key) {
-    return view.rules().serviceLevel(key.account(), key.task());
-  }
-
   private static boolean counts(ResultCode code) {
     return code == ResultCode.OK
         || (code.number() >= CALLER_CODES_BELOW
--- a/core/src/main/java/org/currantslip/core/burn/BurnSeries.java
+++ b/core/src/main/java/org/currantslip/core/burn/BurnSeries.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.IntCountsHistogram;
+import org.currantslip.schema.BurnBucket;
+import org.currantslip.schema.BurnCounts;
 
 /** Counts and latencies of one client account and task on one node. */
 final class BurnSeries {
@@ -20,8 +22,6 @@
   private static final int MINUTES = 61;
   private static final int HOURS = 73;
   private static final int MAX_VERSIONS = 64;
-  private static final long MAX_LATENCY_MS = HOUR_MS;
-  private static final int DIGITS = 2;
 
   private final CountRing minutes = CountRing.create(MINUTE_MS, MINUTES, COLUMNS);
   private final CountRing hours = CountRing.create(HOUR_MS, HOURS, COLUMNS);
@@ -39,7 +39,7 @@
 
   void latency(long nowMs, long latencyMs) {
     turn(nowMs);
-    current.recordValue(Math.max(0, Math.min(MAX_LATENCY_MS, latencyMs)));
+    current.recordValue(Math.max(0, Math.min(Latencies.MAX_MS, latencyMs)));
   }
 
   void version(String model, String version) {
@@ -49,22 +49,34 @@
     }
   }
 
-  Map<VersionKey, Long> byVersion() {
-    return byVersion;
-  }
-
-  long sum(long nowMs, int column, long lengthMs) {
-    CountRing ring = lengthMs <= HOUR_MS ? minutes : hours;
-    return ring.sum(nowMs, column, lengthMs);
+  /** Returns all counts, for the report over all nodes. */
+  BurnCounts.Builder export(long nowMs) {
+    BurnCounts.Builder counts = BurnCounts.newBuilder();
+    minutes.forEach(nowMs - MINUTES * MINUTE_MS, (s, c) -> counts.addMinute(bucket(s, c)));
+    hours.forEach(nowMs - HOURS * HOUR_MS, (s, c) -> counts.addHour(bucket(s, c)));
+    byVersion.forEach(
+        (key, requests) ->
+            counts
+                .addVersionBuilder()
+                .setModel(key.model())
+                .setVersion(key.version())
+                .setRequests(requests));
+    turn(nowMs);
+    Histogram latencies = Latencies.empty();
+    latencies.add(current);
+    latencies.add(previous);
+    return counts.setLatencyHistogram(Latencies.encode(latencies));
   }
 
-  /** Returns the latencies of this hour and the one before. */
-  Histogram latencies(long nowMs) {
-    turn(nowMs);
-    Histogram sum = new Histogram(MAX_LATENCY_MS, DIGITS);
-    sum.add(current);
-    sum.add(previous);
-    return sum;
+  private static BurnBucket bucket(long startMs, long[] counts) {
+    return BurnBucket.newBuilder()
+        .setStartMs(startMs)
+        .setRequests(counts[REQUESTS])
+        .setFailures(counts[FAILURES])
+        .setCostMicros(counts[COST_MICROS])
+        .setRated(counts[RATED])
+        .setRatedGood(counts[GOOD])
+        .build();
   }
 
   private void turn(long nowMs) {
@@ -77,6 +89,6 @@
   }
 
   private static IntCountsHistogram histogram() {
-    return new IntCountsHistogram(MAX_LATENCY_MS, DIGITS);
+    return new IntCountsHistogram(Latencies.MAX_MS, Latencies.DIGITS);
   }
 }
--- a/core/src/main/java/org/currantslip/core/burn/CountRing.java
+++ b/core/src/main/java/org/currantslip/core/burn/CountRing.java
@@ -33,13 +33,19 @@
     }
   }
 
-  /** Returns the sum of a column over the intervals that began after {@code nowMs - lengthMs}. */
-  long sum(long nowMs, int column, long lengthMs) {
-    long sum = 0;
+  /** Calls back for each interval with counts that began after {@code sinceMs}. */
+  void forEach(long sinceMs, IntervalSink sink) {
     for (int i = 0; i < startMs.length; i++) {
-      boolean inside = startMs[i] > nowMs - lengthMs && startMs[i] <= nowMs;
-      sum += inside ? counts[i * columns + column] : 0;
+      if (startMs[i] > sinceMs) {
+        sink.accept(startMs[i], Arrays.copyOfRange(counts, i * columns, (i + 1) * columns));
+      }
     }
-    return sum;
+  }
+
+  /** Takes the counts of one interval. */
+  @FunctionalInterface
+  interface IntervalSink {
+    /** Takes the start and the columns of an interval. */
+    void accept(long startMs, long[] counts);
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/burn/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the burn report. */
+@NullMarked
+package org.currantslip.core.burn;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/currantslip/node/admin/AdminParts.java
+++ b/node/src/main/java/org/currantslip/node/admin/AdminParts.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.currantslip.core.audit.DecisionLog;
-import org.currantslip.core.burn.BurnRecorder;
+import org.currantslip.core.burn.BurnLog;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.config.ConfigKeeper;
 import org.currantslip.core.membership.Membership;
@@ -27,7 +27,7 @@
     Membership membership,
     EndpointChooser endpoints,
     ObjectStore store,
-    BurnRecorder burn,
+    BurnLog burn,
     Supplier<List<NodeStatus>> nodes,
     Supplier<List<RolloutState>> rollouts,
     Supplier<CompletableFuture<String>> drain) {}
--- a/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
+++ b/node/src/main/java/org/currantslip/node/admin/NodeAdminOperations.java
@@ -110,8 +110,10 @@
   public CompletableFuture<BurnReply> burn() {
     return decide(
         () ->
-            CompletableFuture.completedFuture(
-                parts.burn().report(parts.config().current()).toBuilder().setView(view()).build()));
+            parts
+                .burn()
+                .report(parts.config().current())
+                .thenApply(r -> r.toBuilder().setView(view()).build()));
   }
 
   @Override
--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.currantslip.core.audit.DecisionLog;
+import org.currantslip.core.burn.BurnLog;
 import org.currantslip.core.burn.BurnRecorder;
 import org.currantslip.core.cascade.RatedCascade;
 import org.currantslip.core.common.Clock;
@@ -52,7 +53,7 @@
     ExpectedWaitChooser chooser,
     RatedCascade cascade,
     DecisionLog decisionLog,
-    BurnRecorder burn,
+    BurnLog burn,
     RequestEngine engine) {
 
   static CoreParts create(
@@ -132,7 +133,7 @@
         chooser,
         cascade,
         decisionLog,
-        burn,
+        BurnLog.create(self, store, clock, burn),
         engine);
   }
 
@@ -144,11 +145,11 @@
     usage.tick();
     engine.tick();
     decisionLog.tick();
+    burn.tick();
   }
 
   /** Writes out all that must last. */
   CompletableFuture<Void> flush() {
-    decisionLog.flush();
-    return usage.flush();
+    return CompletableFuture.allOf(decisionLog.flush(), burn.write(), usage.flush());
   }
 }
