--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -14,6 +14,7 @@
 import org.currantslip.core.request.RouterRequest;
 import org.currantslip.node.duty.DecisionThread;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -28,6 +29,7 @@
   private final CallerOptions options;
   private final AccountTokens tokens;
   private final RequestParser parser;
+  private final SlowCallerGuard guard;
   private final DecisionThread decisions;
   private final CallerRequests requests;
   private final Supplier<String> requestIds;
@@ -38,12 +40,14 @@
       CallerOptions options,
       AccountTokens tokens,
       Clock clock,
+      SlowCallerGuard guard,
       DecisionThread decisions,
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> view) {
     this.options = options;
     this.tokens = tokens;
+    this.guard = guard;
     this.decisions = decisions;
     this.requests = requests;
     this.requestIds = requestIds;
@@ -55,11 +59,12 @@
       CallerOptions options,
       AccountTokens tokens,
       Clock clock,
+      SlowCallerGuard guard,
       DecisionThread decisions,
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> view) {
-    return new CallerHandler(options, tokens, clock, decisions, requests, requestIds, view);
+    return new CallerHandler(options, tokens, clock, guard, decisions, requests, requestIds, view);
   }
 
   int inFlight() {
@@ -78,7 +83,14 @@
         ResponseSink.create(response, callback, options.maxPendingBytes(), exchange::hangUp);
     String id = requestIds.get();
     int now = inFlight.incrementAndGet();
-    Request.addCompletionListener(request, failure -> inFlight.decrementAndGet());
+    Connection connection = request.getConnectionMetaData().getConnection();
+    guard.onHeader(connection);
+    Request.addCompletionListener(
+        request,
+        failure -> {
+          inFlight.decrementAndGet();
+          guard.onAnswer(connection);
+        });
     boolean accepting = view.get().accepting();
     if (!accepting) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
@@ -147,6 +159,7 @@
     Content.Source.asByteArrayAsync(request, options.maxBodyBytes())
         .whenComplete(
             (body, failure) -> {
+              guard.onBody(request.getConnectionMetaData().getConnection());
               if (failure != null) {
                 refuse(request, sink, id, bodyRefusal(failure));
               } else {
--- a/node/src/main/java/org/currantslip/node/caller/CallerOptions.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerOptions.java
@@ -14,6 +14,8 @@
  * @param maxConnections most connections at once
  * @param maxInFlight most requests at once
  * @param maxPendingBytes most bytes that wait for a slow caller
+ * @param headerMs longest time for the whole header of a request
+ * @param bodyMs longest time for the whole body of a request
  * @param idleMs time without a byte after which a connection is closed
  * @param deadlineMs deadline of a request that names none
  * @param entryTtlMs time for which a caller may keep an entry answer
@@ -27,12 +29,16 @@
     int maxConnections,
     int maxInFlight,
     long maxPendingBytes,
+    long headerMs,
+    long bodyMs,
     long idleMs,
     long deadlineMs,
     long entryTtlMs,
     Predicate<String> isService) {
 
   private static final long MAX_PENDING_BYTES = 1 << 20;
+  private static final long HEADER_MS = 10_000;
+  private static final long BODY_MS = 60_000;
   private static final long IDLE_MS = 30_000;
 
   /** Returns the bounds that the settings name. */
@@ -46,6 +52,8 @@
         settings.getLimits().getMaxConnections(),
         settings.getLimits().getMaxInFlight(),
         MAX_PENDING_BYTES,
+        HEADER_MS,
+        BODY_MS,
         IDLE_MS,
         settings.getTimeouts().getRequestDeadlineMs(),
         settings.getTimeouts().getEntryTtlMs(),
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -14,7 +14,6 @@
 public final class FrontDoor {
   private static final int MIN_THREADS = 4;
   private static final int MAX_THREADS = 16;
-  private static final long MIN_BODY_BYTES_PER_S = 128;
 
   private final Server server;
   private final ServerConnector connector;
@@ -41,7 +40,6 @@
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setRequestHeaderSize(options.maxHeaderBytes());
-    http.setMinRequestDataRate(MIN_BODY_BYTES_PER_S);
     http.setIdleTimeout(options.idleMs());
     ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
     connector.setHost(options.host());
@@ -49,8 +47,12 @@
     connector.setIdleTimeout(options.idleMs());
     server.addConnector(connector);
     server.addBean(new ConnectionLimit(options.maxConnections(), connector));
+    SlowCallerGuard guard =
+        SlowCallerGuard.create(
+            connector.getScheduler(), clock, options.headerMs(), options.bodyMs());
+    connector.addBean(guard);
     CallerHandler handler =
-        CallerHandler.create(options, tokens, clock, decisions, requests, requestIds, view);
+        CallerHandler.create(options, tokens, clock, guard, decisions, requests, requestIds, view);
     server.setHandler(handler);
     server.setErrorHandler(NumberedErrors.create(requestIds));
     return new FrontDoor(server, connector, handler);
--- a/node/src/main/java/org/currantslip/node/duty/TaskRing.java
+++ b/node/src/main/java/org/currantslip/node/duty/TaskRing.java
@@ -32,7 +32,16 @@
 
   /** Runs up to {@code limit} tasks on the one consuming thread; returns how many there were. */
   public int drain(int limit, TaskRunner runner) {
-    return tasks.drain(runner::run, limit);
+    for (int i = 0; i < limit; i++) {
+      // poll() waits for a producer that has its place but not yet its task in the ring; the
+      // queue's own drain() would report an empty ring then.
+      Runnable task = tasks.poll();
+      if (task == null) {
+        return i;
+      }
+      runner.run(task);
+    }
+    return limit;
   }
 
   /** Returns whether there is nothing to run. */
--- a/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
@@ -58,8 +58,7 @@
    * caller does; the adapter only ends calls that the engine has forgotten.
    */
   private static EndpointTimeouts silenceBounds(TimeoutSettings times) {
-    EngineOptions engine =
-        EngineOptions.of(times.getFirstByteMs(), times.getBetweenChunksMs());
+    EngineOptions engine = EngineOptions.of(times.getFirstByteMs(), times.getBetweenChunksMs());
     return new EndpointTimeouts(
         engine.firstByteMs() + engine.lateAnswerMs(),
         engine.betweenDataMs() + engine.lateAnswerMs());
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -44,6 +46,9 @@
   private static final String BODY =
       "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
   private static final int MAX_BODY_BYTES = 4_096;
+  private static final long HEADER_MS = 400;
+  private static final long BODY_MS = 800;
+  private static final int TRICKLE_MS = 20;
 
   private record Started(RouterRequest request, CallerSink sink, CountDownLatch gone) {}
 
@@ -66,6 +71,8 @@
             64,
             8,
             1 << 16,
+            HEADER_MS,
+            BODY_MS,
             30_000,
             60_000,
             5_000,
@@ -369,4 +376,49 @@
       assertWithMessage("socket").that(socket.isConnected()).isTrue();
     }
   }
+
+  /** Sends one byte at a time until the other side closes the connection. */
+  private static void trickleUntilClosed(Socket socket, char unit) throws IOException {
+    socket.setSoTimeout(TRICKLE_MS);
+    while (true) {
+      try {
+        socket.getOutputStream().write(unit);
+        if (socket.getInputStream().read() < 0) {
+          return;
+        }
+      } catch (SocketTimeoutException e) {
+        // Nothing was read: the connection is still open.
+      } catch (SocketException e) {
+        return;
+      }
+    }
+  }
+
+  @Test
+  void closesConnectionsWhoseHeaderTrickles() throws Exception {
+    try (Socket socket = new Socket("127.0.0.1", door.port())) {
+      socket
+          .getOutputStream()
+          .write("GET /v1/entry HTTP/1.1\r\nX: ".getBytes(StandardCharsets.UTF_8));
+
+      trickleUntilClosed(socket, 'x');
+    }
+    assertThat(door.inFlight()).isEqualTo(0);
+  }
+
+  @Test
+  void closesConnectionsWhoseBodyTrickles() throws Exception {
+    try (Socket socket = new Socket("127.0.0.1", door.port())) {
+      String head =
+          "POST "
+              + CHAT
+              + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+              + TOKEN
+              + "\r\nContent-Length: 4000\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+
+      trickleUntilClosed(socket, ' ');
+    }
+    assertThat(started).isEmpty();
+  }
 }
--- a/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
+++ b/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
@@ -8,6 +8,9 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -26,9 +29,11 @@
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
+import org.currantslip.schema.SecuritySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -48,16 +53,15 @@
     final int port;
 
     TestNode(String name, String secret, long silentMs) throws InterruptedException {
+      this(name, secret, silentMs, PeerTls.none());
+    }
+
+    TestNode(String name, String secret, long silentMs, PeerTls tls) throws InterruptedException {
       PeerOptions options =
           new PeerOptions("127.0.0.1", 0, secret, MAX_FRAME_BYTES, 64, silentMs / 5, silentMs);
       links =
           PeerLinks.create(
-              record(name, 0),
-              options,
-              PeerTls.none(),
-              System::currentTimeMillis,
-              decisions,
-              this::find);
+              record(name, 0), options, tls, System::currentTimeMillis, decisions, this::find);
       port = links.listen(this);
       directory.put(name, record(name, port));
       decisions.onTick(links::tick);
@@ -282,4 +286,47 @@
     }
     assertThat(b.ask("a", beat(2), 60_000).get().hasHeartbeat()).isTrue();
   }
+
+  private static void putTlsFiles(Path dir, String which) throws IOException {
+    for (String file : List.of("cert.pem", "key.pem")) {
+      Path made = dir.resolve("new-" + file);
+      Files.copy(Path.of("src/test/resources/tls", which + "-" + file), made);
+      Files.move(made, dir.resolve(file), StandardCopyOption.REPLACE_EXISTING);
+    }
+  }
+
+  private static PeerTls tlsFrom(Path dir) throws IOException {
+    return PeerTls.from(
+        SecuritySettings.newBuilder()
+            .setTlsCertificateFile(dir.resolve("cert.pem").toString())
+            .setTlsKeyFile(dir.resolve("key.pem").toString())
+            .setTlsCaFile(dir.resolve("cert.pem").toString())
+            .build());
+  }
+
+  @Test
+  void takesChangedTlsFilesForTheNextLink(@TempDir Path first, @TempDir Path second)
+      throws Exception {
+    putTlsFiles(first, "old");
+    putTlsFiles(second, "new");
+    TestNode a = new TestNode("a", SECRET, 60_000, tlsFrom(first));
+    TestNode b = new TestNode("b", SECRET, 60_000, tlsFrom(second));
+    TestNode plain = node("plain");
+
+    assertFails(a.ask("b", beat(1), 60_000));
+    putTlsFiles(first, "new");
+    CompletableFuture<PeerFrame> reply = a.ask("b", beat(2), 60_000);
+    while (failed(reply)) {
+      reply = a.ask("b", beat(2), 60_000);
+    }
+
+    assertThat(reply.get().getHeartbeat().getConfigVersion()).isEqualTo(2);
+    assertFails(a.ask("plain", beat(1), 2_000));
+    assertThat(plain.opened).isEmpty();
+  }
+
+  /** Waits for a reply; a link is not opened again at once after a failure. */
+  private static boolean failed(CompletableFuture<?> reply) {
+    return reply.handle((value, failure) -> failure != null).join();
+  }
 }
