--- a/core/src/test/java/org/currantslip/core/fleet/RequestFaultMatrixTest.java
+++ b/core/src/test/java/org/currantslip/core/fleet/RequestFaultMatrixTest.java
@@ -79,7 +79,7 @@
   }
 
   private static void start(RequestFault fault, Fleet fleet, FleetCaller caller) {
-    fault.start(fleet);
+    fault.start(fleet, "n1");
     if (fault == RequestFault.CALLER_HANGS_UP && !caller.sendings.isEmpty()) {
       fleet.hungUp.add(caller.last());
       caller.hangUp();
@@ -94,7 +94,7 @@
       fleet.run(PAUSE_MS);
       if (!healed && fleet.clock.nowMs() >= healMs) {
         healed = true;
-        fault.stop(fleet);
+        fault.stop(fleet, "n1");
       }
       if (healed && isSettled(caller)) {
         return;
