--- a/core/src/test/java/org/currantslip/core/usage/PeerUsageSpoolTest.java
+++ b/core/src/test/java/org/currantslip/core/usage/PeerUsageSpoolTest.java
@@ -7,6 +7,8 @@
 import org.currantslip.core.fake.FakeObjectStore.Call;
 import org.currantslip.core.fake.StoreFault;
 import org.currantslip.schema.NodeId;
+import org.currantslip.schema.UsageBatch;
+import org.currantslip.schema.UsageRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -173,6 +175,17 @@
     assertBilledOnce(cluster);
   }
 
+  @Test
+  void readerCountsRecordInTwoBatchesOnce() {
+    UsageCluster cluster = UsageCluster.of(1);
+    UsageRecord rec = UsageRecord.newBuilder().setRequestId("r1").build();
+    UsageBatch batch = UsageBatch.newBuilder().addRecord(rec).build();
+    NodeId owner = cluster.node("n0").record.getId();
+    cluster.store.poke(UsageNames.batch(owner, 1, 0), batch.toByteString());
+    cluster.store.poke(UsageNames.batch(owner, 1, 1), batch.toByteString());
+    assertThat(cluster.billed()).containsExactly("r1");
+  }
+
   @Test
   void readerPagesThroughManyBatches() {
     UsageCluster cluster = UsageCluster.of(4);
