--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -9,14 +9,21 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.bench.config.ConfigSpreadBench;
 import org.currantslip.bench.exposure.ExposureBench;
 import org.currantslip.bench.ledger.LedgerBench;
 import org.currantslip.bench.ledger.UsageBench;
+import org.currantslip.bench.membership.MembershipBench;
 
 /** Runs one experiment by name. */
 public final class BenchMain {
   private static final List<Bench> BENCHES =
-      List.of(ExposureBench.create(), LedgerBench.create(), UsageBench.create());
+      List.of(
+          ConfigSpreadBench.create(),
+          ExposureBench.create(),
+          LedgerBench.create(),
+          MembershipBench.create(),
+          UsageBench.create());
 
   private BenchMain() {}
 
