--- a/cli/src/main/java/org/currantslip/cli/BurnCommand.java
+++ b/cli/src/main/java/org/currantslip/cli/BurnCommand.java
@@ -1,16 +1,23 @@
 package org.currantslip.cli;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.currantslip.core.common.ResultCode;
 import org.currantslip.schema.BurnReply;
 import org.currantslip.schema.BurnRow;
 import org.currantslip.schema.BurnWindow;
 
 /** Shows how fast error budgets burn. */
 final class BurnCommand implements Command {
+  /** Names of the windows of a report. */
+  static final List<String> WINDOW_NAMES = List.of("5m", "1h", "6h", "3d");
+
   @Override
   public String name() {
     return "burn";
@@ -23,40 +30,50 @@
 
   @Override
   public String example() {
-    return "currantslip burn";
+    return "currantslip burn --html burn.html";
   }
 
   @Override
-  public void declare(Subparser parser) {}
+  public void declare(Subparser parser) {
+    parser.addArgument("--html").metavar("FILE").help("also write a page with plots to this file");
+  }
 
   @Override
   public ExitCode run(Namespace args, CliContext context) throws Exception {
     BurnReply reply = context.client().get("burn", BurnReply.getDefaultInstance());
-    context.output().show(reply, () -> describe(context.output(), reply));
+    List<List<String>> cells = cells(reply);
+    String page = args.getString("html");
+    if (page != null) {
+      write(page, BurnPage.of(reply, cells));
+    }
+    context
+        .output()
+        .show(
+            reply,
+            () -> {
+              context.output().view(reply.getView());
+              context.output().table(cells);
+            });
     return ExitCode.OK;
   }
 
-  private static void describe(Output output, BurnReply reply) {
-    output.view(reply.getView());
+  private static void write(String file, String page) {
+    try {
+      Files.writeString(Path.of(file), page);
+    } catch (IOException e) {
+      throw CliException.of(ResultCode.FILE_UNREADABLE, "cannot write " + file + ": " + e);
+    }
+  }
+
+  private static List<List<String>> cells(BurnReply reply) {
+    List<String> heading = new ArrayList<>(List.of("account", "task", "target", "budget left"));
+    WINDOW_NAMES.forEach(w -> heading.add("burn " + w));
+    heading.addAll(
+        List.of("requests", "on bad versions", "cost micros", "quality", "p50 ms", "p99 ms"));
     List<List<String>> rows = new ArrayList<>();
-    rows.add(
-        List.of(
-            "account",
-            "task",
-            "target",
-            "budget left",
-            "burn 5m",
-            "1h",
-            "6h",
-            "3d",
-            "requests",
-            "on bad versions",
-            "cost micros",
-            "quality",
-            "p50 ms",
-            "p99 ms"));
+    rows.add(heading);
     reply.getRowList().stream().map(BurnCommand::row).forEach(rows::add);
-    output.table(rows);
+    return rows;
   }
 
   private static List<String> row(BurnRow row) {
--- a/cli/src/main/java/org/currantslip/cli/CurrantslipMain.java
+++ b/cli/src/main/java/org/currantslip/cli/CurrantslipMain.java
@@ -6,6 +6,7 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
+    System.setProperty("java.awt.headless", "true");
     System.exit(Cli.create(System.out, System.err, System.getenv()).run(args));
   }
 }
--- a/cli/src/test/java/org/currantslip/cli/CliTest.java
+++ b/cli/src/test/java/org/currantslip/cli/CliTest.java
@@ -83,6 +83,24 @@
     assertThat(out.toString(UTF_8)).startsWith("node entry-2, view 12 ms old, configuration 3\n");
     assertThat(run("--output", "json", "status")).isEqualTo(0);
     assertThat(out.toString(UTF_8)).contains("\"view_age_ms\": \"12\"");
+    assertThat(run("status", "--output", "json")).isEqualTo(0);
+    assertThat(out.toString(UTF_8)).contains("\"view_age_ms\": \"12\"");
+  }
+
+  @Test
+  void writesBurnPageWithPlots() throws Exception {
+    System.setProperty("java.awt.headless", "true");
+    String windows =
+        "{\"burn_rate\":2.5},{\"burn_rate\":2},{\"burn_rate\":1.5},{\"burn_rate\":1.25}";
+    answers.put(
+        "burn",
+        "{%s,\"row\":[{\"account\":\"<a>\",\"task\":\"t\",\"target\":0.99,\"budget_left\":-0.25,\"window\":[%s]}]}"
+            .formatted(VIEW, windows));
+    assertThat(run("burn", "--html", "page.txt")).isEqualTo(0);
+    assertThat(out.toString(UTF_8)).contains("2.50");
+    String page = Files.readString(dir.resolve("page.txt"));
+    assertThat(page).contains("<tr class=\"bad\"><td>&lt;a&gt;</td>");
+    assertThat(page.split("data:image/png;base64,iVBOR", -1)).hasLength(3);
   }
 
   @ParameterizedTest
--- a/core/src/main/java/org/currantslip/core/config/ConfigWatch.java
+++ b/core/src/main/java/org/currantslip/core/config/ConfigWatch.java
@@ -1,7 +1,6 @@
 package org.currantslip.core.config;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.Comparator;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.core.common.Clock;
@@ -9,8 +8,6 @@
 import org.currantslip.core.port.StoredObject;
 import org.currantslip.schema.AcceptedConfig;
 import org.currantslip.schema.NodeId;
-import org.currantslip.schema.NodeRecord;
-import org.currantslip.schema.NodeState;
 
 /**
  * Learns of new configurations from the store.
@@ -79,11 +76,7 @@
   }
 
   private boolean isWatcher() {
-    return ring.ownDomain().stream()
-        .filter(n -> n.getState() != NodeState.LEAVING)
-        .map(NodeRecord::getId)
-        .map(NodeId::getName)
-        .sorted(Comparator.naturalOrder())
+    return ring.stayingInDomain().stream()
         .limit(options.watchersPerDomain())
         .anyMatch(n -> n.equals(self.getName()));
   }
--- a/core/src/main/java/org/currantslip/core/config/PeerRing.java
+++ b/core/src/main/java/org/currantslip/core/config/PeerRing.java
@@ -1,15 +1,18 @@
 package org.currantslip.core.config;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
 import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.NodeState;
 
 /**
  * The bounded set of peers that this node talks to.
@@ -25,6 +28,8 @@
   private final Clock clock;
   private final Map<String, Sighting> known = new HashMap<>();
   private ImmutableList<String> fingers = ImmutableList.of();
+  private ImmutableSortedSet<String> ownDomain = ImmutableSortedSet.of();
+  private ImmutableSortedSet<String> staying = ImmutableSortedSet.of();
   private ImmutableList<NodeRecord> live = ImmutableList.of();
   private long refreshedMs = Long.MIN_VALUE;
 
@@ -57,10 +62,16 @@
     return known.size();
   }
 
-  /** Returns the live nodes of this node's failure domain, this one among them. */
-  List<NodeRecord> ownDomain() {
-    String own = domain(membership.self());
-    return live().stream().filter(n -> domain(n).equals(own)).toList();
+  /** Returns the names of the live nodes of this node's failure domain, in order. */
+  ImmutableSortedSet<String> ownDomain() {
+    refresh();
+    return ownDomain;
+  }
+
+  /** Returns the names of those of them that are not leaving, in order. */
+  ImmutableSortedSet<String> stayingInDomain() {
+    refresh();
+    return staying;
   }
 
   static String domain(NodeRecord node) {
@@ -83,6 +94,16 @@
         .values()
         .removeIf(s -> s.seenMs() < now - MEMORY_MS || membership.isGone(s.node().getId()));
     fingers = fingersOf(membership.self().getId().getName());
+    String own = domain(membership.self());
+    List<NodeRecord> domain = live.stream().filter(n -> domain(n).equals(own)).toList();
+    ownDomain = names(domain.stream());
+    staying = names(domain.stream().filter(n -> n.getState() != NodeState.LEAVING));
+  }
+
+  private static ImmutableSortedSet<String> names(Stream<NodeRecord> nodes) {
+    return nodes
+        .map(n -> n.getId().getName())
+        .collect(ImmutableSortedSet.toImmutableSortedSet(Comparator.naturalOrder()));
   }
 
   private ImmutableList<String> fingersOf(String self) {
--- a/core/src/main/java/org/currantslip/core/config/PeerSpread.java
+++ b/core/src/main/java/org/currantslip/core/config/PeerSpread.java
@@ -1,17 +1,13 @@
 package org.currantslip.core.config;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.PeerNetwork;
 import org.currantslip.schema.ConfigAnnounce;
-import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
 
 /**
@@ -125,7 +121,7 @@
 
   /** Returns the nodes of this failure domain known to have reached a version; probes the rest. */
   ImmutableList<String> domainTally(long version) {
-    List<String> names = ring.ownDomain().stream().map(n -> n.getId().getName()).sorted().toList();
+    Set<String> names = ring.ownDomain();
     ImmutableList<String> reached =
         names.stream().filter(n -> reached(n, version)).collect(ImmutableList.toImmutableList());
     if (reached.size() < names.size() && clock.nowMs() >= nextDomainProbeMs) {
@@ -141,17 +137,12 @@
   }
 
   private void noteDomainVersion(String node, long version) {
-    Set<String> names = new HashSet<>();
-    ring.ownDomain().stream().map(NodeRecord::getId).forEach(id -> names.add(id.getName()));
+    Set<String> names = ring.ownDomain();
     if (names.contains(node)) {
       domainVersions.put(node, version);
     }
-    retain(domainVersions.keySet(), names);
-  }
-
-  private static void retain(Collection<String> keys, Set<String> names) {
-    if (keys.size() > names.size()) {
-      keys.retainAll(names);
+    if (domainVersions.size() > names.size()) {
+      domainVersions.keySet().retainAll(names);
     }
   }
 
