--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -32,6 +32,7 @@
 import org.currantslip.core.usage.PeerUsageSpool;
 import org.currantslip.core.usage.UsageOptions;
 import org.currantslip.core.usage.UsageSpool;
+import org.currantslip.node.poll.RatedAnswers;
 import org.currantslip.schema.DecisionRecord;
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeSettings;
@@ -54,6 +55,7 @@
     RatedCascade cascade,
     DecisionLog decisionLog,
     BurnLog burn,
+    RatedAnswers answers,
     RequestEngine engine) {
 
   static CoreParts create(
@@ -63,7 +65,6 @@
       PeerNetwork peers,
       EndpointCalls calls,
       Clock clock,
-      Consumer<DecisionRecord> onDecision,
       Consumer<RequestOutcome> onOutcome) {
     NodeId self = membership.self().getId();
     TimeoutSettings times = settings.getTimeouts();
@@ -102,6 +103,8 @@
     RatedCascade cascade = RatedCascade.create(clock);
     DecisionLog decisionLog = DecisionLog.create(self, store, clock);
     BurnRecorder burn = BurnRecorder.create(clock, config);
+    RatedAnswers answers = RatedAnswers.create(versions, cascade, burn);
+    Consumer<DecisionRecord> onDecision = answers::answered;
     byte[] secret = settings.getSecurity().getSessionSecret().getBytes(StandardCharsets.UTF_8);
     RequestPorts ports =
         new RequestPorts(
@@ -134,6 +137,7 @@
         cascade,
         decisionLog,
         BurnLog.create(self, store, clock, burn),
+        answers,
         engine);
   }
 
