--- a/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
+++ b/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
@@ -311,7 +311,7 @@
     putTlsFiles(second, "new");
     TestNode a = new TestNode("a", SECRET, 60_000, tlsFrom(first));
     TestNode b = new TestNode("b", SECRET, 60_000, tlsFrom(second));
-    TestNode plain = node("plain");
+    final TestNode plain = node("plain");
 
     assertFails(a.ask("b", beat(1), 60_000));
     putTlsFiles(first, "new");
