--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -16,10 +16,7 @@
 /** Runs one experiment by name. */
 public final class BenchMain {
   private static final List<Bench> BENCHES =
-      List.of(
-          ConfigSpreadBench.create(),
-          ExposureBench.create(),
-          MembershipBench.create());
+      List.of(ConfigSpreadBench.create(), ExposureBench.create(), MembershipBench.create());
 
   private BenchMain() {}
 
--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -34,6 +34,7 @@
   private final CallerRequests requests;
   private final Supplier<String> requestIds;
   private final Supplier<EntryView> view;
+  private final BodyBudget bodies;
   private final AtomicInteger inFlight = new AtomicInteger();
 
   private CallerHandler(
@@ -52,6 +53,7 @@
     this.requests = requests;
     this.requestIds = requestIds;
     this.view = view;
+    bodies = BodyBudget.ofBytes(options.maxHeldBodyBytes());
     parser = RequestParser.create(clock, options.deadlineMs(), options.isService());
   }
 
@@ -155,6 +157,12 @@
 
   private void read(
       Request request, ResponseSink sink, CallerExchange exchange, String id, Route route) {
+    long held = request.getLength() < 0 ? options.maxBodyBytes() : request.getLength();
+    if (!bodies.take(held)) {
+      throw RefusalException.notRunRetry(
+          ResultCode.TOO_MANY_IN_FLIGHT, BUSY_RETRY_MS, "too many bytes of requests at once");
+    }
+    Request.addCompletionListener(request, failure -> bodies.giveBack(held));
     request.addFailureListener(failure -> sink.lose());
     Content.Source.asByteArrayAsync(request, options.maxBodyBytes())
         .whenComplete(
--- a/node/src/main/java/org/currantslip/node/caller/CallerOptions.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerOptions.java
@@ -10,6 +10,7 @@
  * @param host address to listen on
  * @param port port to listen on, zero for any
  * @param maxBodyBytes longest body
+ * @param maxHeldBodyBytes most bytes of bodies of all requests at once
  * @param maxHeaderBytes longest header block
  * @param maxConnections most connections at once
  * @param maxInFlight most requests at once
@@ -25,6 +26,7 @@
     String host,
     int port,
     int maxBodyBytes,
+    long maxHeldBodyBytes,
     int maxHeaderBytes,
     int maxConnections,
     int maxInFlight,
@@ -36,6 +38,7 @@
     long entryTtlMs,
     Predicate<String> isService) {
 
+  private static final long MAX_HELD_BODY_BYTES = 64L << 20;
   private static final long MAX_PENDING_BYTES = 1 << 20;
   private static final long HEADER_MS = 10_000;
   private static final long BODY_MS = 60_000;
@@ -48,6 +51,7 @@
         settings.getCaller().getHost(),
         settings.getCaller().getPort(),
         settings.getLimits().getMaxBodyBytes(),
+        Math.max(MAX_HELD_BODY_BYTES, settings.getLimits().getMaxBodyBytes()),
         settings.getLimits().getMaxHeaderBytes(),
         settings.getLimits().getMaxConnections(),
         settings.getLimits().getMaxInFlight(),
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -58,6 +58,7 @@
   private final FrontDoor door;
   private final Server admin;
   private volatile boolean evicted;
+  private boolean closed;
 
   private RunningNode(NodeSettings settings, PeerTls tls) throws InterruptedException {
     decisions = DecisionThread.create(clock);
@@ -235,17 +236,24 @@
   public boolean awaitStop() throws Exception {
     stopped.await();
     close();
-    boolean clean = !evicted && stop.isClean();
-    EventLog.write(LogEvent.NODE_STOPPED, "clean=" + clean);
-    return clean;
+    return isClean();
+  }
+
+  private boolean isClean() {
+    return !evicted && stop.isClean();
   }
 
   private synchronized void close() throws Exception {
+    if (closed) {
+      return;
+    }
+    closed = true;
     door.stop();
     admin.stop();
     links.close();
     platform.close();
     decisions.stop();
     metrics.close();
+    EventLog.write(LogEvent.NODE_STOPPED, "clean=" + isClean());
   }
 }
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -46,6 +46,7 @@
   private static final String BODY =
       "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
   private static final int MAX_BODY_BYTES = 4_096;
+  private static final long MAX_HELD_BYTES = 3 * MAX_BODY_BYTES;
   private static final long HEADER_MS = 400;
   private static final long BODY_MS = 800;
   private static final int TRICKLE_MS = 20;
@@ -67,6 +68,7 @@
             "127.0.0.1",
             0,
             MAX_BODY_BYTES,
+            MAX_HELD_BYTES,
             2_048,
             64,
             8,
@@ -349,6 +351,40 @@
     socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
   }
 
+  @Test
+  void refusesBodiesBeyondTheBudgetAndTakesThemOnceOthersHaveEnded() throws Exception {
+    String large = BODY.replace("hi", "h".repeat(MAX_BODY_BYTES - 100));
+    try (Socket first = openChat(large);
+        Socket second = openChat(large);
+        Socket third = openChat(large)) {
+      List<Started> held = List.of(started.take(), started.take(), started.take());
+      assertThat(third.isConnected() && second.isConnected() && first.isConnected()).isTrue();
+
+      ContentResponse refused =
+          request("POST", CHAT, "Authorization:Bearer " + TOKEN, large).send();
+      assertThat(refused.getHeaders().get("Currantslip-Code")).isEqualTo("3007");
+      assertThat(refused.getHeaders().get("Currantslip-Ran")).isEqualTo("no");
+
+      held.forEach(h -> h.sink().finish(head(ResultCode.NO_ENDPOINT, false)));
+      CompletableFuture<ContentResponse> answer = send(large);
+      while (answer.isDone() && code(answer).equals("3007")) {
+        answer = send(large);
+      }
+      started.take().sink().finish(head(ResultCode.RATE_LIMITED, false));
+      assertThat(code(answer)).isEqualTo("3001");
+    }
+  }
+
+  private CompletableFuture<ContentResponse> send(String body) {
+    return new CompletableResponseListener(
+            request("POST", CHAT, "Authorization:Bearer " + TOKEN, body))
+        .send();
+  }
+
+  private static String code(CompletableFuture<ContentResponse> answer) {
+    return String.valueOf(answer.join().getHeaders().get("Currantslip-Code"));
+  }
+
   @Test
   void tellsOfCallersThatHangUpBeforeTheAnswer() throws Exception {
     Started request;
--- a/node/src/test/java/org/currantslip/node/peer/PeerFrameFuzzTest.java
+++ b/node/src/test/java/org/currantslip/node/peer/PeerFrameFuzzTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.ByteBuffer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
@@ -61,7 +62,7 @@
   }
 
   private static byte[] framed(byte[] body) {
-    return Unpooled.buffer().writeInt(body.length).writeBytes(body).array();
+    return ByteBuffer.allocate(Integer.BYTES + body.length).putInt(body.length).put(body).array();
   }
 
   @Property(tries = 500, seed = "1")
@@ -97,6 +98,7 @@
       channel.pipeline().fireChannelRead(Unpooled.wrappedBuffer(framed(body)));
     }
 
+    channel.runPendingTasks();
     assertThat(counter.opened).isEqualTo(0);
     assertThat(channel.isOpen()).isFalse();
     channel.finishAndReleaseAll();
--- a/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
+++ b/node/src/test/java/org/currantslip/node/peer/PeerLinksTest.java
@@ -311,7 +311,6 @@
     putTlsFiles(second, "new");
     TestNode a = new TestNode("a", SECRET, 60_000, tlsFrom(first));
     TestNode b = new TestNode("b", SECRET, 60_000, tlsFrom(second));
-    TestNode plain = node("plain");
 
     assertFails(a.ask("b", beat(1), 60_000));
     putTlsFiles(first, "new");
@@ -321,6 +320,7 @@
     }
 
     assertThat(reply.get().getHeartbeat().getConfigVersion()).isEqualTo(2);
+    TestNode plain = node("plain");
     assertFails(a.ask("plain", beat(1), 2_000));
     assertThat(plain.opened).isEmpty();
   }
