--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -357,9 +357,8 @@
     try (Socket first = openChat(large);
         Socket second = openChat(large);
         Socket third = openChat(large)) {
-      List<Started> held = List.of(started.take(), started.take(), started.take());
       assertThat(third.isConnected() && second.isConnected() && first.isConnected()).isTrue();
-
+      List<Started> held = List.of(started.take(), started.take(), started.take());
       ContentResponse refused =
           request("POST", CHAT, "Authorization:Bearer " + TOKEN, large).send();
       assertThat(refused.getHeaders().get("Currantslip-Code")).isEqualTo("3007");
