--- a/standin/src/main/java/org/currantslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/currantslip/standin/StandinMain.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.standin.demo.DemoCommands;
+import org.currantslip.standin.load.LoadCommand;
 
 /** The stand-in binary: fakes of the platform and of endpoints, and the load driver. */
 public final class StandinMain {
@@ -31,6 +32,9 @@
     Subparser demo = subparsers.addParser("demo");
     DemoCommands.declare(demo);
     demo.setDefault("run", (StandinCommand) DemoCommands::run);
+    Subparser load = subparsers.addParser("load");
+    LoadCommand.declare(load);
+    load.setDefault("run", (StandinCommand) LoadCommand::run);
     try {
       Namespace parsed = parser.parseArgs(args);
       StandinCommand command = parsed.get("run");
--- /dev/null
+++ b/standin/src/main/java/org/currantslip/standin/load/package-info.java
@@ -0,0 +1,5 @@
+/** The load driver. */
+@NullMarked
+package org.currantslip.standin.load;
+
+import org.jspecify.annotations.NullMarked;
