--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.currantslip.core.audit.DecisionLog;
+import org.currantslip.core.burn.BurnLog;
 import org.currantslip.core.burn.BurnRecorder;
 import org.currantslip.core.cascade.RatedCascade;
 import org.currantslip.core.common.Clock;
@@ -31,6 +32,7 @@
 import org.currantslip.core.usage.PeerUsageSpool;
 import org.currantslip.core.usage.UsageOptions;
 import org.currantslip.core.usage.UsageSpool;
+import org.currantslip.node.poll.RatedAnswers;
 import org.currantslip.schema.DecisionRecord;
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeSettings;
@@ -52,7 +54,8 @@
     ExpectedWaitChooser chooser,
     RatedCascade cascade,
     DecisionLog decisionLog,
-    BurnRecorder burn,
+    BurnLog burn,
+    RatedAnswers answers,
     RequestEngine engine) {
 
   static CoreParts create(
@@ -62,7 +65,6 @@
       PeerNetwork peers,
       EndpointCalls calls,
       Clock clock,
-      Consumer<DecisionRecord> onDecision,
       Consumer<RequestOutcome> onOutcome) {
     NodeId self = membership.self().getId();
     TimeoutSettings times = settings.getTimeouts();
@@ -101,6 +103,8 @@
     RatedCascade cascade = RatedCascade.create(clock);
     DecisionLog decisionLog = DecisionLog.create(self, store, clock);
     BurnRecorder burn = BurnRecorder.create(clock, config);
+    RatedAnswers answers = RatedAnswers.create(versions, cascade, burn);
+    Consumer<DecisionRecord> onDecision = answers::answered;
     byte[] secret = settings.getSecurity().getSessionSecret().getBytes(StandardCharsets.UTF_8);
     RequestPorts ports =
         new RequestPorts(
@@ -132,7 +136,8 @@
         chooser,
         cascade,
         decisionLog,
-        burn,
+        BurnLog.create(self, store, clock, burn),
+        answers,
         engine);
   }
 
@@ -144,11 +149,11 @@
     usage.tick();
     engine.tick();
     decisionLog.tick();
+    burn.tick();
   }
 
   /** Writes out all that must last. */
   CompletableFuture<Void> flush() {
-    decisionLog.flush();
-    return usage.flush();
+    return CompletableFuture.allOf(decisionLog.flush(), burn.write(), usage.flush());
   }
 }
