--- a/core/src/test/java/org/currantslip/core/usage/PeerUsageSpoolTest.java
+++ b/core/src/test/java/org/currantslip/core/usage/PeerUsageSpoolTest.java
@@ -99,6 +99,37 @@
     assertBilledOnce(cluster);
   }
 
+  /** A planned stop of the holders must not wait until the dead owner is known to be gone. */
+  @Test
+  void holdersThatStopWriteWhatTheyHoldForOthers() {
+    UsageCluster cluster = UsageCluster.of(4);
+    cluster.request("n0");
+    cluster.run(20);
+    cluster.kill("n0");
+    cluster.run(2_000);
+    List<CompletableFuture<Void>> flushed =
+        cluster.nodes.values().stream().map(n -> n.spool.flush()).toList();
+    cluster.run(5_000);
+    flushed.forEach(f -> assertThat(f.isDone()).isTrue());
+    assertThat(cluster.answered).hasSize(1);
+    assertBilledOnce(cluster);
+  }
+
+  @Test
+  void holderThatStopsWhileTheOwnerLivesDoublesNothing() {
+    UsageCluster cluster = UsageCluster.of(4);
+    cluster.request("n0");
+    cluster.run(20);
+    CompletableFuture<Void> flushed = cluster.node("n1").spool.flush();
+    cluster.run(1_000);
+    assertThat(flushed.isDone()).isTrue();
+    cluster.kill("n1");
+    cluster.request("n0");
+    cluster.run(LONG_MS);
+    assertThat(cluster.answered).hasSize(2);
+    assertBilledOnce(cluster);
+  }
+
   /** The owner is cut off, adopted while alive, and goes on with the same batch. */
   @Test
   void adoptedOwnerThatLivesLosesNothing() {
