A stopping node writes all copies it holds, and takes no new ones

Cause: copies were written only for owners known to be gone; when the holders stopped before that, answered requests lost their usage records. Ruled out: waiting in the planned stop until the owner is marked gone, which takes 34 s; writing only for owners not seen live, since such a view lags too.

--- a/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
+++ b/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
@@ -49,6 +49,7 @@
   private @Nullable CompletableFuture<Void> flushed;
   private long nextSequence = 1;
   private int ownRecords;
+  private boolean stopping;
   private long nextWriteMs;
   private long nextAdoptMs;
   private long nextReleaseMs;
@@ -210,7 +211,7 @@
     return UsageCopyAck.newBuilder()
         .setOwner(copy.getOwner())
         .setSequence(copy.getSequence())
-        .setStored(held.keep(copy))
+        .setStored(!stopping && held.keep(copy))
         .build();
   }
 
@@ -219,8 +220,12 @@
     held.release(release.getOwner(), release.getThroughSequence());
   }
 
+  /**
+   * Writes the batches of owners that are gone; a stopping node writes those of all, since an owner
+   * that it believes alive may be dead already. A record that is stored is never doubled.
+   */
   private void adopt() {
-    for (HeldCopies.Orphan orphan : held.orphans(this::isGone)) {
+    for (HeldCopies.Orphan orphan : held.orphans(o -> flushed != null || isGone(o))) {
       boolean known =
           adopting.stream()
               .anyMatch(a -> a.owner().equals(orphan.owner()) && a.sequence() == orphan.sequence());
@@ -251,7 +256,7 @@
   public void tick() {
     List.copyOf(batches.values()).forEach(this::copyOut);
     writeDue();
-    if (clock.nowMs() >= nextAdoptMs) {
+    if (flushed != null || clock.nowMs() >= nextAdoptMs) {
       nextAdoptMs = clock.nowMs() + ADOPT_EVERY_MS;
       adopt();
     }
@@ -264,6 +269,7 @@
 
   @Override
   public CompletableFuture<Void> flush() {
+    stopping = true;
     if (flushed == null) {
       flushed = new CompletableFuture<>();
     }
@@ -271,7 +277,7 @@
   }
 
   private void completeFlush() {
-    if (flushed != null && batches.isEmpty() && adopting.isEmpty()) {
+    if (flushed != null && batches.isEmpty() && adopting.isEmpty() && held.size() == 0) {
       CompletableFuture<Void> done = flushed;
       flushed = null;
       sendReleases();
