--- a/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.currantslip.core.request.EndpointCall;
 import org.currantslip.core.request.EndpointCalls;
 import org.currantslip.core.request.EndpointRequest;
@@ -26,6 +27,7 @@
   private static final EndpointTimeouts HASTY = new EndpointTimeouts(500, 500);
   private static final long MAX_BYTES = 1 << 20;
   private static final long WAIT_MS = 20_000;
+  private static final int CALLS_IN_A_ROW = 100;
 
   private Bench bench;
   private int enginePort;
@@ -147,6 +149,22 @@
     assertThat(events.correlation).isEqualTo("c-1");
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void manyAnswersInARowOverPooledConnections(boolean stream) {
+    int instant =
+        bench.add(
+            ModelEngine.create(
+                Bench.engineOptions(true, 0), System::currentTimeMillis, bench.server.delays()));
+    EndpointCalls calls = calls(PATIENT, MAX_BYTES);
+    for (int i = 0; i < CALLS_IN_A_ROW; i++) {
+      RecordedEvents events = new RecordedEvents();
+      calls.start(Bench.engine(instant), chat("m", stream), events);
+      assertThat(events.over.orTimeout(WAIT_MS, TimeUnit.MILLISECONDS).join()).isEqualTo("END");
+      assertThat(events.data).hasSize(stream ? 8 : 1);
+    }
+  }
+
   /** Only a case that has to end by a timeout gets a short one. */
   private static EndpointTimeouts timeouts(String expected) {
     return expected.equals("BROKEN") ? HASTY : PATIENT;
