--- a/bench/src/main/java/org/currantslip/bench/config/ConfigSpreadBench.java
+++ b/bench/src/main/java/org/currantslip/bench/config/ConfigSpreadBench.java
@@ -116,9 +116,9 @@
   private static long change(SpreadFleet fleet, Size size, Fault fault, long base, Random random) {
     int writer = random.nextInt(size.nodes());
     int frozen = (writer + 1 + random.nextInt(size.nodes() - 1)) % size.nodes();
-    String frozenName = name(frozen);
+    String frozenName = nodeName(frozen);
     fleet.freeze(frozenName);
-    fleet.apply(name(writer), base, rules(base + 1));
+    fleet.apply(nodeName(writer), base, rules(base + 1));
     long acceptedMs = -1;
     long everywhereMs = -1;
     for (long ms = 0; ms < INTERVAL_MS; ms++) {
@@ -155,7 +155,7 @@
     }
   }
 
-  private static String name(int number) {
+  private static String nodeName(int number) {
     return "n%03d".formatted(number);
   }
 
--- a/cli/src/test/java/org/currantslip/cli/CliTest.java
+++ b/cli/src/test/java/org/currantslip/cli/CliTest.java
@@ -94,7 +94,8 @@
         "{\"burn_rate\":2.5},{\"burn_rate\":2},{\"burn_rate\":1.5},{\"burn_rate\":1.25}";
     answers.put(
         "burn",
-        "{%s,\"row\":[{\"account\":\"<a>\",\"task\":\"t\",\"target\":0.99,\"budget_left\":-0.25,\"window\":[%s]}]}"
+        ("{%s,\"row\":[{\"account\":\"<a>\",\"task\":\"t\",\"target\":0.99,"
+                + "\"budget_left\":-0.25,\"window\":[%s]}]}")
             .formatted(VIEW, windows));
     assertThat(run("burn", "--html", "page.txt")).isEqualTo(0);
     assertThat(out.toString(UTF_8)).contains("2.50");
--- a/core/src/test/java/org/currantslip/core/config/ConfigKeeperTest.java
+++ b/core/src/test/java/org/currantslip/core/config/ConfigKeeperTest.java
@@ -101,7 +101,7 @@
   @Test
   void spreadsChangeWhoseWriterDiedBeforeTellingAnyone() {
     fleet.run(6_000);
-    CompletableFuture<ApplyReply> lost = fleet.apply("n005", 0, ConfigFleet.rules("a"));
+    final CompletableFuture<ApplyReply> lost = fleet.apply("n005", 0, ConfigFleet.rules("a"));
     fleet.runUntil(() -> !fleet.store.peek(ConfigNames.ACCEPTED).isEmpty(), 1_000);
     fleet.kill("n005");
     assertThat(fleet.runUntil(() -> fleet.everywhere(1), TARGET_MS)).isTrue();
--- a/core/src/test/java/org/currantslip/core/config/ConfigPropertyTest.java
+++ b/core/src/test/java/org/currantslip/core/config/ConfigPropertyTest.java
@@ -34,10 +34,10 @@
   void holdsUnderRandomFaults(@ForAll long seed) throws InvalidProtocolBufferException {
     Random random = new Random(seed);
     ConfigFleet fleet = ConfigFleet.of(NODES, 3);
-    List<Attempt> attempts = new ArrayList<>();
     fleet.run(200);
     fleet.store.setFaultPlan(FakeObjectStore.randomFaults(seed, 0.05));
     fleet.network.setLossPlan((from, to, frame) -> random.nextInt(10) == 0);
+    List<Attempt> attempts = new ArrayList<>();
     for (int step = 0; step < STEPS; step++) {
       disturb(fleet, random);
       change(fleet, random, attempts);
