--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -31,7 +31,9 @@
 
   /** Runs a node until it is told to stop. */
   public static void main(String[] args) {
-    System.exit(run(args, System.err));
+    int code = run(args, System.err);
+    LogSetup.stop();
+    System.exit(code);
   }
 
   static int run(String[] args, PrintStream err) {
@@ -81,7 +83,9 @@
   /** Ends the process with the outcome of the planned stop in place of the signal's status. */
   private static void stop(RunningNode node) {
     node.beginStop();
-    Runtime.getRuntime().halt(await(node));
+    int code = await(node);
+    LogSetup.stop();
+    Runtime.getRuntime().halt(code);
   }
 
   private static int await(RunningNode node) {
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -190,20 +190,27 @@
     writeNext();
   }
 
+  /** Writes all that waits at once, so that a caller that catches up costs one write. */
   private void writeNext() {
-    Unit unit = writing ? null : pending.poll();
-    if (unit == null) {
+    if (writing || pending.isEmpty()) {
       return;
     }
     writing = true;
-    if (unit.last() && watch != null) {
+    boolean last = pending.getLast().last();
+    ByteBuffer bytes = pending.size() == 1 ? pending.getFirst().bytes() : joined();
+    pending.clear();
+    if (last && watch != null) {
       watch.stop();
     }
-    int size = unit.bytes().remaining();
-    response.write(
-        unit.last(),
-        unit.bytes(),
-        Callback.from(() -> onWritten(size, unit.last()), this::onWriteFailed));
+    int size = bytes.remaining();
+    response.write(last, bytes, Callback.from(() -> onWritten(size, last), this::onWriteFailed));
+  }
+
+  private ByteBuffer joined() {
+    int size = pending.stream().mapToInt(unit -> unit.bytes().remaining()).sum();
+    ByteBuffer all = ByteBuffer.allocate(size);
+    pending.forEach(unit -> all.put(unit.bytes()));
+    return all.flip();
   }
 
   private void onWritten(int size, boolean last) {
--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -22,6 +22,7 @@
   private static final int COMPLETION_CAPACITY = 1 << 14;
   private static final int BATCH = 256;
   private static final long TICK_MS = 10;
+  private static final long FULL_PARK_NS = 50_000;
 
   private final TaskRing requests;
   private final TaskRing completions;
@@ -73,10 +74,10 @@
       own.add(task);
       return;
     }
-    if (!stopped) {
-      completions.put(task);
-      wake();
+    while (!stopped && !completions.offer(task)) {
+      LockSupport.parkNanos(this, FULL_PARK_NS);
     }
+    wake();
   }
 
   /** Returns about how many requests and completions wait. */
--- a/node/src/main/java/org/currantslip/node/duty/TaskRing.java
+++ b/node/src/main/java/org/currantslip/node/duty/TaskRing.java
@@ -1,12 +1,9 @@
 package org.currantslip.node.duty;
 
-import java.util.concurrent.locks.LockSupport;
 import org.jctools.queues.MpscArrayQueue;
 
 /** A bounded ring of tasks from many threads to one. */
 public final class TaskRing {
-  private static final long FULL_PARK_NS = 50_000;
-
   private final MpscArrayQueue<Runnable> tasks;
 
   private TaskRing(int capacity) {
@@ -23,13 +20,6 @@
     return tasks.offer(task);
   }
 
-  /** Adds a task, and holds the calling thread back while the ring is full. */
-  public void put(Runnable task) {
-    while (!tasks.offer(task)) {
-      LockSupport.parkNanos(this, FULL_PARK_NS);
-    }
-  }
-
   /** Runs up to {@code limit} tasks on the one consuming thread; returns how many there were. */
   public int drain(int limit, TaskRunner runner) {
     for (int i = 0; i < limit; i++) {
--- a/node/src/main/java/org/currantslip/node/log/EventLog.java
+++ b/node/src/main/java/org/currantslip/node/log/EventLog.java
@@ -20,6 +20,11 @@
     logger.at(levelOf(event)).withCause(cause).log("%d %s %s", event.number(), event, fields);
   }
 
+  /** Returns whether an event would be written, for those whose fields cost time. */
+  public static boolean isOn(LogEvent event) {
+    return logger.at(levelOf(event)).isEnabled();
+  }
+
   private static Level levelOf(LogEvent event) {
     return switch (event.level()) {
       case DEBUG -> Level.FINE;
--- a/node/src/main/java/org/currantslip/node/poll/LoadPoll.java
+++ b/node/src/main/java/org/currantslip/node/poll/LoadPoll.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
 import org.currantslip.core.routing.EndpointChooser;
@@ -18,11 +18,9 @@
  * the nodes divide among themselves.
  */
 public final class LoadPoll {
-  private static final long EVERY_MS = 500;
-  private static final int ALL_UP_TO = 32;
-  private static final int MAX_ENDPOINTS = 96;
+  private static final long EVERY_MS = 1_000;
+  private static final int MAX_PER_ROUND = 24;
   private static final int POLLERS = 3;
-  private static final int MAX_POLLS_UNDER_WAY = 128;
 
   private final LoadReportSource source;
   private final Membership membership;
@@ -31,6 +29,7 @@
   private final Interval interval;
   private final Set<String> underWay = new HashSet<>();
   private Set<String> share = Set.of();
+  private long turn;
   private List<EndpointRecord> shareOf = List.of();
   private List<NodeRecord> shareAmong = List.of();
 
@@ -60,27 +59,35 @@
   /** Asks for reports when they are due. */
   public void tick() {
     if (interval.begin()) {
-      List<EndpointRecord> all = chooser.endpoints();
-      Set<String> wanted = all.size() <= ALL_UP_TO ? null : wanted(all);
-      all.stream()
-          .filter(e -> wanted == null || wanted.contains(e.getId()))
-          .filter(e -> underWay.size() < MAX_POLLS_UNDER_WAY && underWay.add(e.getId()))
-          .forEach(this::fetch);
       interval.end();
+      List<EndpointRecord> all = chooser.endpoints();
+      List<EndpointRecord> wanted = all.size() <= MAX_PER_ROUND ? all : nextOf(wanted(all));
+      wanted.stream().filter(e -> underWay.add(e.getId())).forEach(this::fetch);
     }
   }
 
-  private Set<String> wanted(List<EndpointRecord> all) {
+  /** Returns the next round's endpoints, so that all get their turn. */
+  private List<EndpointRecord> nextOf(List<EndpointRecord> wanted) {
+    int count = Math.min(MAX_PER_ROUND, wanted.size());
+    List<EndpointRecord> round =
+        IntStream.range(0, count)
+            .mapToObj(i -> wanted.get((int) ((turn + i) % wanted.size())))
+            .toList();
+    turn += count;
+    return round;
+  }
+
+  private List<EndpointRecord> wanted(List<EndpointRecord> all) {
     List<NodeRecord> nodes = membership.live();
     if (!all.equals(shareOf) || !nodes.equals(shareAmong)) {
       shareOf = all;
       shareAmong = nodes;
       share = shareOf(all, nodes);
     }
-    return Stream.concat(used.lately().stream(), share.stream())
-        .distinct()
-        .limit(MAX_ENDPOINTS)
-        .collect(Collectors.toSet());
+    Set<String> lately = Set.copyOf(used.lately());
+    return all.stream()
+        .filter(e -> lately.contains(e.getId()) || share.contains(e.getId()))
+        .toList();
   }
 
   private Set<String> shareOf(List<EndpointRecord> all, List<NodeRecord> nodes) {
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -16,6 +16,7 @@
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.request.RequestHandle;
 import org.currantslip.core.request.RequestIds;
+import org.currantslip.core.request.RequestOutcome;
 import org.currantslip.node.admin.AdminHandler;
 import org.currantslip.node.admin.AdminParts;
 import org.currantslip.node.admin.NodeAdminOperations;
@@ -86,7 +87,7 @@
     UsedEndpoints calls = UsedEndpoints.create(platform.calls(), clock);
     core =
         CoreParts.create(
-            settings, membership, platform.store(), links, calls, clock, metrics::record);
+            settings, membership, platform.store(), links, calls, clock, this::onOutcome);
     polls = NodePolls.create(core, platform, links, calls, core.answers(), clock);
     membership.setConfigStatus(this::configStatus);
     RequestIds ids = RequestIds.create(self.getId());
@@ -184,6 +185,24 @@
         this::drain);
   }
 
+  private void onOutcome(RequestOutcome outcome) {
+    metrics.record(outcome);
+    if (EventLog.isOn(LogEvent.REQUEST_ENDED)) {
+      EventLog.write(
+          LogEvent.REQUEST_ENDED,
+          String.format(
+              "account=%s task=%s model=%s version=%s code=%d ran=%s total_ms=%d attempts=%d",
+              outcome.account(),
+              outcome.task(),
+              outcome.model(),
+              outcome.version(),
+              outcome.code().number(),
+              outcome.ran().text(),
+              outcome.totalMs(),
+              outcome.attempts()));
+    }
+  }
+
   private EntryView entryView() {
     return publisher.entryView();
   }
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -50,6 +50,7 @@
   private static final long HEADER_MS = 400;
   private static final long BODY_MS = 800;
   private static final int TRICKLE_MS = 20;
+  private static final int SMALL_EVENTS = 1_500;
 
   private record Started(RouterRequest request, CallerSink sink, CountDownLatch gone) {}
 
@@ -254,6 +255,31 @@
     assertThat(events.get(2)).isEqualTo("data: [DONE]");
   }
 
+  @Test
+  void sendsManySmallEventsWholeToCallersThatReadLate() throws Exception {
+    try (Socket socket = openChat(BODY)) {
+      Started request = started.take();
+      request.sink().head(head(ResultCode.OK, true));
+      for (int i = 0; i < SMALL_EVENTS; i++) {
+        request.sink().data(ByteString.copyFromUtf8("{\"i\":" + i + "}"));
+      }
+      request.sink().finish(head(ResultCode.OK, true));
+
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+      List<String> events =
+          reader
+              .lines()
+              .filter(line -> line.startsWith("data: {\"i\"") || line.endsWith("[DONE]"))
+              .limit(SMALL_EVENTS + 1)
+              .toList();
+      assertThat(events.get(SMALL_EVENTS - 1))
+          .isEqualTo("data: {\"i\":" + (SMALL_EVENTS - 1) + "}");
+      assertThat(events.get(SMALL_EVENTS)).isEqualTo("data: [DONE]");
+    }
+  }
+
   @Test
   void endsFailedStreamsWithoutDone() throws Exception {
     CompletableFuture<ContentResponse> answer =
--- a/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
+++ b/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
@@ -101,4 +101,37 @@
 
     assertThat(decisions.waiting()).isEqualTo(0);
   }
+
+  @Test
+  void letsSendersGoOnceItIsStopped() throws InterruptedException {
+    decisions.start();
+    holdUp();
+    CountDownLatch full = new CountDownLatch(CAPACITY);
+    Thread sender =
+        new Thread(
+            () -> {
+              for (int i = 0; i < 2 * CAPACITY; i++) {
+                decisions.execute(() -> {});
+                full.countDown();
+              }
+            });
+    sender.start();
+    full.await();
+    Thread stopper = new Thread(() -> stopQuietly(decisions));
+    stopper.start();
+
+    sender.join();
+
+    hold.countDown();
+    stopper.join();
+    assertThat(sender.isAlive()).isFalse();
+  }
+
+  private static void stopQuietly(DecisionThread thread) {
+    try {
+      thread.stop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
