Nodes that lose each other but not the store no longer mark each other as gone

Silence agreed for 30 s was taken as death, so a cut between regions with the store in reach of both sides would have marked all nodes of either side as gone and ended their processes; the new test failed so. A node that misses others now rewrites its join record, and a dead node is marked only after its record has stayed unchanged for 15 s in unbroken sightings.

--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -35,6 +35,7 @@
   private static final long LONELY_REFRESH_MS = 1_000;
   private static final int NEWS_FACTOR = 4;
   private static final int PROBE_EVERY = 4;
+  private static final int PROOFS = 3;
 
   private final ObjectStore store;
   private final PeerNetwork peers;
@@ -42,6 +43,7 @@
   private final MembershipOptions options;
   private final JoinRecord join;
   private final News news = News.create();
+  private final RecordSilence silence;
   private final TreeMap<String, Member> members = new TreeMap<>();
   private Supplier<ConfigAnnounce> configStatus = ConfigAnnounce::getDefaultInstance;
   private NodeRecord self;
@@ -49,6 +51,7 @@
   private long startedMs;
   private long nextBeatMs;
   private long nextRefreshMs;
+  private long nextProofMs;
   private long beats;
   private String probed = "";
 
@@ -64,6 +67,7 @@
     this.clock = clock;
     this.options = options;
     join = JoinRecord.create(self, store, clock);
+    silence = RecordSilence.of(options.goneAfterMs());
     startedMs = clock.nowMs();
   }
 
@@ -251,15 +255,18 @@
         .flatMap(name -> Optional.ofNullable(members.get(name)).stream())
         .filter(m -> nowMs - Math.max(m.heardMs(), startedMs) >= options.silentMs())
         .forEach(m -> suspect(m, nowMs));
-    members.values().stream()
-        .filter(m -> isOverdue(m, nowMs))
-        .filter(m -> isMarker(m.rec()))
-        .findFirst()
-        .ifPresent(m -> markGone(m.rec()));
+    if (nowMs >= nextProofMs && members.values().stream().anyMatch(this::isMissing)) {
+      nextProofMs = nowMs + options.goneAfterMs() / PROOFS;
+      join.touch();
+      members.values().stream()
+          .filter(m -> isMissing(m) && !m.isLive(nowMs, options.suspicionMs()))
+          .filter(m -> isMarker(m.rec()))
+          .forEach(m -> markGone(m.rec()));
+    }
   }
 
-  private boolean isOverdue(Member member, long nowMs) {
-    return !member.isGone() && member.suspectedForMs(nowMs) >= options.goneAfterMs();
+  private boolean isMissing(Member member) {
+    return !member.isGone() && member.isSuspected();
   }
 
   /** Returns whether this node is the one that marks a dead node in the store. */
@@ -394,6 +401,7 @@
 
   private void markHeard(Member member, long atMs) {
     if (member.heard(atMs)) {
+      silence.forget(JoinRecord.nameOf(member.rec().getId().getName()));
       changed(member.rec().getId().getName());
     }
   }
@@ -426,6 +434,7 @@
         .exceptionally(failure -> null);
   }
 
+  /** Marks a dead node, unless its record shows that it still reaches the store. */
   private void markGone(NodeRecord dead) {
     store
         .get(JoinRecord.nameOf(dead.getId().getName()))
@@ -439,6 +448,9 @@
       learn(now);
       return CompletableFuture.completedFuture(null);
     }
+    if (!silence.isProved(found.get(), clock.nowMs())) {
+      return CompletableFuture.completedFuture(null);
+    }
     NodeRecord gone = now.toBuilder().setState(NodeState.GONE).build();
     return store
         .update(found.get().name(), gone.toByteString(), found.get().version())
--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -29,6 +29,7 @@
   private long round;
   private long roundEndMs;
   private boolean stale;
+  private boolean touched;
   private long nextMs;
   private CompletableFuture<Void> settled = new CompletableFuture<>();
 
@@ -77,6 +78,12 @@
     stale = true;
   }
 
+  /** Rewrites the record, to show that this node still reaches the store. */
+  void touch() {
+    touched = true;
+    stale = true;
+  }
+
   void tick() {
     boolean upToDate = wanted.equals(stored) && !stale;
     boolean underWay = clock.nowMs() < roundEndMs;
@@ -128,9 +135,10 @@
       supersededBy = old;
       return CompletableFuture.completedFuture(null);
     }
-    if (old.equals(target)) {
+    if (old.equals(target) && !touched) {
       return CompletableFuture.completedFuture(null);
     }
+    touched = false;
     return store.update(name, target.toByteString(), found.get().version());
   }
 
--- a/core/src/main/java/org/currantslip/core/membership/MembershipOptions.java
+++ b/core/src/main/java/org/currantslip/core/membership/MembershipOptions.java
@@ -8,7 +8,8 @@
  * @param heartbeatMs time between two heartbeats to the same node
  * @param silentMs silence after which a watched node is suspected
  * @param suspicionMs time a suspected node has to be heard of before it counts as dead
- * @param goneAfterMs time a node is dead before its join record is marked as gone
+ * @param goneAfterMs time for which the join record of a dead node has to stay unchanged before it
+ *     is marked as gone
  * @param refreshMs time between two readings of the join records
  * @param domainTargets nodes of the own failure domain that get heartbeats, at most
  * @param ringTargets nodes of the whole fleet that get heartbeats, at most
@@ -25,7 +26,7 @@
     int maxNews) {
 
   private static final long SUSPICION_HEARTBEATS = 4;
-  private static final long GONE_AFTER_MS = 30_000;
+  private static final long GONE_AFTER_MS = 15_000;
   private static final long REFRESH_MS = 60_000;
   private static final int DOMAIN_TARGETS = 3;
   private static final int RING_TARGETS = 3;
--- a/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
@@ -199,6 +199,26 @@
     }
   }
 
+  @Test
+  void nodesThatLoseEachOtherButNotTheStoreAreNeverMarkedGone() {
+    FakeFleet fleet = settled(12);
+    Set<String> apart = Set.of("n000", "n004", "n008");
+
+    fleet.network.setLossPlan((from, to, frame) -> apart.contains(from) != apart.contains(to));
+    fleet.run(5 * 60_000);
+
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(node.supersededBy()).isEmpty();
+      assertThat(node.isGone(FakeFleet.id("n000", 1))).isFalse();
+      assertThat(node.isGone(FakeFleet.id("n001", 1))).isFalse();
+    }
+    fleet.network.setLossPlan((from, to, frame) -> false);
+    fleet.run(2 * DEAD_MS);
+    for (HeartbeatMembership node : fleet.all()) {
+      assertThat(FakeFleet.live(node)).hasSize(12);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {6, 24, 102, 420})
   void everyNodeIsWatchedBySeveralAndWatchesFew(int count) {
