ran=no needs the caller's word that the key is new, also after the ledger was read

Cause: an earlier sending of a key may wait at a stalled node with no intent in the log. A second sending that reserved and was then refused said ran=no, and the first could still run afterwards. Ruled out: trusting the ledger's silence; it only knows stored intents. Before: the new case refusalAfterTheIntentSaysNotRunOnlyOfNewKeys failed for a repeated key.

--- a/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
+++ b/core/src/main/java/org/currantslip/core/request/AtMostOnceGuard.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.core.common.Clock;
-import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.ledger.Ledger;
 import org.currantslip.core.ledger.LedgerDecision;
 import org.currantslip.core.ledger.LedgerKey;
@@ -22,7 +21,6 @@
   private final RouterRequest request;
   private boolean demanded;
   private boolean reserved;
-  private boolean consulted;
   private boolean finished;
   private boolean marked;
 
@@ -60,20 +58,14 @@
   /** The intent is stored. */
   void reserved() {
     reserved = true;
-    consulted = true;
-  }
-
-  /** The ledger refused; unless it could not be read, its word on the key stands. */
-  void consulted(ResultCode code) {
-    consulted = code != ResultCode.LEDGER_UNAVAILABLE;
   }
 
   /**
-   * Returns whether an earlier request with this key may have run, as far as is known without the
-   * ledger.
+   * Returns whether another sending of this key may have run or may still run. The ledger cannot
+   * rule that out: an earlier sending may wait at a stalled node, with no intent stored yet.
    */
-  boolean mayHaveRunBefore() {
-    return request.key() != null && !consulted && !isFirstAttempt();
+  boolean mayRunElsewhere() {
+    return request.key() != null && !isFirstAttempt();
   }
 
   /** A caller that waited for long may have sent the key to another node meanwhile. */
--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -165,10 +165,7 @@
       guard.reserved();
       choose();
     } else {
-      RefusalException e =
-          Refusals.of(failure == null ? new IllegalStateException("no decision") : failure);
-      guard.consulted(e.code());
-      refuse(e);
+      refuse(Refusals.of(failure == null ? new IllegalStateException("no decision") : failure));
     }
   }
 
@@ -511,7 +508,7 @@
   }
 
   private Ran ranOfRefusal() {
-    return ran == Ran.NO && guard.mayHaveRunBefore() ? Ran.UNKNOWN : ran;
+    return ran == Ran.NO && guard.mayRunElsewhere() ? Ran.UNKNOWN : ran;
   }
 
   private void finishUndispatched() {
--- a/core/src/test/java/org/currantslip/core/request/RequestEngineTest.java
+++ b/core/src/test/java/org/currantslip/core/request/RequestEngineTest.java
@@ -263,6 +263,17 @@
     return Stream.of(Arguments.of(true, Ran.NO), Arguments.of(false, Ran.UNKNOWN));
   }
 
+  @ParameterizedTest(name = "first attempt {0}")
+  @MethodSource("attempts")
+  void refusalAfterTheIntentSaysNotRunOnlyOfNewKeys(boolean firstAttempt, Ran ran) {
+    fixture.ledger.decision = new CompletableFuture<>();
+    fixture.send(fixture.booking(firstAttempt));
+    fixture.fresh = false;
+    fixture.ledger.decision.complete(new LedgerDecision.Run());
+    assertRefused(ResultCode.CONFIG_NOT_FRESH, ran);
+    assertThat(results()).containsExactly(LedgerResult.NOT_DISPATCHED);
+  }
+
   @Test
   void deadlineWhileReservingNeverDispatchesLater() {
     fixture.ledger.decision = new CompletableFuture<>();
--- a/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreParts.java
@@ -86,7 +86,8 @@
             peers,
             membership,
             clock,
-            LedgerOptions.defaults().with(times.getKeyWindowMs(), times.getStoreMs()));
+            LedgerOptions.defaults()
+                .with(Integer.toUnsignedLong(times.getKeyWindowMs()), times.getStoreMs()));
     UsageSpool usage =
         PeerUsageSpool.create(
             membership.self(),
