Stop bad versions sooner and learn the cascade from ratings

Exposure: prior mass on the first request of a stage, weights towards high bad rates, and bad outcomes pushed to peers at once, because ratios at 60% bad were above the target by a single answer and counters lagged by up to 0.3 s.

Cascade: accepted buckets are chosen by lower confidence bounds of rated quality, mixed to the wanted quality and corrected by measured quality.

--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -9,11 +9,12 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.bench.cascade.CascadeBench;
 import org.currantslip.bench.exposure.ExposureBench;
 
 /** Runs one experiment by name. */
 public final class BenchMain {
-  private static final List<Bench> BENCHES = List.of(ExposureBench.create());
+  private static final List<Bench> BENCHES = List.of(CascadeBench.create(), ExposureBench.create());
 
   private BenchMain() {}
 
--- a/bench/src/main/java/org/currantslip/bench/ResultTable.java
+++ b/bench/src/main/java/org/currantslip/bench/ResultTable.java
@@ -1,5 +1,7 @@
 package org.currantslip.bench;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -25,6 +27,7 @@
 
   /** Adds a row; numbers are printed with at most four decimals. */
   public void add(Object... cells) {
+    checkArgument(cells.length == columns.size(), "wrong number of cells in %s", title);
     rows.add(Arrays.stream(cells).map(ResultTable::text).toList());
   }
 
--- a/core/src/main/java/org/currantslip/core/cascade/RatedCascade.java
+++ b/core/src/main/java/org/currantslip/core/cascade/RatedCascade.java
@@ -11,53 +11,75 @@
 /** Tries cheap tiers first as far as the ratings of their answers allow. */
 public final class RatedCascade implements CascadePolicy {
   private static final double DEFAULT_TARGET = 0.95;
-  private static final double Z_LOWER = 1.64;
+  private static final double COST_STEP_WITHOUT_PRICE = 4;
 
-  private record TierKey(String account, String task, String model) {}
+  private record TaskKey(String account, String task) {}
 
-  private final Map<TierKey, TierStats> stats = new HashMap<>();
+  private final Map<TaskKey, TaskCascade> tasks = new HashMap<>();
+  private final Map<TaskKey, ConfigView> configured = new HashMap<>();
+  private final long seed;
 
-  private RatedCascade(Clock clock) {}
+  private RatedCascade(long seed) {
+    this.seed = seed;
+  }
 
   /** Returns a cascade without ratings, which takes no cheap answer. */
   public static RatedCascade create(Clock clock) {
-    return new RatedCascade(clock);
+    return new RatedCascade(clock.nowMs());
+  }
+
+  private TaskCascade task(ConfigView config, String account, String task) {
+    TaskKey key = new TaskKey(account, task);
+    TaskCascade cascade = task(key);
+    ConfigView old = configured.get(key);
+    if (old == null || old.version() != config.version()) {
+      configured.put(key, config);
+      configure(cascade, config, account, task);
+    }
+    return cascade;
+  }
+
+  private TaskCascade task(TaskKey key) {
+    return tasks.computeIfAbsent(key, k -> new TaskCascade(seed + k.hashCode()));
+  }
+
+  private static void configure(
+      TaskCascade cascade, ConfigView config, String account, String task) {
+    List<String> models =
+        config.rules().tiers(account, task).stream().map(Rule.Tier::model).distinct().toList();
+    double[] costs = new double[models.size()];
+    for (int i = 0; i < costs.length; i++) {
+      costs[i] = cost(config, models.get(i), Math.pow(COST_STEP_WITHOUT_PRICE, i));
+    }
+    double target =
+        config.rules().qualityTarget(account, task).map(q -> q.target()).orElse(DEFAULT_TARGET);
+    cascade.configure(models, costs, target);
+  }
+
+  private static double cost(ConfigView config, String model, double fallback) {
+    return config
+        .rules()
+        .serving(model)
+        .flatMap(s -> config.rules().price(model, s.version()))
+        .map(p -> (double) (p.promptMicrosPerKtok() + p.completionMicrosPerKtok()))
+        .filter(c -> c > 0)
+        .orElse(fallback);
   }
 
   @Override
   public List<String> plan(ConfigView config, String account, String task) {
-    return config.rules().tiers(account, task).stream().map(Rule.Tier::model).distinct().toList();
+    return task(config, account, task).plan();
   }
 
   @Override
   public boolean accept(
       ConfigView config, String account, String task, String model, OptionalDouble confidence) {
-    int bucket = TierStats.bucket(confidence);
-    TierStats tier = tier(account, task, model);
-    tier.answered(bucket);
-    double target =
-        config.rules().qualityTarget(account, task).map(q -> q.target()).orElse(DEFAULT_TARGET);
-    return lowerBound(tier.good(bucket), tier.rated(bucket)) >= target;
+    return task(config, account, task).accept(model, TierStats.bucket(confidence));
   }
 
   @Override
   public void rated(
       String account, String task, String model, OptionalDouble confidence, boolean good) {
-    tier(account, task, model).addRating(TierStats.bucket(confidence), good);
-  }
-
-  private TierStats tier(String account, String task, String model) {
-    return stats.computeIfAbsent(new TierKey(account, task, model), k -> new TierStats());
-  }
-
-  /** Returns the lower end of Wilson's interval of a share. */
-  static double lowerBound(double good, double all) {
-    if (all <= 0) {
-      return 0;
-    }
-    double z2 = Z_LOWER * Z_LOWER;
-    double share = good / all;
-    double spread = Z_LOWER * Math.sqrt(share * (1 - share) / all + z2 / (4 * all * all));
-    return (share + z2 / (2 * all) - spread) / (1 + z2 / all);
+    task(new TaskKey(account, task)).rated(model, TierStats.bucket(confidence), good);
   }
 }
--- a/core/src/main/java/org/currantslip/core/rollout/EvidenceVersionPolicy.java
+++ b/core/src/main/java/org/currantslip/core/rollout/EvidenceVersionPolicy.java
@@ -39,6 +39,7 @@
   private final Map<String, Long> heard = new HashMap<>();
   private VersionPlan plan = new VersionPlan(ConfigView.none());
   private Consumer<BrakeNotice> listener = notice -> {};
+  private Runnable newsListener = () -> {};
 
   private EvidenceVersionPolicy(NodeId self, Clock clock, RolloutOptions opts) {
     this.self = self;
@@ -56,6 +57,11 @@
     this.listener = listener;
   }
 
+  /** Sets who is told of each bad outcome, so that it sends the evidence to peers at once. */
+  public void setNewsListener(Runnable listener) {
+    newsListener = listener;
+  }
+
   /** Takes a new configuration; {@link #choose} does so by itself. */
   public void onConfig(ConfigView config) {
     if (config.version() == plan.config().version() && config.rules() == plan.config().rules()) {
@@ -200,7 +206,7 @@
         key,
         k -> {
           VersionEvidence fresh = new VersionEvidence(k, self, opts);
-          fresh.restart(stageRequests(k));
+          stageRule(k).ifPresent(s -> fresh.restart(s.minRequests()));
           resumed.put(k, plan.resumeHash(k));
           return fresh;
         });
@@ -215,14 +221,21 @@
   public void finished(String model, String version, boolean failed) {
     VersionKey key = new VersionKey(model, version);
     seen(key).finished(failed);
-    brakeIfBad(key);
+    judge(key, !failed);
   }
 
   @Override
   public void rated(String model, String version, boolean good) {
     VersionKey key = new VersionKey(model, version);
     seen(key).rated(good);
+    judge(key, good);
+  }
+
+  private void judge(VersionKey key, boolean good) {
     brakeIfBad(key);
+    if (!good) {
+      newsListener.run();
+    }
   }
 
   private void brakeIfBad(VersionKey key) {
--- a/core/src/main/java/org/currantslip/core/rollout/RolloutOptions.java
+++ b/core/src/main/java/org/currantslip/core/rollout/RolloutOptions.java
@@ -21,6 +21,6 @@
     boolean firstStageAtOnce) {
   /** Returns the options used in production. */
   public static RolloutOptions defaults() {
-    return new RolloutOptions(0.001, 0.03, 0.01, 1000, 120, 4, true);
+    return new RolloutOptions(0.0008, 0.03, 0.01, 10_000, 120, 4, true);
   }
 }
--- a/core/src/main/java/org/currantslip/core/rollout/VersionEvidence.java
+++ b/core/src/main/java/org/currantslip/core/rollout/VersionEvidence.java
@@ -13,6 +13,8 @@
   private static final double[] BAD_RATES = {0.08, 0.20, 0.60};
   private static final double[] ERROR_RATES = {0.05, 0.20, 0.60};
 
+  private static final double NEW_VERSION_MASS = 0.8;
+
   private final VersionKey key;
   private final RolloutOptions opts;
   private final Evidence.Builder own;
@@ -21,28 +23,29 @@
   private BadRateDetector errors;
   private long ended;
 
+  /** Starts to judge a version in full service. */
   VersionEvidence(VersionKey key, NodeId self, RolloutOptions opts) {
     this.key = key;
     this.opts = opts;
     own = Evidence.newBuilder().setNode(self).setModel(key.model()).setVersion(key.version());
-    ratings = newRatings(opts.serviceStageRequests());
-    errors = newErrors(opts.serviceStageRequests());
+    ratings = ratingDetector(opts.serviceStageRequests(), 0);
+    errors = errorDetector(opts.serviceStageRequests(), 0);
   }
 
-  private BadRateDetector newRatings(int stageRequests) {
+  private BadRateDetector ratingDetector(int stageRequests, double massAtStart) {
     return BadRateDetector.create(
-        opts.baseBadRate(), BAD_RATES, opts.falseStop() / 2, stageRequests);
+        opts.baseBadRate(), BAD_RATES, opts.falseStop() / 2, stageRequests, massAtStart);
   }
 
-  private BadRateDetector newErrors(int stageRequests) {
+  private BadRateDetector errorDetector(int stageRequests, double massAtStart) {
     return BadRateDetector.create(
-        opts.baseErrorRate(), ERROR_RATES, opts.falseStop() / 2, stageRequests);
+        opts.baseErrorRate(), ERROR_RATES, opts.falseStop() / 2, stageRequests, massAtStart);
   }
 
   /** Starts judging anew, as at the start of a stage of this length. */
   void restart(int stageRequests) {
-    ratings = newRatings(stageRequests);
-    errors = newErrors(stageRequests);
+    ratings = ratingDetector(stageRequests, NEW_VERSION_MASS);
+    errors = errorDetector(stageRequests, NEW_VERSION_MASS);
   }
 
   void dispatched() {
