--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.bench.cascade.CascadeBench;
 import org.currantslip.bench.config.ConfigSpreadBench;
 import org.currantslip.bench.exposure.ExposureBench;
 import org.currantslip.bench.ledger.LedgerBench;
@@ -19,6 +20,7 @@
 public final class BenchMain {
   private static final List<Bench> BENCHES =
       List.of(
+          CascadeBench.create(),
           ConfigSpreadBench.create(),
           ExposureBench.create(),
           LedgerBench.create(),
