--- a/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/EndpointCallsContractTest.java
@@ -151,7 +151,7 @@
 
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
-  void manyAnswersInARowOverPooledConnections(boolean stream) {
+  void manyAnswersOverPooledConnections(boolean stream) {
     int instant =
         bench.add(
             ModelEngine.create(
