--- a/bench/src/main/java/org/currantslip/bench/membership/MembershipBench.java
+++ b/bench/src/main/java/org/currantslip/bench/membership/MembershipBench.java
@@ -67,12 +67,12 @@
     for (int i = 0; i < size; i++) {
       fleet.start(i);
     }
-    long joined = fleet.runUntil(m -> m.entries().size() == size, LIMIT_MS);
+    final long joined = fleet.runUntil(m -> m.entries().size() == size, LIMIT_MS);
     fleet.run(STEADY_MS);
     addCost(size, fleet, cost);
 
     fleet.start(size);
-    long oneMore = fleet.runUntil(m -> m.entries().size() == size + 1, LIMIT_MS);
+    final long oneMore = fleet.runUntil(m -> m.entries().size() == size + 1, LIMIT_MS);
     fleet.run(STEADY_MS);
     fleet.at(1).leave();
     long leaving = fleet.runUntil(m -> m.entries().size() == size, LIMIT_MS);
