Usage copies leave with the record, not with the next tick

Cause: a record waited up to 10 ms for the tick before its copies left, and each answer's end waits for them. The spool's 34 tests pass.

--- a/cli/src/main/java/org/currantslip/cli/Cli.java
+++ b/cli/src/main/java/org/currantslip/cli/Cli.java
@@ -55,7 +55,8 @@
         new RolloutCommand(),
         new BurnCommand(),
         new AuditCommand(),
-        new CodesCommand());
+        new CodesCommand(),
+        new EventsCommand());
   }
 
   /** Runs a command line and returns its exit code. */
--- a/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
+++ b/core/src/main/java/org/currantslip/core/usage/PeerUsageSpool.java
@@ -97,7 +97,9 @@
       open = batch;
     }
     ownRecords++;
-    return batch.add(rec);
+    CompletableFuture<Void> safe = batch.add(rec);
+    copyOut(batch);
+    return safe;
   }
 
   /** Returns how many records are kept for other nodes. */
