--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -15,10 +15,7 @@
 import org.currantslip.core.ledger.LedgerDecision;
 import org.currantslip.core.limits.AdmissionQuery;
 import org.currantslip.core.limits.Permit;
-import org.currantslip.core.rollout.VersionChoice;
-import org.currantslip.core.rollout.VersionQuery;
 import org.currantslip.core.routing.RouteQuery;
-import org.currantslip.core.rules.Rule;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.LedgerResult;
 import org.jspecify.annotations.Nullable;
@@ -47,6 +44,7 @@
   private final UsageStages stages = UsageStages.create();
   private final Set<String> tried = new HashSet<>();
   private final AtMostOnceGuard guard;
+  private final VersionStep versionStep;
 
   private Stage stage = Stage.ADMITTING;
   private ConfigView config = ConfigView.none();
@@ -58,7 +56,6 @@
   private boolean sent;
   private boolean detached;
   private long detachedUntilMs;
-  private @Nullable SessionVersions sessions;
   private @Nullable Permit permit;
   private @Nullable Attempt attempt;
   private @Nullable Settlement settlement;
@@ -71,6 +68,7 @@
     answer = CallerAnswer.create(request, sink);
     report = RequestReport.create(ports, request, answer);
     guard = AtMostOnceGuard.create(ports.ledger(), ports.clock(), request);
+    versionStep = VersionStep.create(ports, request, answer);
   }
 
   static RequestFlow create(
@@ -88,7 +86,7 @@
       useCurrentConfig();
       RequestChecks.check(ports, request, config);
       guard.demand(RequestChecks.isAtMostOnce(request, config));
-      sessions = SessionVersions.read(ports.sessions(), request);
+      versionStep.readSession();
       if (request.isService()) {
         answer.addRuleLines(RequestChecks.serviceLines(request, config));
       } else {
@@ -186,58 +184,28 @@
     }
   }
 
-  private SessionVersions sessionVersions() {
-    if (sessions == null) {
-      throw new IllegalStateException("request not started");
-    }
-    return sessions;
-  }
-
   private void chooseVersion(String model) {
-    SessionVersions s = sessionVersions();
-    String kept = s.kept(model);
-    VersionChoice choice = ports.versions().choose(config, versionQuery(model, kept));
-    if (!s.isSession() || kept != null) {
-      useVersion(model, choice);
-      return;
-    }
     whenComplete(
-        ports.homes().keep(s.binding(model, choice.version())),
-        (version, failure) -> onHomeVersion(model, choice, version));
+        versionStep.choose(config, model),
+        (version, failure) -> onVersion(model, version, failure));
   }
 
-  private void onHomeVersion(String model, VersionChoice proposal, @Nullable String kept) {
+  private void onVersion(String model, @Nullable String version, @Nullable Throwable failure) {
     if (stage != Stage.CHOOSING) {
       return;
     }
+    if (version == null) {
+      skipTierOrRefuse(
+          Refusals.of(failure == null ? new IllegalStateException("no version") : failure));
+      return;
+    }
     try {
-      boolean same = kept == null || kept.equals(proposal.version());
-      useVersion(
-          model, same ? proposal : ports.versions().choose(config, versionQuery(model, kept)));
+      dispatch(model, version);
     } catch (RefusalException e) {
       skipTierOrRefuse(e);
     }
   }
 
-  private VersionQuery versionQuery(String model, @Nullable String kept) {
-    SessionVersions s = sessionVersions();
-    String spreadKey = s.isSession() ? s.session() : request.requestId();
-    return new VersionQuery(request.account(), request.task(), model, spreadKey, kept);
-  }
-
-  private void useVersion(String model, VersionChoice choice) {
-    SessionVersions s = sessionVersions();
-    s.bind(model, choice.version());
-    answer.useVersion(model, choice.version(), choice.moved(), s.token());
-    answer.addRuleLines(choice.ruleLines());
-    answer.addRuleLines(
-        Rule.lines(
-            config.rules().tiers(request.account(), request.task()).stream()
-                .filter(t -> t.model().equals(model))
-                .toList()));
-    dispatch(model, choice.version());
-  }
-
   private void dispatch(String model, String version) {
     RouteQuery query =
         new RouteQuery(
