--- /dev/null
+++ b/adapters/src/main/java/org/currantslip/adapter/caller/package-info.java
@@ -0,0 +1,5 @@
+/** What differs between the protocols that callers speak. */
+@NullMarked
+package org.currantslip.adapter.caller;
+
+import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/endpoint/AnswerForm.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/AnswerForm.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import org.currantslip.core.request.EndpointRequest;
 
--- a/platform/src/main/java/org/currantslip/platform/endpoint/EndpointHeaders.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EndpointHeaders.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 /** Header names between a node and an endpoint. */
 public final class EndpointHeaders {
--- a/platform/src/main/java/org/currantslip/platform/endpoint/EndpointTimeouts.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EndpointTimeouts.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 /**
  * How long an endpoint may be silent.
--- a/platform/src/main/java/org/currantslip/platform/endpoint/HttpEndpointCall.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/HttpEndpointCall.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import org.currantslip.core.request.CallFailure;
 import org.currantslip.core.request.EndpointCall;
+import org.currantslip.core.request.EndpointHead;
 import org.currantslip.core.request.EndpointUsage;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -98,7 +99,8 @@
         form == AnswerForm.MODEL_STREAM
             && response.getStatus() == OK
             && type.startsWith(AnswerForm.EVENT_STREAM);
-    events.head(response.getStatus(), type, header(response, EndpointHeaders.CORRELATION));
+    events.head(
+        EndpointHead.of(response.getStatus(), type, header(response, EndpointHeaders.CORRELATION)));
   }
 
   @Override
--- a/platform/src/main/java/org/currantslip/platform/endpoint/HttpEndpointCalls.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/HttpEndpointCalls.java
@@ -1,12 +1,12 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import com.google.protobuf.ByteString;
 import java.util.concurrent.Executor;
+import org.currantslip.adapter.http.JsonCalls;
 import org.currantslip.core.request.EndpointCall;
 import org.currantslip.core.request.EndpointCalls;
 import org.currantslip.core.request.EndpointListener;
 import org.currantslip.core.request.EndpointRequest;
-import org.currantslip.platform.http.JsonCalls;
 import org.currantslip.schema.EndpointRecord;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -56,7 +56,7 @@
         HttpEndpointCall.create(
             http,
             AnswerForm.of(request),
-            new SerialEvents(executor, listener),
+            SerialEvents.create(executor, listener),
             timeouts,
             maxAnswerBytes);
     if (request.freshConnection()) {
--- a/platform/src/main/java/org/currantslip/platform/endpoint/LoadReportClient.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/LoadReportClient.java
@@ -1,12 +1,12 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import org.currantslip.adapter.http.JsonCalls;
+import org.currantslip.adapter.http.PlatformException;
 import org.currantslip.core.routing.EndpointLoad;
-import org.currantslip.platform.http.JsonCalls;
-import org.currantslip.platform.http.PlatformException;
 import org.currantslip.schema.EndpointRecord;
 import org.eclipse.jetty.client.HttpClient;
 
--- a/platform/src/main/java/org/currantslip/platform/endpoint/LoadReportSource.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/LoadReportSource.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.core.routing.EndpointLoad;
--- a/platform/src/main/java/org/currantslip/platform/endpoint/SerialEvents.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/SerialEvents.java
@@ -1,10 +1,11 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import com.google.protobuf.ByteString;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import org.currantslip.core.request.CallFailure;
+import org.currantslip.core.request.EndpointHead;
 import org.currantslip.core.request.EndpointListener;
 import org.currantslip.core.request.EndpointUsage;
 
@@ -14,35 +15,44 @@
  * <p>Events of one call come from several threads, the listener's own among them, and an executor
  * need not keep the order of tasks from different threads; so the order is kept here.
  */
-final class SerialEvents {
+public final class SerialEvents {
   private final Executor executor;
   private final EndpointListener listener;
   private final Queue<Runnable> events = new ConcurrentLinkedQueue<>();
   private boolean closed;
 
-  SerialEvents(Executor executor, EndpointListener listener) {
+  /** Returns events for one call; they reach {@code listener} on {@code executor}. */
+  public static SerialEvents create(Executor executor, EndpointListener listener) {
+    return new SerialEvents(executor, listener);
+  }
+
+  private SerialEvents(Executor executor, EndpointListener listener) {
     this.executor = executor;
     this.listener = listener;
   }
 
-  void head(int status, String contentType, String correlation) {
-    post(false, () -> listener.onHead(status, contentType, correlation));
+  /** Passes on the head of the answer. */
+  public void head(EndpointHead head) {
+    post(false, () -> listener.onHead(head));
   }
 
-  void data(ByteString data) {
+  /** Passes on one unit of data. */
+  public void data(ByteString data) {
     post(false, () -> listener.onData(data));
   }
 
-  void end(EndpointUsage usage) {
+  /** Passes on the end of the answer. */
+  public void end(EndpointUsage usage) {
     post(true, () -> listener.onEnd(usage));
   }
 
-  void failure(CallFailure failure, String detail) {
+  /** Passes on that the call failed. */
+  public void failure(CallFailure failure, String detail) {
     post(true, () -> listener.onFailure(failure, detail));
   }
 
   /** Drops every later event; called on the listener's thread. */
-  void close() {
+  public void close() {
     closed = true;
   }
 
--- a/platform/src/main/java/org/currantslip/platform/endpoint/UsageReader.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/UsageReader.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/org/currantslip/platform/endpoint/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/package-info.java
@@ -1,5 +1,5 @@
 /** Calls to model engines and plain services, and their load reports. */
 @NullMarked
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/engine/EngineOrder.java
+++ b/adapters/src/main/java/org/currantslip/adapter/engine/EngineOrder.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.engine;
+package org.currantslip.adapter.engine;
 
 /**
  * An order to a model engine; repeating it has no further effect.
--- a/platform/src/main/java/org/currantslip/platform/engine/EngineOrders.java
+++ b/adapters/src/main/java/org/currantslip/adapter/engine/EngineOrders.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.engine;
+package org.currantslip.adapter.engine;
 
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.schema.EndpointRecord;
--- a/platform/src/main/java/org/currantslip/platform/engine/HttpEngineOrders.java
+++ b/adapters/src/main/java/org/currantslip/adapter/engine/HttpEngineOrders.java
@@ -1,12 +1,12 @@
-package org.currantslip.platform.engine;
+package org.currantslip.adapter.engine;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.currantslip.platform.http.HttpAnswer;
-import org.currantslip.platform.http.HttpExchangeException;
-import org.currantslip.platform.http.JsonCalls;
+import org.currantslip.adapter.http.HttpAnswer;
+import org.currantslip.adapter.http.HttpExchangeException;
+import org.currantslip.adapter.http.JsonCalls;
 import org.currantslip.schema.EndpointRecord;
 import org.eclipse.jetty.client.HttpClient;
 import org.jspecify.annotations.Nullable;
--- a/platform/src/main/java/org/currantslip/platform/engine/OrderResult.java
+++ b/adapters/src/main/java/org/currantslip/adapter/engine/OrderResult.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.engine;
+package org.currantslip.adapter.engine;
 
 /** What became of an order. */
 public enum OrderResult {
--- a/platform/src/main/java/org/currantslip/platform/engine/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/engine/package-info.java
@@ -1,5 +1,5 @@
 /** Orders to model engines. */
 @NullMarked
-package org.currantslip.platform.engine;
+package org.currantslip.adapter.engine;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -23,10 +23,19 @@
    * @param threads most threads it may use
    */
   public static HttpClient start(String name, int threads) {
+    return start(name, threads, CONNECT_TIMEOUT_MS);
+  }
+
+  /**
+   * Returns a started client as {@link #start(String, int)} does.
+   *
+   * @param connectTimeoutMs time after which a connection that does not open is given up
+   */
+  public static HttpClient start(String name, int threads, long connectTimeoutMs) {
     QueuedThreadPool pool = new QueuedThreadPool(Math.max(threads, MIN_THREADS), MIN_THREADS);
     pool.setName(name);
     pool.setDaemon(true);
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ProbingConnector();
     connector.setSelectors(1);
     connector.setExecutor(pool);
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
@@ -34,7 +43,7 @@
     client.setName(name);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
-    client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+    client.setConnectTimeout(connectTimeoutMs);
     client.setIdleTimeout(IDLE_TIMEOUT_MS);
     client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT_MS);
     client.setMaxConnectionsPerDestination(CONNECTIONS_PER_DESTINATION);
--- a/platform/src/main/java/org/currantslip/platform/http/HttpExchange.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpExchange.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
--- a/platform/src/main/java/org/currantslip/platform/http/HttpExchangeException.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpExchangeException.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 /** An exchange that ended without a complete answer. */
 public final class HttpExchangeException extends RuntimeException {
--- a/platform/src/main/java/org/currantslip/platform/http/JsonCalls.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/JsonCalls.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/org/currantslip/platform/http/PlatformException.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/PlatformException.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 /** A call to a platform service, other than the object API, that gave no usable answer. */
 public final class PlatformException extends RuntimeException {
--- /dev/null
+++ b/adapters/src/main/java/org/currantslip/adapter/http/ProbingConnector.java
@@ -0,0 +1,28 @@
+package org.currantslip.adapter.http;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
+import java.nio.channels.SelectableChannel;
+import jdk.net.ExtendedSocketOptions;
+import org.eclipse.jetty.io.ClientConnector;
+
+/** Opens connections that TCP probes while they are idle, so that a dead one is found out. */
+final class ProbingConnector extends ClientConnector {
+  /** A watch waits without traffic; a dead one has to be noticed within a few seconds. */
+  private static final int IDLE_S = 1;
+
+  private static final int INTERVAL_S = 1;
+  private static final int PROBES = 2;
+
+  @Override
+  protected void configure(SelectableChannel selectable) throws IOException {
+    super.configure(selectable);
+    if (selectable instanceof NetworkChannel channel) {
+      channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, IDLE_S);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, INTERVAL_S);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES);
+    }
+  }
+}
--- a/platform/src/main/java/org/currantslip/platform/http/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/package-info.java
@@ -1,5 +1,5 @@
 /** HTTP client set-up and whole-body exchanges. */
 @NullMarked
-package org.currantslip.platform.http;
+package org.currantslip.adapter.http;
 
 import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/src/main/java/org/currantslip/adapter/package-info.java
@@ -0,0 +1,5 @@
+/** The platform module. */
+@NullMarked
+package org.currantslip.adapter;
+
+import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/rating/Rating.java
+++ b/adapters/src/main/java/org/currantslip/adapter/rating/Rating.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.rating;
+package org.currantslip.adapter.rating;
 
 /**
  * A rating of an answer.
--- a/platform/src/main/java/org/currantslip/platform/rating/RatingClient.java
+++ b/adapters/src/main/java/org/currantslip/adapter/rating/RatingClient.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.rating;
+package org.currantslip.adapter.rating;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
@@ -7,8 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.stream.StreamSupport;
-import org.currantslip.platform.http.JsonCalls;
-import org.currantslip.platform.http.PlatformException;
+import org.currantslip.adapter.http.JsonCalls;
+import org.currantslip.adapter.http.PlatformException;
 import org.eclipse.jetty.client.HttpClient;
 
 /** The rating service over HTTP. */
--- a/platform/src/main/java/org/currantslip/platform/rating/RatingSource.java
+++ b/adapters/src/main/java/org/currantslip/adapter/rating/RatingSource.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.rating;
+package org.currantslip.adapter.rating;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/org/currantslip/platform/rating/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/rating/package-info.java
@@ -1,5 +1,5 @@
 /** The rating service. */
 @NullMarked
-package org.currantslip.platform.rating;
+package org.currantslip.adapter.rating;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/settings/SettingsException.java
+++ b/adapters/src/main/java/org/currantslip/adapter/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
--- a/platform/src/main/java/org/currantslip/platform/settings/SettingsLoader.java
+++ b/adapters/src/main/java/org/currantslip/adapter/settings/SettingsLoader.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.schema.CliSettings;
+import org.currantslip.schema.EdgeSettings;
 import org.currantslip.schema.NodeSettings;
 
 /** Reads TOML settings into the messages of the schema. */
@@ -33,6 +34,19 @@
     return settings;
   }
 
+  /**
+   * Reads the settings of a node that forwards requests by route.
+   *
+   * @throws SettingsException with every problem found
+   */
+  public static EdgeSettings loadEdge(String toml) throws SettingsException {
+    EdgeSettings.Builder builder = EdgeSettings.newBuilder();
+    List<SettingsProblem> problems = new ArrayList<>();
+    fill(toml, builder, problems);
+    rejectIfAny(problems);
+    return builder.build();
+  }
+
   /**
    * Reads the settings of the operators' command.
    *
--- a/platform/src/main/java/org/currantslip/platform/settings/SettingsProblem.java
+++ b/adapters/src/main/java/org/currantslip/adapter/settings/SettingsProblem.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import org.currantslip.core.common.ResultCode;
 
--- a/platform/src/main/java/org/currantslip/platform/settings/SettingsReader.java
+++ b/adapters/src/main/java/org/currantslip/adapter/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -132,6 +132,7 @@
       case STRING -> text(key, value, constraint);
       case INT -> narrow(integer(key, value, constraint));
       case LONG -> integer(key, value, constraint);
+      case DOUBLE -> fraction(key, value, constraint);
       default -> throw new IllegalStateException("settings have no fields like " + field);
     };
   }
@@ -173,6 +174,19 @@
         : null;
   }
 
+  private @Nullable Double fraction(String key, JsonNode value, Constraint constraint) {
+    if (!value.isNumber()) {
+      problem(key, ResultCode.SETTING_TYPE, "must be a number, not " + describe(value));
+      return null;
+    }
+    double number = value.doubleValue();
+    // Bounds are whole numbers, so that a fraction is within them if both its neighbours are.
+    boolean ok =
+        checkRange(key, (long) Math.floor(number), constraint.getUnit(), constraint)
+            && checkRange(key, (long) Math.ceil(number), constraint.getUnit(), constraint);
+    return ok ? number : null;
+  }
+
   private boolean checkRange(String key, long number, String unit, Constraint constraint) {
     if (constraint.hasMin() && number < constraint.getMin()) {
       problem(key, ResultCode.SETTING_OUT_OF_RANGE, bound("at least", constraint.getMin(), unit));
@@ -194,6 +208,7 @@
       case STRING -> text;
       case INT -> Integer.parseUnsignedInt(text);
       case LONG -> Long.parseLong(text);
+      case DOUBLE -> Double.parseDouble(text);
       default -> throw new IllegalStateException("settings have no fields like " + field);
     };
   }
--- a/platform/src/main/java/org/currantslip/platform/settings/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/settings/package-info.java
@@ -1,5 +1,5 @@
 /** Reads settings files and checks them against the schema. */
 @NullMarked
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/store/HttpObjectStore.java
+++ b/adapters/src/main/java/org/currantslip/adapter/store/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.store;
+package org.currantslip.adapter.store;
 
 import com.google.protobuf.ByteString;
 import java.net.URI;
@@ -9,13 +9,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
+import org.currantslip.adapter.http.HttpAnswer;
+import org.currantslip.adapter.http.HttpExchange;
+import org.currantslip.adapter.http.HttpExchangeException;
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.port.StoreException;
 import org.currantslip.core.port.StoreException.Kind;
 import org.currantslip.core.port.StoredObject;
-import org.currantslip.platform.http.HttpAnswer;
-import org.currantslip.platform.http.HttpExchange;
-import org.currantslip.platform.http.HttpExchangeException;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
--- a/platform/src/main/java/org/currantslip/platform/store/ObjectLines.java
+++ b/adapters/src/main/java/org/currantslip/adapter/store/ObjectLines.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.store;
+package org.currantslip.adapter.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/currantslip/platform/store/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/store/package-info.java
@@ -1,5 +1,5 @@
 /** Adapter of the object API. */
 @NullMarked
-package org.currantslip.platform.store;
+package org.currantslip.adapter.store;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/vmlist/VmListClient.java
+++ b/adapters/src/main/java/org/currantslip/adapter/vmlist/VmListClient.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.vmlist;
+package org.currantslip.adapter.vmlist;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -6,8 +6,8 @@
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.currantslip.platform.http.JsonCalls;
-import org.currantslip.platform.http.PlatformException;
+import org.currantslip.adapter.http.JsonCalls;
+import org.currantslip.adapter.http.PlatformException;
 import org.currantslip.schema.VmList;
 import org.eclipse.jetty.client.HttpClient;
 
--- a/platform/src/main/java/org/currantslip/platform/vmlist/VmListSource.java
+++ b/adapters/src/main/java/org/currantslip/adapter/vmlist/VmListSource.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.vmlist;
+package org.currantslip.adapter.vmlist;
 
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.schema.VmList;
--- a/platform/src/main/java/org/currantslip/platform/vmlist/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/vmlist/package-info.java
@@ -1,5 +1,5 @@
 /** The list of live and leaving VMs. */
 @NullMarked
-package org.currantslip.platform.vmlist;
+package org.currantslip.adapter.vmlist;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/currantslip/platform/weights/WeightStore.java
+++ b/adapters/src/main/java/org/currantslip/adapter/weights/WeightStore.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.weights;
+package org.currantslip.adapter.weights;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/org/currantslip/platform/weights/WeightStoreClient.java
+++ b/adapters/src/main/java/org/currantslip/adapter/weights/WeightStoreClient.java
@@ -1,12 +1,12 @@
-package org.currantslip.platform.weights;
+package org.currantslip.adapter.weights;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.currantslip.platform.http.JsonCalls;
-import org.currantslip.platform.http.PlatformException;
+import org.currantslip.adapter.http.JsonCalls;
+import org.currantslip.adapter.http.PlatformException;
 import org.eclipse.jetty.client.HttpClient;
 
 /** The weight store over HTTP. */
--- a/platform/src/main/java/org/currantslip/platform/weights/package-info.java
+++ b/adapters/src/main/java/org/currantslip/adapter/weights/package-info.java
@@ -1,5 +1,5 @@
 /** The weight store. */
 @NullMarked
-package org.currantslip.platform.weights;
+package org.currantslip.adapter.weights;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/currantslip/platform/endpoint/SerialEventsTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/endpoint/SerialEventsTest.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import org.currantslip.core.request.CallFailure;
+import org.currantslip.core.request.EndpointHead;
 import org.currantslip.core.request.EndpointListener;
 import org.currantslip.core.request.EndpointUsage;
 import org.junit.jupiter.api.Test;
@@ -17,8 +18,8 @@
   void keepsTheOrderThatAnExecutorLoses() {
     Deque<Runnable> newestFirst = new ArrayDeque<>();
     Recorder recorder = new Recorder();
-    SerialEvents events = new SerialEvents(newestFirst::push, recorder);
-    events.head(200, "", "c");
+    SerialEvents events = SerialEvents.create(newestFirst::push, recorder);
+    events.head(EndpointHead.of(200, "", "c"));
     events.data(ByteString.EMPTY);
     events.end(EndpointUsage.none());
     newestFirst.forEach(Runnable::run);
@@ -29,7 +30,7 @@
     private final List<String> seen = new ArrayList<>();
 
     @Override
-    public void onHead(int status, String contentType, String correlation) {
+    public void onHead(EndpointHead head) {
       seen.add("head");
     }
 
--- a/platform/src/test/java/org/currantslip/platform/endpoint/SseParserTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/endpoint/SseParserTest.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.endpoint;
+package org.currantslip.adapter.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/currantslip/platform/settings/SamplesTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/settings/SamplesTest.java
@@ -1,4 +1,4 @@
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/currantslip/platform/settings/package-info.java
+++ b/adapters/src/test/java/org/currantslip/adapter/settings/package-info.java
@@ -1,5 +1,5 @@
 /** Tests of the settings. */
 @NullMarked
-package org.currantslip.platform.settings;
+package org.currantslip.adapter.settings;
 
 import org.jspecify.annotations.NullMarked;
--- a/cli/src/main/java/org/currantslip/cli/CliContext.java
+++ b/cli/src/main/java/org/currantslip/cli/CliContext.java
@@ -4,13 +4,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.currantslip.adapter.settings.SettingsException;
+import org.currantslip.adapter.settings.SettingsLoader;
+import org.currantslip.adapter.settings.SettingsProblem;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.rules.RuleSet;
 import org.currantslip.core.rules.RulesException;
 import org.currantslip.core.rules.RulesParser;
-import org.currantslip.platform.settings.SettingsException;
-import org.currantslip.platform.settings.SettingsLoader;
-import org.currantslip.platform.settings.SettingsProblem;
 import org.currantslip.schema.CliSettings;
 import org.jspecify.annotations.Nullable;
 
--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
@@ -17,6 +18,7 @@
 import org.currantslip.core.port.StoredObject;
 import org.currantslip.schema.ConfigAnnounce;
 import org.currantslip.schema.Heartbeat;
+import org.currantslip.schema.MirrorRevision;
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.NodeState;
@@ -46,6 +48,8 @@
   private final RecordSilence silence;
   private final TreeMap<String, Member> members = new TreeMap<>();
   private Supplier<ConfigAnnounce> configStatus = ConfigAnnounce::getDefaultInstance;
+  private Supplier<List<MirrorRevision>> ownMirrors = List::of;
+  private BiConsumer<String, List<MirrorRevision>> peerMirrors = (node, revisions) -> {};
   private NodeRecord self;
   private Lists lists = Lists.STALE;
   private long startedMs;
@@ -82,6 +86,15 @@
     return new HeartbeatMembership(self, store, peers, clock, options);
   }
 
+  /**
+   * Sets what heartbeats tell of this node's copies of the store, and who learns of peers' copies.
+   */
+  public void setMirrors(
+      Supplier<List<MirrorRevision>> own, BiConsumer<String, List<MirrorRevision>> peers) {
+    ownMirrors = own;
+    peerMirrors = peers;
+  }
+
   /** Sets where the configuration version told in heartbeats comes from. */
   public void setConfigStatus(Supplier<ConfigAnnounce> status) {
     configStatus = status;
@@ -306,7 +319,8 @@
             .setNode(self.getId())
             .setState(self.getState())
             .setConfigVersion(config.getVersion())
-            .setConfigAgeMs(config.getAgeMs());
+            .setConfigAgeMs(config.getAgeMs())
+            .addAllMirror(ownMirrors.get());
     news.take(options.maxNews()).stream().flatMap(this::viewOf).forEach(beat::addView);
     return beat.build();
   }
@@ -338,6 +352,7 @@
       learn(from.rec().toBuilder().setState(beat.getState()).build());
       from.setConfigVersion(beat.getConfigVersion());
       markHeard(from, nowMs);
+      peerMirrors.accept(from.rec().getId().getName(), beat.getMirrorList());
     }
     beat.getViewList().forEach(v -> takeView(v, nowMs));
   }
--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -139,7 +139,9 @@
       return CompletableFuture.completedFuture(null);
     }
     touched = false;
-    return store.update(name, target.toByteString(), found.get().version());
+    // A write that changes nothing gets no new version, and would not show that this node lives.
+    NodeRecord touch = target.toBuilder().setTouches(old.getTouches() + 1).build();
+    return store.update(name, touch.toByteString(), found.get().version());
   }
 
   private static boolean isAfter(NodeRecord old, NodeRecord target) {
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
@@ -0,0 +1,23 @@
+package org.currantslip.core.mirror;
+
+/**
+ * Timing of a mirror.
+ *
+ * @param watchMs how long one watch call waits for a change
+ * @param firstRetryMs pause after a first failed call; doubles with each further failure
+ * @param lastRetryMs longest pause after a failed call
+ */
+public record MirrorOptions(long watchMs, long firstRetryMs, long lastRetryMs) {
+  /** Below the store's limit of 30 s for one watch; each renewal costs a call. */
+  private static final long WATCH_MS = 25_000;
+
+  private static final long FIRST_RETRY_MS = 50;
+
+  /** Bounds how long the return of the store goes unnoticed. */
+  private static final long LAST_RETRY_MS = 400;
+
+  /** Returns the timing used in production. */
+  public static MirrorOptions defaults() {
+    return new MirrorOptions(WATCH_MS, FIRST_RETRY_MS, LAST_RETRY_MS);
+  }
+}
--- a/core/src/main/java/org/currantslip/core/port/StoreException.java
+++ b/core/src/main/java/org/currantslip/core/port/StoreException.java
@@ -11,7 +11,9 @@
     /** The call had no effect: not sent, refused or rate-limited. */
     NOT_DONE,
     /** The answer was lost or late; the call may have taken effect. */
-    OUTCOME_UNKNOWN
+    OUTCOME_UNKNOWN,
+    /** The changes asked for are no longer kept; the objects have to be listed again. */
+    HISTORY_GONE
   }
 
   private final Kind kind;
--- a/core/src/main/java/org/currantslip/core/request/AnswerHead.java
+++ b/core/src/main/java/org/currantslip/core/request/AnswerHead.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The fields that every answer carries.
@@ -22,6 +23,7 @@
  * @param sessionMoved whether the session had to leave its version
  * @param replayed whether this is the stored answer of an earlier request with the same key
  * @param detail explanation in words, or empty
+ * @param endpoint head of the endpoint's answer, if that is passed on unchanged
  */
 public record AnswerHead(
     String requestId,
@@ -38,4 +40,41 @@
     String sessionToken,
     boolean sessionMoved,
     boolean replayed,
-    String detail) {}
+    String detail,
+    @Nullable EndpointHead endpoint) {
+  /** Returns the head of an answer that is not passed on unchanged. */
+  public AnswerHead(
+      String requestId,
+      ResultCode code,
+      Ran ran,
+      int httpStatus,
+      String contentType,
+      boolean stream,
+      String model,
+      String version,
+      long configVersion,
+      List<Integer> ruleLines,
+      long retryAfterMs,
+      String sessionToken,
+      boolean sessionMoved,
+      boolean replayed,
+      String detail) {
+    this(
+        requestId,
+        code,
+        ran,
+        httpStatus,
+        contentType,
+        stream,
+        model,
+        version,
+        configVersion,
+        ruleLines,
+        retryAfterMs,
+        sessionToken,
+        sessionMoved,
+        replayed,
+        detail,
+        null);
+  }
+}
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.routing.CallResult;
-import org.currantslip.core.routing.EndpointChooser;
+import org.currantslip.core.routing.EndpointUse;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -16,6 +16,11 @@
 final class Attempt implements EndpointListener {
   /** What the request does with the call's events. */
   interface Owner {
+    /** Returns whether an answer with this head counts as a failure of the endpoint. */
+    default boolean isFault(Attempt attempt, EndpointHead head) {
+      return HttpStatus.isEndpointFault(head.status());
+    }
+
     /** Takes one unit of data; returns whether it was passed on, so that it need not be held. */
     boolean onData(Attempt attempt, ByteString data);
 
@@ -29,6 +34,7 @@
   /** How an attempt failed. */
   enum Fault {
     NOT_SENT,
+    NOT_RUN,
     BROKEN,
     SILENT,
     CROSSED,
@@ -37,11 +43,14 @@
     ERROR_STATUS
   }
 
+  /** Fewer events say little about the pace of a stream. */
+  private static final int MIN_PACE_EVENTS = 4;
+
   private final EndpointRecord endpoint;
   private final EndpointRequest request;
   private final EngineOptions options;
   private final Clock clock;
-  private final EndpointChooser chooser;
+  private final EndpointUse use;
   private final Owner owner;
   private final long startedMs;
   private final List<ByteString> held = new ArrayList<>();
@@ -49,8 +58,7 @@
   private long heldBytes;
   private long lastEventMs;
   private long firstByteMs = -1;
-  private int status;
-  private String contentType = "";
+  private EndpointHead head = EndpointHead.of(0, "", "");
   private boolean ended;
 
   private Attempt(
@@ -58,13 +66,13 @@
       EndpointRequest request,
       EngineOptions options,
       Clock clock,
-      EndpointChooser chooser,
+      EndpointUse use,
       Owner owner) {
     this.endpoint = endpoint;
     this.request = request;
     this.options = options;
     this.clock = clock;
-    this.chooser = chooser;
+    this.use = use;
     this.owner = owner;
     startedMs = clock.nowMs();
     lastEventMs = startedMs;
@@ -75,13 +83,13 @@
       EndpointRequest request,
       EngineOptions options,
       Clock clock,
-      EndpointChooser chooser,
+      EndpointUse use,
       Owner owner) {
-    return new Attempt(endpoint, request, options, clock, chooser, owner);
+    return new Attempt(endpoint, request, options, clock, use, owner);
   }
 
   void start(EndpointCalls calls, long expectedTokens) {
-    chooser.dispatched(endpoint.getId(), expectedTokens);
+    use.started(expectedTokens);
     EndpointCall started = calls.start(endpoint, request, this);
     if (ended) {
       started.cancel();
@@ -95,11 +103,15 @@
   }
 
   int status() {
-    return status;
+    return head.status();
   }
 
   String contentType() {
-    return contentType;
+    return head.contentType();
+  }
+
+  EndpointHead head() {
+    return head;
   }
 
   List<ByteString> held() {
@@ -115,6 +127,18 @@
     return firstByteMs >= 0;
   }
 
+  /** Returns the time since the start of the call. */
+  long ageMs() {
+    return clock.nowMs() - startedMs;
+  }
+
+  /** Returns the mean time between events of a stream, or -1 when it had too few. */
+  double eventPaceMs(int events) {
+    return events < MIN_PACE_EVENTS || !hasAnswered()
+        ? -1
+        : (double) (lastEventMs - startedMs - firstByteMs) / (events - 1);
+  }
+
   /** Returns whether the endpoint has been silent for too long. */
   boolean isSilent(long nowMs) {
     long bound = hasAnswered() ? options.betweenDataMs() : options.firstByteMs();
@@ -131,23 +155,26 @@
   /** Stops the call because nobody waits for its answer any more. */
   void cancel() {
     if (!ended) {
-      end(false, false);
+      finish(result(false, false, true));
     }
   }
 
   @Override
-  public void onHead(int status, String contentType, String correlation) {
+  public void onHead(EndpointHead head) {
     if (ended) {
       return;
     }
     lastEventMs = clock.nowMs();
-    firstByteMs = lastEventMs - startedMs;
-    this.status = status;
-    this.contentType = contentType;
-    if (!correlation.equals(request.correlation())) {
+    this.head = head;
+    if (!head.correlation().equals(request.correlation())) {
       fail(Fault.CROSSED);
-    } else if (HttpStatus.isEndpointFault(status)) {
+    } else if (head.notRun()) {
+      fail(Fault.NOT_RUN);
+    } else if (owner.isFault(this, head)) {
       fail(Fault.ERROR_STATUS);
+    } else {
+      firstByteMs = lastEventMs - startedMs;
+      use.answering(firstByteMs);
     }
   }
 
@@ -174,7 +201,7 @@
       return;
     }
     ended = true;
-    chooser.finished(endpoint.getId(), result(true, false));
+    use.finished(result(true, false, false));
     owner.onAnswer(this, usage);
   }
 
@@ -193,19 +220,19 @@
   }
 
   private void fail(Fault fault) {
-    end(false, fault == Fault.SILENT);
+    finish(result(false, fault == Fault.SILENT, fault == Fault.NOT_RUN));
     owner.onFault(this, fault);
   }
 
-  private void end(boolean ok, boolean silent) {
+  private void finish(CallResult result) {
     ended = true;
     if (call != null) {
       call.cancel();
     }
-    chooser.finished(endpoint.getId(), result(ok, silent));
+    use.finished(result);
   }
 
-  private CallResult result(boolean ok, boolean silent) {
-    return new CallResult(ok, silent, firstByteMs, clock.nowMs() - startedMs);
+  private CallResult result(boolean ok, boolean silent, boolean declined) {
+    return new CallResult(ok, silent, firstByteMs, clock.nowMs() - startedMs, declined);
   }
 }
--- a/core/src/main/java/org/currantslip/core/request/CallerAnswer.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerAnswer.java
@@ -6,6 +6,7 @@
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
+import org.jspecify.annotations.Nullable;
 
 /** The answer of one request: the fields gathered so far, and what the caller already has. */
 final class CallerAnswer {
@@ -23,6 +24,7 @@
   private boolean opened;
   private boolean closed;
   private int sentStatus;
+  private @Nullable EndpointHead endpoint;
 
   private CallerAnswer(RouterRequest request, CallerSink sink) {
     this.request = request;
@@ -81,13 +83,19 @@
     closed = true;
   }
 
+  /** Passes on the head of an endpoint's answer in place of one of this node's own. */
+  void passOn(EndpointHead head) {
+    endpoint = head;
+  }
+
   /** Sends one event of a stream, starting the stream if needed. */
   void stream(ByteString data) {
     if (closed) {
       return;
     }
     if (!opened) {
-      open(head(ResultCode.OK, Ran.YES, HttpStatus.OK, EVENT_STREAM, true, 0, false, ""));
+      int status = endpoint == null ? HttpStatus.OK : endpoint.status();
+      open(head(ResultCode.OK, Ran.YES, status, EVENT_STREAM, true, 0, false, ""));
     }
     sink.data(data);
   }
@@ -119,6 +127,9 @@
       return;
     }
     boolean midStream = opened;
+    if (!midStream) {
+      endpoint = null;
+    }
     AnswerHead head =
         head(
             e.code(),
@@ -166,6 +177,7 @@
         sessionToken,
         sessionMoved,
         replayed,
-        detail);
+        detail,
+        endpoint);
   }
 }
--- a/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointRequest.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.request;
 
 import com.google.protobuf.ByteString;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What is sent to an endpoint.
@@ -16,6 +17,8 @@
  * @param priority 0 (lowest) to 9
  * @param idempotencyKey idempotency key to pass on, or empty
  * @param freshConnection whether a pooled connection must not be used
+ * @param forwarded what passes a caller's request on unchanged; null for requests to this product's
+ *     own interface
  */
 public record EndpointRequest(
     String correlation,
@@ -28,4 +31,33 @@
     boolean stream,
     int priority,
     String idempotencyKey,
-    boolean freshConnection) {}
+    boolean freshConnection,
+    @Nullable ForwardedCall forwarded) {
+  /** Returns the call of a request to this product's own interface. */
+  public EndpointRequest(
+      String correlation,
+      String method,
+      String path,
+      String contentType,
+      ByteString body,
+      String model,
+      String version,
+      boolean stream,
+      int priority,
+      String idempotencyKey,
+      boolean freshConnection) {
+    this(
+        correlation,
+        method,
+        path,
+        contentType,
+        body,
+        model,
+        version,
+        stream,
+        priority,
+        idempotencyKey,
+        freshConnection,
+        null);
+  }
+}
--- a/core/src/main/java/org/currantslip/core/request/EngineOptions.java
+++ b/core/src/main/java/org/currantslip/core/request/EngineOptions.java
@@ -23,6 +23,12 @@
   private static final long SETTLE_MS = 1_000;
   private static final long LATE_ANSWER_MS = 30_000;
 
+  /** Returns options of one call with these silence bounds, which holds this much at most. */
+  static EngineOptions holding(long firstByteMs, long betweenDataMs, long maxHeldBytes) {
+    return new EngineOptions(
+        firstByteMs, betweenDataMs, SETTLE_MS, LATE_ANSWER_MS, MAX_ATTEMPTS, maxHeldBytes);
+  }
+
   /** Returns options with these silence bounds. */
   public static EngineOptions of(long firstByteMs, long betweenDataMs) {
     return new EngineOptions(
--- a/core/src/main/java/org/currantslip/core/request/Refusals.java
+++ b/core/src/main/java/org/currantslip/core/request/Refusals.java
@@ -45,7 +45,7 @@
   /** Returns the code that tells a caller of this fault. */
   static ResultCode codeOf(Attempt.Fault fault) {
     return switch (fault) {
-      case NOT_SENT, BROKEN, ERROR_STATUS -> ResultCode.ENDPOINT_FAILED;
+      case NOT_SENT, NOT_RUN, BROKEN, ERROR_STATUS -> ResultCode.ENDPOINT_FAILED;
       case SILENT -> ResultCode.ENDPOINT_SILENT;
       case CROSSED -> ResultCode.ANSWER_CROSSED;
       case TRUNCATED -> ResultCode.ANSWER_TRUNCATED;
--- a/core/src/main/java/org/currantslip/core/request/RouterRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/RouterRequest.java
@@ -26,6 +26,8 @@
  * @param promptTokens estimated prompt tokens
  * @param maxTokens most completion tokens asked for
  * @param prefixHash hash of the prompt's prefix, zero when there is none
+ * @param forwarded what passes unchanged to an endpoint of a route; null for requests to this
+ *     product's own interface
  */
 public record RouterRequest(
     String requestId,
@@ -46,7 +48,52 @@
     int priority,
     long promptTokens,
     long maxTokens,
-    long prefixHash) {
+    long prefixHash,
+    @Nullable ForwardedRequest forwarded) {
+  /** Returns a request to this product's own interface. */
+  public RouterRequest(
+      String requestId,
+      String account,
+      String task,
+      String model,
+      String service,
+      String method,
+      String path,
+      String contentType,
+      ByteString body,
+      boolean stream,
+      @Nullable LedgerKey key,
+      boolean firstAttempt,
+      String session,
+      String sessionToken,
+      long deadlineMs,
+      int priority,
+      long promptTokens,
+      long maxTokens,
+      long prefixHash) {
+    this(
+        requestId,
+        account,
+        task,
+        model,
+        service,
+        method,
+        path,
+        contentType,
+        body,
+        stream,
+        key,
+        firstAttempt,
+        session,
+        sessionToken,
+        deadlineMs,
+        priority,
+        promptTokens,
+        maxTokens,
+        prefixHash,
+        null);
+  }
+
   /** Returns whether this is a call to a plain service. */
   public boolean isService() {
     return !service.isEmpty();
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -21,6 +21,24 @@
   /** Counts the end of a dispatch. */
   void finished(String endpointId, CallResult result);
 
+  /** Returns the count of one request at an endpoint that was chosen for it. */
+  default EndpointUse use(String endpointId, RouteQuery query) {
+    return new EndpointUse() {
+      @Override
+      public void started(long expectedTokens) {
+        dispatched(endpointId, expectedTokens);
+      }
+
+      @Override
+      public void answering(long firstByteMs) {}
+
+      @Override
+      public void finished(CallResult result) {
+        EndpointChooser.this.finished(endpointId, result);
+      }
+    };
+  }
+
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -16,6 +16,12 @@
   private static final long FIRST_EJECTION_MS = 1000;
   private static final long LAST_EJECTION_MS = 30_000;
 
+  /** Half-life of the share of failures, so that an avoided endpoint is tried again. */
+  private static final double FAULT_HALF_TIME_MS = 4_000;
+
+  /** Weight of one outcome in the share of failures. */
+  private static final double FAULT_SMOOTHING = 0.15;
+
   private EndpointRecord rec;
   private @Nullable EndpointLoad load;
   private final int[] changes = new int[SLICES];
@@ -27,6 +33,10 @@
   private long ejectionMs = FIRST_EJECTION_MS;
   private long ejectedUntilMs;
   private boolean probing;
+  private final PartCache parts = PartCache.create();
+  private long pendingTokens;
+  private double faultShare;
+  private long faultAtMs;
 
   EndpointState(EndpointRecord rec) {
     this.rec = rec;
@@ -73,6 +83,12 @@
     inFlight = Math.max(0, inFlight - 1);
     probing = false;
     count(nowMs, -1);
+    if (result.declined()) {
+      return;
+    }
+    faultShare = faultShare(nowMs);
+    faultShare += FAULT_SMOOTHING * ((result.ok() ? 0 : 1) - faultShare);
+    faultAtMs = nowMs;
     if (result.ok()) {
       serviceMs += SMOOTHING * (result.totalMs() - serviceMs);
       failures = 0;
@@ -113,6 +129,31 @@
     return queue + serviceMs * occupancy(nowMs) / slots / 100;
   }
 
+  /** Returns the share of recent requests that failed here; it fades with time. */
+  double faultShare(long nowMs) {
+    return faultShare * Math.pow(0.5, (nowMs - faultAtMs) / FAULT_HALF_TIME_MS);
+  }
+
+  /** Returns the parts of prompts that this endpoint is believed to keep. */
+  PartCache parts() {
+    return parts;
+  }
+
+  /** Counts tokens that this node's requests have yet to have read here. */
+  void addPending(long tokens) {
+    pendingTokens = Math.max(0, pendingTokens + tokens);
+  }
+
+  /** Returns the tokens that this node's requests have yet to have read here. */
+  long pendingTokens() {
+    return pendingTokens;
+  }
+
+  /** Returns how many more requests find a place at once. */
+  int freePlaces(long nowMs) {
+    return (int) Math.max(0, rec.getSlots() - Math.ceil(occupancy(nowMs)));
+  }
+
   boolean holdsPrefix(long hash) {
     int set = set(hash);
     for (int i = 0; i < PREFIX_WAYS; i++) {
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -1,20 +1,41 @@
 package org.currantslip.core.routing;
 
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
-/** Takes the shortest expected wait of two endpoints by prompt prefix and two at random. */
+/**
+ * Takes the endpoint with the shortest expected time to the first token.
+ *
+ * <p>That time is the wait for a slot, plus the reading of what this node's earlier requests have
+ * yet to have read there, plus the reading of the parts of the prompt that the endpoint does not
+ * keep. Small pools are compared whole. In large ones two endpoints by prompt prefix and two at
+ * random are compared, so that a decision costs the same at any size; all nodes find the same two,
+ * so that a shared part is read by few endpoints.
+ */
 public final class ExpectedWaitChooser implements EndpointChooser {
+  private static final HashFunction AFFINITY = Hashing.murmur3_128();
   private static final int BY_PREFIX = 2;
   private static final int AT_RANDOM = 2;
   private static final int MAX_TRIES = 16;
+
+  /** Pools up to this size are compared whole; as much work as the tries in a large one. */
+  private static final int SMALL_POOL = 16;
+
+  /** Time that a failed request costs its caller: about one objective. */
+  private static final double FAULT_COST_MS = 2_000;
+
   private static final double PREFILL_MS_PER_TOKEN = 0.25;
   private static final double OTHER_DOMAIN_MS = 1;
 
@@ -24,6 +45,7 @@
   private final String selfFailureDomain;
   private final SplittableRandom random;
   private final Map<String, EndpointState> states = new HashMap<>();
+  private final Map<PoolKey, PrefillRate> rates = new HashMap<>();
   private Map<PoolKey, EndpointPool> pools = Map.of();
 
   private ExpectedWaitChooser(Clock clock, String selfFailureDomain, long seed) {
@@ -42,11 +64,17 @@
     Map<PoolKey, List<EndpointState>> members = new HashMap<>();
     Map<String, EndpointState> kept = new HashMap<>();
     for (EndpointRecord rec : endpoints) {
-      EndpointState state = states.getOrDefault(rec.getId(), new EndpointState(rec));
+      EndpointState known = states.get(rec.getId());
+      boolean same = known != null && known.rec().getStartedMs() == rec.getStartedMs();
+      EndpointState state = same && known != null ? known : new EndpointState(rec);
       state.setRec(rec);
       kept.put(rec.getId(), state);
       PoolKey key = new PoolKey(rec.getModel(), rec.getVersion(), rec.getService());
       members.computeIfAbsent(key, k -> new ArrayList<>()).add(state);
+      if (!rec.getService().isEmpty() && !rec.getVersion().isEmpty()) {
+        PoolKey any = new PoolKey(rec.getModel(), "", rec.getService());
+        members.computeIfAbsent(any, k -> new ArrayList<>()).add(state);
+      }
     }
     states.clear();
     states.putAll(kept);
@@ -81,20 +109,23 @@
 
   private @Nullable EndpointState best(EndpointPool pool, RouteQuery query) {
     long now = clock.nowMs();
+    long hash = affinity(query);
+    int place = hash == 0 ? 0 : pool.place(hash);
+    EndpointState home = hash == 0 ? null : pool.owner(place);
+    PrefillRate rate = rate(query);
     EndpointState best = null;
     double least = Double.POSITIVE_INFINITY;
     int found = 0;
-    int wanted = query.prefixHash() == 0 ? AT_RANDOM : BY_PREFIX + AT_RANDOM;
-    int place = query.prefixHash() == 0 ? 0 : pool.place(query.prefixHash());
-    for (int i = 0; i < MAX_TRIES && found < wanted; i++) {
-      boolean byPrefix = query.prefixHash() != 0 && i < BY_PREFIX;
-      EndpointState state =
-          byPrefix ? pool.owner(place + i) : pool.member(random.nextInt(pool.size()));
+    boolean small = pool.size() <= SMALL_POOL && !query.prompt().isEmpty() || isPlain(pool, query);
+    int wanted = small ? pool.size() : hash == 0 ? AT_RANDOM : BY_PREFIX + AT_RANDOM;
+    int start = random.nextInt(pool.size());
+    for (int i = 0; i < (small ? pool.size() : MAX_TRIES) && found < wanted; i++) {
+      EndpointState state = candidate(pool, i, small ? start : -1, hash, place);
       if (!state.usable(now) || query.excluded().contains(state.rec().getId())) {
         continue;
       }
       found++;
-      double cost = cost(state, query, now);
+      double cost = cost(state, query, state == home, rate, now);
       if (cost < least) {
         least = cost;
         best = state;
@@ -103,13 +134,122 @@
     return best;
   }
 
-  private double cost(EndpointState state, RouteQuery query, long now) {
-    double prefill =
-        query.prefixHash() != 0 && state.holdsPrefix(query.prefixHash())
-            ? 0
-            : query.promptTokens() * PREFILL_MS_PER_TOKEN;
+  private static boolean isPlain(EndpointPool pool, RouteQuery query) {
+    return pool.size() <= SMALL_POOL && !query.service().isEmpty();
+  }
+
+  private EndpointState candidate(EndpointPool pool, int i, int start, long hash, int place) {
+    if (start >= 0) {
+      return pool.member((start + i) % pool.size());
+    }
+    boolean byPrefix = hash != 0 && i < BY_PREFIX;
+    return byPrefix ? pool.owner(place + i) : pool.member(random.nextInt(pool.size()));
+  }
+
+  /** Returns the hash by which nodes agree on the endpoints of a shared prompt part. */
+  private static long affinity(RouteQuery query) {
+    List<PromptPart> parts = query.prompt();
+    if (parts.isEmpty()) {
+      return query.prefixHash();
+    }
+    // The last part is the request's own; the one before it is the longest shared chain.
+    PromptPart shared = parts.get(Math.max(0, parts.size() - 2));
+    long hash = AFFINITY.hashString(shared.id(), StandardCharsets.UTF_8).asLong();
+    return hash == 0 ? 1 : hash;
+  }
+
+  private PrefillRate rate(RouteQuery query) {
+    return rates.computeIfAbsent(
+        new PoolKey(query.model(), "", query.service()), k -> PrefillRate.create());
+  }
+
+  private double cost(
+      EndpointState state, RouteQuery query, boolean home, PrefillRate rate, long now) {
+    double perToken = query.prompt().isEmpty() ? PREFILL_MS_PER_TOKEN : rate.msPerToken();
     boolean near = state.rec().getFailureDomain().equals(selfFailureDomain);
-    return state.waitMs(now) + prefill + (near ? 0 : OTHER_DOMAIN_MS);
+    return state.waitMs(now)
+        + (state.pendingTokens() + missingTokens(state, query, home)) * perToken
+        + state.faultShare(now) * FAULT_COST_MS
+        + (near ? 0 : OTHER_DOMAIN_MS);
+  }
+
+  /** Returns the tokens of a prompt that an endpoint has yet to read. */
+  private static long missingTokens(EndpointState state, RouteQuery query, boolean home) {
+    List<PromptPart> parts = query.prompt();
+    if (parts.isEmpty()) {
+      boolean held = query.prefixHash() != 0 && state.holdsPrefix(query.prefixHash());
+      return held ? 0 : query.promptTokens();
+    }
+    long own = parts.get(parts.size() - 1).tokens();
+    // Other nodes send the shared parts to their home too, which this node does not see.
+    long missing = state.parts().missing(parts);
+    return home ? Math.min(missing, own) : missing;
+  }
+
+  @Override
+  public EndpointUse use(String endpointId, RouteQuery query) {
+    EndpointState state = states.get(endpointId);
+    if (state == null || query.prompt().isEmpty()) {
+      return EndpointChooser.super.use(endpointId, query);
+    }
+    return new PromptUse(state, query, rate(query));
+  }
+
+  /** Counts a prompt against the endpoint that reads it. */
+  private final class PromptUse implements EndpointUse {
+    private final EndpointState state;
+    private final RouteQuery query;
+    private final PrefillRate rate;
+    private final long missing;
+    private final long ahead;
+    private boolean reading;
+
+    private PromptUse(EndpointState state, RouteQuery query, PrefillRate rate) {
+      this.state = state;
+      this.query = query;
+      this.rate = rate;
+      missing = state.parts().missing(query.prompt());
+      ahead = state.pendingTokens();
+    }
+
+    @Override
+    public void started(long expectedTokens) {
+      state.dispatched(clock.nowMs());
+      state.addPending(missing);
+      state.parts().hold(query.prompt());
+      reading = true;
+    }
+
+    @Override
+    public void answering(long firstByteMs) {
+      if (reading) {
+        reading = false;
+        state.addPending(-missing);
+        rate.observe(missing + ahead, firstByteMs);
+      }
+    }
+
+    @Override
+    public void finished(CallResult result) {
+      if (reading) {
+        reading = false;
+        state.addPending(-missing);
+      }
+      state.finished(clock.nowMs(), result);
+    }
+  }
+
+  /** Returns how many requests of a service find a place at once. */
+  public int freePlaces(String service) {
+    long now = clock.nowMs();
+    EndpointPool pool = pools.get(new PoolKey("", "", service));
+    return pool == null
+        ? 0
+        : IntStream.range(0, pool.size())
+            .mapToObj(pool::member)
+            .filter(s -> s.usable(now))
+            .mapToInt(s -> s.freePlaces(now))
+            .sum();
   }
 
   @Override
--- a/core/src/main/java/org/currantslip/core/routing/RouteQuery.java
+++ b/core/src/main/java/org/currantslip/core/routing/RouteQuery.java
@@ -1,6 +1,8 @@
 package org.currantslip.core.routing;
 
+import java.util.List;
 import java.util.Set;
+import org.currantslip.core.route.PromptPart;
 
 /**
  * What an endpoint is chosen for.
@@ -11,6 +13,7 @@
  * @param prefixHash hash of the prompt's prefix, zero when there is none
  * @param promptTokens estimated prompt tokens
  * @param excluded endpoints already tried
+ * @param prompt parts of the prompt in order, empty when they are not known
  */
 public record RouteQuery(
     String model,
@@ -18,4 +21,23 @@
     String service,
     long prefixHash,
     long promptTokens,
-    Set<String> excluded) {}
+    Set<String> excluded,
+    List<PromptPart> prompt) {
+  /** Returns a query for a prompt of which only the prefix's hash is known. */
+  public RouteQuery(
+      String model,
+      String version,
+      String service,
+      long prefixHash,
+      long promptTokens,
+      Set<String> excluded) {
+    this(model, version, service, prefixHash, promptTokens, excluded, List.of());
+  }
+
+  /** Returns a query for an endpoint of a service; an empty version stands for any. */
+  public static RouteQuery ofService(
+      String service, String version, List<PromptPart> prompt, Set<String> excluded) {
+    long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum();
+    return new RouteQuery("", version, service, 0, tokens, excluded, prompt);
+  }
+}
--- a/core/src/test/java/org/currantslip/core/fleet/FleetEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/FleetEndpoints.java
@@ -10,6 +10,7 @@
 import org.currantslip.core.fake.FakeEvents;
 import org.currantslip.core.request.CallFailure;
 import org.currantslip.core.request.EndpointCall;
+import org.currantslip.core.request.EndpointHead;
 import org.currantslip.core.request.EndpointListener;
 import org.currantslip.core.request.EndpointRequest;
 import org.currantslip.core.request.EndpointUsage;
@@ -94,9 +95,12 @@
       switch (fault) {
         case BROKEN_AFTER_RUN -> fail(CallFailure.BROKEN);
         case SILENT -> {}
-        case CROSSED -> deliver(() -> listener.onHead(200, "application/json", "other"));
+        case CROSSED ->
+            deliver(() -> listener.onHead(EndpointHead.of(200, "application/json", "other")));
         case TRUNCATED -> {
-          deliver(() -> listener.onHead(200, "application/json", request.correlation()));
+          deliver(
+              () ->
+                  listener.onHead(EndpointHead.of(200, "application/json", request.correlation())));
           fail(CallFailure.TRUNCATED);
         }
         case LATE -> events.after(LATE_MS, this::answer);
@@ -108,7 +112,7 @@
       answered = true;
       deliver(
           () -> {
-            listener.onHead(200, "application/json", request.correlation());
+            listener.onHead(EndpointHead.of(200, "application/json", request.correlation()));
             listener.onData(ByteString.copyFromUtf8(answerTo(request)));
             listener.onEnd(new EndpointUsage(10, 20, OptionalDouble.of(0.9)));
           });
--- a/core/src/test/java/org/currantslip/core/request/FakeCalls.java
+++ b/core/src/test/java/org/currantslip/core/request/FakeCalls.java
@@ -11,7 +11,7 @@
   /** One call as the endpoint sees it. */
   record Call(EndpointRecord endpoint, EndpointRequest request, EndpointListener listener) {
     void head(int status) {
-      listener.onHead(status, "application/json", request.correlation());
+      listener.onHead(EndpointHead.of(status, "application/json", request.correlation()));
     }
 
     void data(String text) {
--- a/core/src/test/java/org/currantslip/core/request/RequestEngineTest.java
+++ b/core/src/test/java/org/currantslip/core/request/RequestEngineTest.java
@@ -111,7 +111,8 @@
           c.data("half");
           c.listener().onFailure(CallFailure.TRUNCATED, "short");
         };
-    Consumer<FakeCalls.Call> crossed = c -> c.listener().onHead(200, "application/json", "other");
+    Consumer<FakeCalls.Call> crossed =
+        c -> c.listener().onHead(EndpointHead.of(200, "application/json", "other"));
     Consumer<FakeCalls.Call> error = c -> c.head(503);
     return Stream.of(
         Arguments.of("not sent", notSent, ResultCode.ENDPOINT_FAILED, Ran.NO, false),
--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -10,13 +10,16 @@
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.MutuallyExclusiveGroup;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.currantslip.adapter.settings.SettingsException;
+import org.currantslip.adapter.settings.SettingsLoader;
+import org.currantslip.adapter.settings.SettingsProblem;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.node.edge.EdgeProcess;
 import org.currantslip.node.log.LogSetup;
 import org.currantslip.node.peer.PeerTls;
 import org.currantslip.node.wiring.RunningNode;
-import org.currantslip.platform.settings.SettingsException;
-import org.currantslip.platform.settings.SettingsLoader;
-import org.currantslip.platform.settings.SettingsProblem;
 import org.currantslip.schema.NodeSettings;
 
 /** The router process: {@code currantslipd --settings FILE}. */
@@ -39,23 +42,45 @@
   static int run(String[] args, PrintStream err) {
     ArgumentParser parser =
         ArgumentParsers.newFor("currantslipd").build().description("Runs one node of the router.");
-    parser.addArgument("--settings").required(true).metavar("FILE").help("settings in TOML");
-    Path file;
+    MutuallyExclusiveGroup source = parser.addMutuallyExclusiveGroup().required(true);
+    source.addArgument("--settings").metavar("FILE").help("settings in TOML");
+    source
+        .addArgument("--edge-settings-from")
+        .metavar("VARIABLE")
+        .help("environment variable that names the TOML file of an edge node");
+    Namespace parsed;
     try {
-      file = Path.of(parser.parseArgs(args).getString("settings"));
+      parsed = parser.parseArgs(args);
     } catch (HelpScreenException e) {
       return EXIT_OK;
     } catch (ArgumentParserException e) {
       parser.handleError(e);
       return EXIT_USAGE;
     }
-    Optional<NodeSettings> settings = load(file, err);
-    return settings.map(s -> serve(s, err)).orElse(EXIT_SETTINGS);
+    String variable = parsed.getString("edge_settings_from");
+    if (variable != null) {
+      String file = System.getenv(variable);
+      if (file == null) {
+        err.println(ResultCode.FILE_UNREADABLE.number() + " " + variable + " is not set");
+        return EXIT_SETTINGS;
+      }
+      return load(Path.of(file), SettingsLoader::loadEdge, err)
+          .map(s -> EdgeProcess.run(Path.of(file), s, err))
+          .orElse(EXIT_SETTINGS);
+    }
+    return load(Path.of(parsed.getString("settings")), SettingsLoader::loadNode, err)
+        .map(s -> serve(s, err))
+        .orElse(EXIT_SETTINGS);
+  }
+
+  /** Reads settings of one form. */
+  private interface Reader<T> {
+    T read(String toml) throws SettingsException;
   }
 
-  private static Optional<NodeSettings> load(Path file, PrintStream err) {
+  private static <T> Optional<T> load(Path file, Reader<T> reader, PrintStream err) {
     try {
-      return Optional.of(SettingsLoader.loadNode(Files.readString(file)));
+      return Optional.of(reader.read(Files.readString(file)));
     } catch (IOException e) {
       err.println(ResultCode.FILE_UNREADABLE.number() + " cannot read " + file);
     } catch (SettingsException e) {
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -1,9 +1,13 @@
 package org.currantslip.node.caller;
 
+import java.util.Optional;
 import java.util.function.Supplier;
+import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.core.common.Clock;
 import org.currantslip.node.duty.DecisionThread;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.ConnectionLimit;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -15,6 +19,9 @@
   private static final int MIN_THREADS = 4;
   private static final int MAX_THREADS = 16;
 
+  /** A burst of new connections waits here; the system drops what is beyond it. */
+  private static final int ACCEPT_QUEUE = 512;
+
   private final Server server;
   private final ServerConnector connector;
   private final CallerHandler handler;
@@ -25,7 +32,7 @@
     this.handler = handler;
   }
 
-  /** Returns a server that is not started yet. */
+  /** Returns a server of this product's own interface that is not started yet. */
   public static FrontDoor create(
       CallerOptions options,
       AccountTokens tokens,
@@ -34,17 +41,63 @@
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> view) {
+    return create(
+        options,
+        OwnProtocol.create(options, tokens, clock),
+        UriCompliance.DEFAULT,
+        Optional.of(EntryHandler.create(view, options.entryTtlMs())),
+        clock,
+        decisions,
+        requests,
+        requestIds,
+        view);
+  }
+
+  /** Returns a server that takes any path and passes requests on unchanged, not started yet. */
+  public static FrontDoor forwarding(
+      CallerOptions options,
+      CallerProtocol protocol,
+      Clock clock,
+      DecisionThread decisions,
+      CallerRequests requests,
+      Supplier<String> requestIds,
+      Supplier<EntryView> view) {
+    return create(
+        options,
+        protocol,
+        UriCompliance.UNSAFE,
+        Optional.empty(),
+        clock,
+        decisions,
+        requests,
+        requestIds,
+        view);
+  }
+
+  private static FrontDoor create(
+      CallerOptions options,
+      CallerProtocol protocol,
+      UriCompliance paths,
+      Optional<Handler> first,
+      Clock clock,
+      DecisionThread decisions,
+      CallerRequests requests,
+      Supplier<String> requestIds,
+      Supplier<EntryView> view) {
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("caller");
     Server server = new Server(threads);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    http.setUriCompliance(paths);
     http.setRequestHeaderSize(options.maxHeaderBytes());
     http.setIdleTimeout(options.idleMs());
     ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
     connector.setHost(options.host());
     connector.setPort(options.port());
     connector.setIdleTimeout(options.idleMs());
+    connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
     server.addBean(new ConnectionLimit(options.maxConnections(), connector));
     SlowCallerGuard guard =
@@ -52,12 +105,18 @@
             connector.getScheduler(), clock, options.headerMs(), options.bodyMs());
     connector.addBean(guard);
     CallerHandler handler =
-        CallerHandler.create(options, tokens, clock, guard, decisions, requests, requestIds, view);
-    server.setHandler(handler);
-    server.setErrorHandler(NumberedErrors.create(requestIds));
+        CallerHandler.create(
+            options, protocol, clock, guard, decisions, requests, requestIds, view);
+    server.setHandler(first.<Handler>map(f -> new Handler.Sequence(f, handler)).orElse(handler));
+    server.setErrorHandler(NumberedErrors.create(protocol, requestIds));
     return new FrontDoor(server, connector, handler);
   }
 
+  /** Sets the time without a byte after which a new connection is closed. */
+  public void setIdleTimeout(long idleMs) {
+    connector.setIdleTimeout(idleMs);
+  }
+
   /** Opens the port. */
   public void start() throws Exception {
     server.start();
--- a/node/src/main/java/org/currantslip/node/caller/NumberedErrors.java
+++ b/node/src/main/java/org/currantslip/node/caller/NumberedErrors.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.function.Supplier;
+import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.AnswerHead;
 import org.eclipse.jetty.http.HttpStatus;
@@ -13,14 +14,16 @@
 
 /** Gives the server's own errors, such as a header that is too large, a result code. */
 final class NumberedErrors extends ErrorHandler {
+  private final CallerProtocol protocol;
   private final Supplier<String> requestIds;
 
-  private NumberedErrors(Supplier<String> requestIds) {
+  private NumberedErrors(CallerProtocol protocol, Supplier<String> requestIds) {
+    this.protocol = protocol;
     this.requestIds = requestIds;
   }
 
-  static NumberedErrors create(Supplier<String> requestIds) {
-    return new NumberedErrors(requestIds);
+  static NumberedErrors create(CallerProtocol protocol, Supplier<String> requestIds) {
+    return new NumberedErrors(protocol, requestIds);
   }
 
   @Override
@@ -30,7 +33,7 @@
         new AnswerHead(
             requestIds.get(),
             code,
-            RequestParser.ranWhenRefused(request.getHeaders()),
+            protocol.ranWhenRefused(request.getHeaders()),
             code.httpStatus(),
             "application/json",
             false,
@@ -43,7 +46,7 @@
             false,
             false,
             HttpStatus.getMessage(response.getStatus()));
-    ResponseSink.create(response, callback, Long.MAX_VALUE, () -> {}).finish(head);
+    ResponseSink.create(protocol, response, callback, Long.MAX_VALUE, () -> {}).finish(head);
     return true;
   }
 
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -1,35 +1,29 @@
 package org.currantslip.node.caller;
 
-import com.google.common.base.Joiner;
-import com.google.common.math.LongMath;
 import com.google.protobuf.ByteString;
-import java.math.RoundingMode;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.AnswerHead;
 import org.currantslip.core.request.CallerSink;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Writes one answer to a caller, as server-sent events or as a whole body.
+ * Writes one answer to a caller, as a stream or as a whole body.
  *
  * <p>What the caller has not read yet waits here, up to a bound; a caller that falls further behind
  * is cut off.
  */
 final class ResponseSink implements CallerSink {
-  private static final long MS_PER_S = 1_000;
-  private static final byte[] EVENT_END = {'\n', '\n'};
   private static final byte[] NOTHING = {};
 
   private record Unit(ByteBuffer bytes, boolean last) {}
 
+  private final CallerProtocol protocol;
   private final Response response;
   private final Callback callback;
   private final Runnable onLost;
@@ -40,11 +34,17 @@
   private boolean lost;
   private boolean finished;
   private boolean streaming;
+  private boolean breaking;
   private ByteString body = ByteString.EMPTY;
   private @Nullable HangUpWatch watch;
 
   private ResponseSink(
-      Response response, Callback callback, long maxPendingBytes, Runnable onLost) {
+      CallerProtocol protocol,
+      Response response,
+      Callback callback,
+      long maxPendingBytes,
+      Runnable onLost) {
+    this.protocol = protocol;
     this.response = response;
     this.callback = callback;
     this.maxPendingBytes = maxPendingBytes;
@@ -53,16 +53,19 @@
 
   /** Returns a sink; {@code onLost} runs once when the caller can no longer be reached. */
   static ResponseSink create(
-      Response response, Callback callback, long maxPendingBytes, Runnable onLost) {
-    return new ResponseSink(response, callback, maxPendingBytes, onLost);
+      CallerProtocol protocol,
+      Response response,
+      Callback callback,
+      long maxPendingBytes,
+      Runnable onLost) {
+    return new ResponseSink(protocol, response, callback, maxPendingBytes, onLost);
   }
 
   @Override
   public synchronized void head(AnswerHead head) {
     streaming = head.stream();
     if (streaming) {
-      start(head, "text/event-stream");
-      response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+      start(head);
       add(NOTHING, false);
     }
   }
@@ -70,7 +73,7 @@
   @Override
   public synchronized void data(ByteString data) {
     if (streaming) {
-      add(event("", data), false);
+      add(protocol.event(data).toByteArray(), false);
     } else {
       body = body.concat(data);
     }
@@ -83,19 +86,32 @@
     }
     finished = true;
     if (streaming) {
-      byte[] last = event("currantslip", ByteString.copyFrom(AnswerJson.streamEnd(end)));
-      byte[] done = end.code() == ResultCode.OK ? event("", "[DONE]") : NOTHING;
-      add(ByteString.copyFrom(last).concat(ByteString.copyFrom(done)).toByteArray(), true);
+      protocol
+          .streamEnd(end)
+          .ifPresentOrElse(bytes -> add(bytes.toByteArray(), true), this::breakOff);
     } else if (body.isEmpty() && end.code() != ResultCode.OK) {
-      start(end, "application/json");
-      add(AnswerJson.refusal(end), true);
+      start(end);
+      add(protocol.refusal(end).toByteArray(), true);
     } else {
-      start(end, end.contentType());
+      start(end);
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.size());
       add(body.toByteArray(), true);
     }
   }
 
+  /** Closes the connection after what waits was written, without the end of the answer. */
+  private void breakOff() {
+    breaking = true;
+    if (!writing && pending.isEmpty()) {
+      abort();
+    }
+  }
+
+  private void abort() {
+    response.getRequest().getConnectionMetaData().getConnection().getEndPoint().close();
+    callback.failed(new IllegalStateException("the answer is broken off"));
+  }
+
   /** Sets the watch that has to end before the answer does. */
   synchronized void watch(HangUpWatch started) {
     watch = started;
@@ -122,51 +138,9 @@
     onLost.run();
   }
 
-  private void start(AnswerHead head, String contentType) {
+  private void start(AnswerHead head) {
     response.setStatus(head.httpStatus());
-    HttpFields.Mutable fields = response.getHeaders();
-    if (!contentType.isEmpty()) {
-      fields.put(HttpHeader.CONTENT_TYPE, contentType);
-    }
-    fields.put(RequestHeaders.REQUEST_ID, head.requestId());
-    fields.put(RequestHeaders.CODE, String.valueOf(head.code().number()));
-    fields.put(RequestHeaders.RAN, head.ran().text());
-    fields.put(RequestHeaders.CONFIG_VERSION, String.valueOf(head.configVersion()));
-    fields.put(RequestHeaders.RULE_LINES, Joiner.on(',').join(head.ruleLines()));
-    putIfSet(fields, RequestHeaders.MODEL, head.model());
-    putIfSet(fields, RequestHeaders.VERSION, head.version());
-    putIfSet(fields, RequestHeaders.SESSION_TOKEN, head.sessionToken());
-    putIfSet(fields, RequestHeaders.SESSION_MOVED, head.sessionMoved() ? "true" : "");
-    putIfSet(fields, RequestHeaders.REPLAYED, head.replayed() ? "true" : "");
-    if (head.httpStatus() == HttpStatus.UNAUTHORIZED_401) {
-      fields.put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
-    }
-    if (head.retryAfterMs() > 0) {
-      long seconds = LongMath.divide(head.retryAfterMs(), MS_PER_S, RoundingMode.CEILING);
-      fields.put(HttpHeader.RETRY_AFTER, String.valueOf(seconds));
-      fields.put(RequestHeaders.RETRY_AFTER_MS, String.valueOf(head.retryAfterMs()));
-    }
-  }
-
-  private static void putIfSet(HttpFields.Mutable fields, String name, String value) {
-    if (!value.isEmpty()) {
-      fields.put(name, value);
-    }
-  }
-
-  private static byte[] event(String name, String payload) {
-    return event(name, ByteString.copyFromUtf8(payload));
-  }
-
-  private static byte[] event(String name, ByteString payload) {
-    String prefix = name.isEmpty() ? "" : "event: " + name + "\n";
-    String text = payload.toStringUtf8();
-    String data = "data: " + text.replace("\n", "\ndata: ");
-    byte[] head = (prefix + data).getBytes(StandardCharsets.UTF_8);
-    byte[] whole = new byte[head.length + EVENT_END.length];
-    System.arraycopy(head, 0, whole, 0, head.length);
-    System.arraycopy(EVENT_END, 0, whole, head.length, EVENT_END.length);
-    return whole;
+    protocol.writeHead(head, response.getHeaders());
   }
 
   private void add(byte[] bytes, boolean last) {
@@ -218,6 +192,9 @@
       writing = false;
       pendingBytes -= size;
       writeNext();
+      if (breaking && !writing) {
+        abort();
+      }
     }
     if (last) {
       callback.succeeded();
--- a/node/src/main/java/org/currantslip/node/log/LogSetup.java
+++ b/node/src/main/java/org/currantslip/node/log/LogSetup.java
@@ -26,7 +26,7 @@
 
   private LogSetup() {}
 
-  /** Applies the settings; the log goes to the standard error stream. */
+  /** Applies the settings; the log goes to the standard output. */
   public static void apply(LogSettings settings) {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.reset();
@@ -36,7 +36,7 @@
     encoder.start();
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
     appender.setContext(context);
-    appender.setTarget("System.err");
+    appender.setTarget("System.out");
     appender.setEncoder(encoder);
     appender.start();
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/node/src/main/java/org/currantslip/node/poll/LoadPoll.java
+++ b/node/src/main/java/org/currantslip/node/poll/LoadPoll.java
@@ -5,11 +5,11 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.currantslip.adapter.endpoint.LoadReportSource;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
 import org.currantslip.core.routing.EndpointChooser;
 import org.currantslip.core.routing.EndpointLoad;
-import org.currantslip.platform.endpoint.LoadReportSource;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.NodeRecord;
 
--- a/node/src/main/java/org/currantslip/node/poll/RatingPoll.java
+++ b/node/src/main/java/org/currantslip/node/poll/RatingPoll.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.currantslip.adapter.rating.Rating;
+import org.currantslip.adapter.rating.RatingSource;
 import org.currantslip.core.audit.DecisionLog;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.HeartbeatMembership;
 import org.currantslip.core.port.PeerNetwork;
 import org.currantslip.core.request.RequestIds;
-import org.currantslip.platform.rating.Rating;
-import org.currantslip.platform.rating.RatingSource;
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
--- a/node/src/main/java/org/currantslip/node/poll/VmListPoll.java
+++ b/node/src/main/java/org/currantslip/node/poll/VmListPoll.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.currantslip.adapter.vmlist.VmListSource;
 import org.currantslip.core.common.Clock;
-import org.currantslip.platform.vmlist.VmListSource;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.VmList;
 
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -44,7 +44,7 @@
   private static final long FLUSH_MS = 10_000;
   private static final long MARK_MS = 3_000;
 
-  private final Clock clock = WallClock.create();
+  private final Clock clock = SteadyClock.create();
   private final NodeMetrics metrics = NodeMetrics.create();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final DecisionThread decisions;
--- a/standin/src/main/java/org/currantslip/standin/caller/CallerClient.java
+++ b/standin/src/main/java/org/currantslip/standin/caller/CallerClient.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.currantslip.platform.http.HttpClients;
+import org.currantslip.adapter.http.HttpClients;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
--- a/standin/src/test/java/org/currantslip/standin/contract/Bench.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/Bench.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import org.currantslip.platform.http.HttpClients;
+import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.standin.caller.CallerAnswer;
 import org.currantslip.standin.caller.CallerCall;
--- a/standin/src/test/java/org/currantslip/standin/contract/RecordedEvents.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/RecordedEvents.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.currantslip.core.request.CallFailure;
+import org.currantslip.core.request.EndpointHead;
 import org.currantslip.core.request.EndpointListener;
 import org.currantslip.core.request.EndpointUsage;
 
@@ -21,10 +22,10 @@
   int ends;
 
   @Override
-  public void onHead(int status, String contentType, String correlation) {
-    this.status = status;
-    this.contentType = contentType;
-    this.correlation = correlation;
+  public void onHead(EndpointHead head) {
+    status = head.status();
+    contentType = head.contentType();
+    correlation = head.correlation();
     heads++;
   }
 
