--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.cascade.SizeCascade;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
@@ -67,6 +68,8 @@
   private String model = "";
   private int size;
   private boolean larger;
+  private int nextSize;
+  private SizeCascade.@Nullable Answer previous;
   private boolean expired;
   private boolean gone;
   private int sends;
@@ -166,7 +169,7 @@
     enter(Stage.CHOOSING);
     String key = request.session().isEmpty() ? request.requestId() : request.session();
     for (String version : ports.rollouts().versions(service, key)) {
-      RouteQuery query = RouteQuery.ofService(service, version, forwarded.prompt(), tried);
+      RouteQuery query = query(version);
       Optional<EndpointRecord> endpoint = ports.chooser().choose(query);
       if (endpoint.isPresent()) {
         dispatch(endpoint.get(), query);
@@ -176,11 +179,20 @@
     refuse(notServed(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable"));
   }
 
+  private RouteQuery query(String version) {
+    return RouteQuery.ofService(service, version, modelOf(size), forwarded.prompt(), tried);
+  }
+
+  /** Returns the model of a size, or an empty name where the caller names the model. */
+  private String modelOf(int wanted) {
+    return route().modelSizes().isEmpty() ? "" : route().modelSizes().get(wanted);
+  }
+
   private void dispatch(EndpointRecord endpoint, RouteQuery query) {
     enter(Stage.CALLING);
     tried.add(endpoint.getId());
     sends++;
-    model = route().modelSizes().isEmpty() ? "" : route().modelSizes().get(size);
+    model = modelOf(size);
     answer.useVersion(model, endpoint.getVersion(), false, "");
     Attempt a =
         Attempt.create(
@@ -254,13 +266,33 @@
     if (!head.authentic()) {
       return true;
     }
-    larger =
-        !answer.isOpened()
-            && !ports.sizes().accept(route(), size, head.confidence())
-            && maySendAgain(true);
+    larger = !answer.isOpened() && maySendAgain(true) && wantsLarger(a, head);
     return larger;
   }
 
+  private boolean wantsLarger(Attempt a, EndpointHead head) {
+    Route r = route();
+    if (previous != null) {
+      ports.sizes().observe(r, previous, size, head.confidence());
+    }
+    SizeCascade.Answer seen = new SizeCascade.Answer(size, head.confidence());
+    OptionalInt next = ports.sizes().next(r, seen);
+    if (next.isEmpty()) {
+      return false;
+    }
+    RouteQuery query =
+        RouteQuery.ofService(
+            service, a.endpoint().getVersion(), modelOf(next.getAsInt()), forwarded.prompt(), tried);
+    double expectedMs = ports.chooser().expectedMs(query).orElse(0);
+    long leftMs = startedMs + r.objectiveMs() - ports.clock().nowMs();
+    if (!ports.sizes().isWorthIt(seen, expectedMs, leftMs, r.objectiveMs())) {
+      return false;
+    }
+    previous = seen;
+    nextSize = next.getAsInt();
+    return true;
+  }
+
   private void noteLoad(Attempt a, EndpointHead head) {
     EndpointHead.LoadNow load = head.load();
     if (load != null) {
@@ -331,7 +363,7 @@
       larger = false;
       runs++;
       ran = Ran.UNKNOWN;
-      size = ports.sizes().next(route(), size);
+      size = nextSize;
       tried.clear();
       sendAgainOr(ResultCode.ENDPOINT_FAILED, "no further attempt");
       return;
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.currantslip.schema.EndpointRecord;
 
 /** Chooses the endpoint for a request. */
@@ -15,6 +16,11 @@
   /** Returns the endpoint with the shortest expected wait; empty when none is usable. */
   Optional<EndpointRecord> choose(RouteQuery query);
 
+  /** Returns the expected time to the first token; empty when nothing is known. */
+  default OptionalDouble expectedMs(RouteQuery query) {
+    return OptionalDouble.empty();
+  }
+
   /** Counts a dispatch, so that requests sent since the last load report are seen. */
   void dispatched(String endpointId, long expectedTokens);
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -19,6 +19,9 @@
   /** Half-life of the share of failures, so that an avoided endpoint is tried again. */
   private static final double FAULT_HALF_TIME_MS = 4_000;
 
+  /** Prompts that waited at the time of a report are read within about this time. */
+  private static final double REPORT_HALF_TIME_MS = 400;
+
   /** Weight of one outcome in the share of failures. */
   private static final double FAULT_SMOOTHING = 0.15;
 
@@ -34,7 +37,9 @@
   private long ejectedUntilMs;
   private boolean probing;
   private final PartCache parts = PartCache.create();
-  private long pendingTokens;
+  private int pending;
+  private double pendingMs;
+  private int pendingAtReport;
   private double faultShare;
   private long faultAtMs;
 
@@ -57,6 +62,7 @@
   void setLoad(EndpointLoad report) {
     if (load == null || load.reportedMs() <= report.reportedMs()) {
       load = report;
+      pendingAtReport = pending;
     }
   }
 
@@ -139,14 +145,24 @@
     return parts;
   }
 
-  /** Counts tokens that this node's requests have yet to have read here. */
-  void addPending(long tokens) {
-    pendingTokens = Math.max(0, pendingTokens + tokens);
+  /** Counts a prompt of this node's that the endpoint has yet to read, or that it has read. */
+  void addPending(int prompts, double ms) {
+    pending = Math.max(0, pending + prompts);
+    pendingMs = pending == 0 ? 0 : Math.max(0, pendingMs + ms);
   }
 
-  /** Returns the tokens that this node's requests have yet to have read here. */
-  long pendingTokens() {
-    return pendingTokens;
+  /**
+   * Returns how long the endpoint takes to read the prompts that it has.
+   *
+   * @param meanMs time that a prompt of another node takes
+   */
+  double readingMs(long nowMs, double meanMs) {
+    if (load == null) {
+      return pendingMs;
+    }
+    double freshness = Math.pow(0.5, (nowMs - load.reportedMs()) / REPORT_HALF_TIME_MS);
+    double others = Math.max(0, load.waiting() - pendingAtReport) * freshness;
+    return pendingMs + others * meanMs;
   }
 
   /** Returns how many more requests find a place at once. */
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.currantslip.core.common.Clock;
@@ -46,6 +47,7 @@
   private final SplittableRandom random;
   private final Map<String, EndpointState> states = new HashMap<>();
   private final Map<PoolKey, PrefillRate> rates = new HashMap<>();
+  private final Map<String, MeanTime> readingTimes = new HashMap<>();
   private Map<PoolKey, EndpointPool> pools = Map.of();
 
   private ExpectedWaitChooser(Clock clock, String selfFailureDomain, long seed) {
@@ -160,7 +162,26 @@
 
   private PrefillRate rate(RouteQuery query) {
     return rates.computeIfAbsent(
-        new PoolKey(query.model(), "", query.service()), k -> PrefillRate.create());
+        new PoolKey(query.engineModel(), "", query.service()), k -> PrefillRate.create());
+  }
+
+  private MeanTime readingTime(RouteQuery query) {
+    return readingTimes.computeIfAbsent(query.service(), s -> new MeanTime());
+  }
+
+  /** Mean time that the prompts of a service take to be read. */
+  private static final class MeanTime {
+    private static final double SMOOTHING = 0.05;
+
+    private double ms;
+
+    private double ms() {
+      return ms;
+    }
+
+    private void add(double next) {
+      ms += SMOOTHING * (next - ms);
+    }
   }
 
   private double cost(
@@ -168,7 +189,8 @@
     double perToken = query.prompt().isEmpty() ? PREFILL_MS_PER_TOKEN : rate.msPerToken();
     boolean near = state.rec().getFailureDomain().equals(selfFailureDomain);
     return state.waitMs(now)
-        + (state.pendingTokens() + missingTokens(state, query, home)) * perToken
+        + state.readingMs(now, readingTime(query).ms())
+        + missingTokens(state, query, home) * perToken
         + state.faultShare(now) * FAULT_COST_MS
         + (near ? 0 : OTHER_DOMAIN_MS);
   }
@@ -182,7 +204,7 @@
     }
     long own = parts.get(parts.size() - 1).tokens();
     // Other nodes send the shared parts to their home too, which this node does not see.
-    long missing = state.parts().missing(parts);
+    long missing = state.parts().missing(query.engineModel(), parts);
     return home ? Math.min(missing, own) : missing;
   }
 
@@ -201,22 +223,25 @@
     private final RouteQuery query;
     private final PrefillRate rate;
     private final long missing;
-    private final long ahead;
+    private final double readMs;
+    private final double aheadMs;
     private boolean reading;
 
     private PromptUse(EndpointState state, RouteQuery query, PrefillRate rate) {
       this.state = state;
       this.query = query;
       this.rate = rate;
-      missing = state.parts().missing(query.prompt());
-      ahead = state.pendingTokens();
+      missing = state.parts().missing(query.engineModel(), query.prompt());
+      readMs = missing * rate.msPerToken();
+      aheadMs = state.readingMs(clock.nowMs(), readingTime(query).ms());
     }
 
     @Override
     public void started(long expectedTokens) {
       state.dispatched(clock.nowMs());
-      state.addPending(missing);
-      state.parts().hold(query.prompt());
+      state.addPending(1, readMs);
+      readingTime(query).add(readMs);
+      state.parts().hold(query.engineModel(), query.prompt());
       reading = true;
     }
 
@@ -224,8 +249,10 @@
     public void answering(long firstByteMs) {
       if (reading) {
         reading = false;
-        state.addPending(-missing);
-        rate.observe(missing + ahead, firstByteMs);
+        state.addPending(-1, -readMs);
+        if (aheadMs < readMs) {
+          rate.observe(missing, firstByteMs);
+        }
       }
     }
 
@@ -233,12 +260,22 @@
     public void finished(CallResult result) {
       if (reading) {
         reading = false;
-        state.addPending(-missing);
+        state.addPending(-1, -readMs);
       }
       state.finished(clock.nowMs(), result);
     }
   }
 
+  /** Returns the expected time to the first token; empty when no endpoint is usable. */
+  @Override
+  public OptionalDouble expectedMs(RouteQuery query) {
+    EndpointPool pool = pools.get(new PoolKey(query.model(), query.version(), query.service()));
+    EndpointState best = pool == null ? null : best(pool, query);
+    return best == null
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(cost(best, query, false, rate(query), clock.nowMs()));
+  }
+
   /** Returns how many requests of a service find a place at once. */
   public int freePlaces(String service) {
     long now = clock.nowMs();
--- a/core/src/main/java/org/currantslip/core/routing/PartCache.java
+++ b/core/src/main/java/org/currantslip/core/routing/PartCache.java
@@ -29,21 +29,25 @@
     return new PartCache();
   }
 
-  /** Returns how many tokens of a prompt are not kept. */
-  long missing(List<PromptPart> prompt) {
+  private static String key(String model, PromptPart part) {
+    return model + '/' + part.id();
+  }
+
+  /** Returns how many tokens of a prompt are not kept for a model. */
+  long missing(String model, List<PromptPart> prompt) {
     long missing = 0;
     boolean broken = false;
     for (PromptPart part : prompt) {
-      broken |= !tokensById.containsKey(part.id());
+      broken |= !tokensById.containsKey(key(model, part));
       missing += broken ? part.tokens() : 0;
     }
     return missing;
   }
 
   /** Notes the parts of a prompt as the most recently used ones. */
-  void hold(List<PromptPart> prompt) {
+  void hold(String model, List<PromptPart> prompt) {
     for (PromptPart part : prompt) {
-      Long before = tokensById.put(part.id(), part.tokens());
+      Long before = tokensById.put(key(model, part), part.tokens());
       tokens += part.tokens() - (before == null ? 0 : before);
     }
     Iterator<Map.Entry<String, Long>> eldest = tokensById.entrySet().iterator();
--- a/core/src/main/java/org/currantslip/core/routing/RouteQuery.java
+++ b/core/src/main/java/org/currantslip/core/routing/RouteQuery.java
@@ -14,6 +14,7 @@
  * @param promptTokens estimated prompt tokens
  * @param excluded endpoints already tried
  * @param prompt parts of the prompt in order, empty when they are not known
+ * @param engineModel model that an engine with several is to run, or empty
  */
 public record RouteQuery(
     String model,
@@ -22,7 +23,8 @@
     long prefixHash,
     long promptTokens,
     Set<String> excluded,
-    List<PromptPart> prompt) {
+    List<PromptPart> prompt,
+    String engineModel) {
   /** Returns a query for a prompt of which only the prefix's hash is known. */
   public RouteQuery(
       String model,
@@ -31,13 +33,17 @@
       long prefixHash,
       long promptTokens,
       Set<String> excluded) {
-    this(model, version, service, prefixHash, promptTokens, excluded, List.of());
+    this(model, version, service, prefixHash, promptTokens, excluded, List.of(), "");
   }
 
   /** Returns a query for an endpoint of a service; an empty version stands for any. */
   public static RouteQuery ofService(
-      String service, String version, List<PromptPart> prompt, Set<String> excluded) {
+      String service,
+      String version,
+      String engineModel,
+      List<PromptPart> prompt,
+      Set<String> excluded) {
     long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum();
-    return new RouteQuery("", version, service, 0, tokens, excluded, prompt);
+    return new RouteQuery("", version, service, 0, tokens, excluded, prompt, engineModel);
   }
 }
--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import javax.net.ssl.SSLException;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -48,6 +49,10 @@
         .addArgument("--edge-settings-from")
         .metavar("VARIABLE")
         .help("environment variable that names the TOML file of an edge node");
+    source
+        .addArgument("--rehearse")
+        .action(Arguments.storeTrue())
+        .help("load the classes of an edge node and end; used by the build");
     Namespace parsed;
     try {
       parsed = parser.parseArgs(args);
@@ -57,6 +62,9 @@
       parser.handleError(e);
       return EXIT_USAGE;
     }
+    if (parsed.getBoolean("rehearse")) {
+      return EdgeProcess.rehearse(err);
+    }
     String variable = parsed.getString("edge_settings_from");
     if (variable != null) {
       String file = System.getenv(variable);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
@@ -10,7 +10,10 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.node.log.LogSetup;
+import org.currantslip.schema.EdgeListenSettings;
+import org.currantslip.schema.EdgeRetrySettings;
 import org.currantslip.schema.EdgeSettings;
+import org.currantslip.schema.EdgeStoreSettings;
 import sun.misc.Signal;
 
 /** Runs an edge node as a process: its signals, its settings file and its exit status. */
@@ -45,6 +48,31 @@
     return await(node);
   }
 
+  /** Runs a rehearsal on loopback, by which the build finds the classes to keep in its archive. */
+  public static int rehearse(PrintStream err) {
+    String any = "127.0.0.1:0";
+    EdgeSettings settings =
+        EdgeSettings.newBuilder()
+            .setName("rehearsal")
+            .setHost("127.0.0.1")
+            .setListen(
+                EdgeListenSettings.newBuilder()
+                    .setCaller(any)
+                    .setReadiness(any)
+                    .setDirectory(any))
+            .setStore(EdgeStoreSettings.newBuilder().setAddress("127.0.0.1:9").setValueBytes(1))
+            .setRetry(EdgeRetrySettings.newBuilder().setWindowS(1))
+            .build();
+    LogSetup.apply(settings.getLog());
+    try {
+      EdgeNode.rehearse(settings);
+      return EXIT_OK;
+    } catch (Exception e) {
+      err.println(ResultCode.INTERNAL.number() + " rehearsal failed: " + e);
+      return EXIT_START;
+    }
+  }
+
   private void watch() {
     text = read();
     Signal.handle(new Signal("HUP"), signal -> reload());
