--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -3,6 +3,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Sets up HTTP clients towards the platform and the endpoints. */
@@ -23,19 +24,31 @@
    * @param threads most threads it may use
    */
   public static HttpClient start(String name, int threads) {
-    return start(name, threads, CONNECT_TIMEOUT_MS);
+    return start(name, threads, CONNECT_TIMEOUT_MS, new ProbingConnector());
   }
 
   /**
-   * Returns a started client as {@link #start(String, int)} does.
+   * Returns a started client as {@link #start(String, int)} does, for addresses without TLS only.
    *
    * @param connectTimeoutMs time after which a connection that does not open is given up
    */
-  public static HttpClient start(String name, int threads, long connectTimeoutMs) {
+  public static HttpClient startPlain(String name, int threads, long connectTimeoutMs) {
+    ClientConnector connector = new ProbingConnector();
+    connector.setSslContextFactory(new NoTls());
+    return start(name, threads, connectTimeoutMs, connector);
+  }
+
+  /** Takes the place of TLS that is never spoken; a trust store takes a tenth of a second to load. */
+  private static final class NoTls extends SslContextFactory.Client {
+    @Override
+    protected void doStart() {}
+  }
+
+  private static HttpClient start(
+      String name, int threads, long connectTimeoutMs, ClientConnector connector) {
     QueuedThreadPool pool = new QueuedThreadPool(Math.max(threads, MIN_THREADS), MIN_THREADS);
     pool.setName(name);
     pool.setDaemon(true);
-    ClientConnector connector = new ProbingConnector();
     connector.setSelectors(1);
     connector.setExecutor(pool);
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
--- a/adapters/src/main/java/org/currantslip/adapter/http/ProbingConnector.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/ProbingConnector.java
@@ -4,10 +4,14 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import jdk.net.ExtendedSocketOptions;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 
-/** Opens connections that TCP probes while they are idle, so that a dead one is found out. */
+/** Opens connections that find out a dead peer while they are idle, and tell resets from ends. */
 final class ProbingConnector extends ClientConnector {
   /** A watch waits without traffic; a dead one has to be noticed within a few seconds. */
   private static final int IDLE_S = 1;
@@ -15,6 +19,12 @@
   private static final int INTERVAL_S = 1;
   private static final int PROBES = 2;
 
+  @Override
+  protected EndPoint newEndPoint(
+      SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
+    return new ResetAwareEndPoint((SocketChannel) selectable, selector, key, getScheduler());
+  }
+
   @Override
   protected void configure(SelectableChannel selectable) throws IOException {
     super.configure(selectable);
--- /dev/null
+++ b/adapters/src/main/java/org/currantslip/adapter/http/ResetAwareEndPoint.java
@@ -0,0 +1,42 @@
+package org.currantslip.adapter.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection that tells a reset from an end.
+ *
+ * <p>The base class reads both as the end of input, so that an answer without a length that was
+ * reset on the way would look complete.
+ */
+final class ResetAwareEndPoint extends SocketChannelEndPoint {
+  ResetAwareEndPoint(
+      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    super(channel, selector, key, scheduler);
+  }
+
+  @Override
+  public int fill(ByteBuffer buffer) throws IOException {
+    if (isInputShutdown()) {
+      return -1;
+    }
+    int position = BufferUtil.flipToFill(buffer);
+    try {
+      int filled = getChannel().read(buffer);
+      if (filled > 0) {
+        notIdle();
+      } else if (filled < 0) {
+        shutdownInput();
+      }
+      return filled;
+    } finally {
+      BufferUtil.flipToFlush(buffer, position);
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/test/java/org/currantslip/adapter/endpoint/EventSplitterTest.java
@@ -0,0 +1,38 @@
+package org.currantslip.adapter.endpoint;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class EventSplitterTest {
+  private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: c\n\nid: 3\n";
+
+  private final List<String> events = new ArrayList<>();
+  private final EventSplitter splitter = EventSplitter.create(e -> events.add(e.toStringUtf8()));
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 7, 100})
+  void cutsWholeEventsWhereverTheBytesAreCut(int step) {
+    byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+    for (int at = 0; at < bytes.length; at += step) {
+      splitter.feed(ByteBuffer.wrap(bytes, at, Math.min(step, bytes.length - at)));
+    }
+    assertThat(events)
+        .containsExactly("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", ": c\n\n")
+        .inOrder();
+    assertThat(splitter.rest()).isEqualTo(ByteString.copyFromUtf8("id: 3\n"));
+  }
+
+  @Test
+  void nothingIsLeftOfAStreamThatEndsWithAnEvent() {
+    splitter.feed(ByteBuffer.wrap("data: a\n\n".getBytes(StandardCharsets.UTF_8)));
+    assertThat(splitter.rest().isEmpty()).isTrue();
+  }
+}
--- a/adapters/src/test/java/org/currantslip/adapter/settings/SettingsDocTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/settings/SettingsDocTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.currantslip.schema.CliSettings;
 import org.currantslip.schema.Constraint;
+import org.currantslip.schema.EdgeSettings;
 import org.currantslip.schema.NodeSettings;
 import org.currantslip.schema.Options;
 import org.junit.jupiter.api.Test;
@@ -25,7 +26,11 @@
             .map(SettingsDocTest::generatedColumns)
             .toList();
     List<String> expected =
-        Stream.concat(rows("", NodeSettings.getDescriptor()), rows("", CliSettings.getDescriptor()))
+        Stream.of(
+                NodeSettings.getDescriptor(),
+                EdgeSettings.getDescriptor(),
+                CliSettings.getDescriptor())
+            .flatMap(d -> rows("", d))
             .toList();
     assertThat(documented).containsExactlyElementsIn(expected).inOrder();
   }
--- a/core/src/main/java/org/currantslip/core/common/LogEvent.java
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -28,6 +28,7 @@
   CONFIG_STALE(2002, Level.WARN),
   CONFIG_FRESH(2003, Level.INFO),
   VERSION_STOPPED(3001, Level.WARN),
+  ROLLOUT_STAGE(3002, Level.INFO),
   REQUEST_ENDED(4001, Level.DEBUG),
   REQUEST_FAILED(4002, Level.WARN),
   REQUEST_DISPATCHED(4003, Level.DEBUG),
@@ -37,7 +38,6 @@
   STORE_REGAINED(6002, Level.INFO),
   ENTRY_UNREADABLE(6003, Level.WARN),
   LINES_LEFT_OUT(6004, Level.WARN),
-  ROLLOUT_STAGE(3002, Level.INFO),
   TASK_FAILED(9001, Level.ERROR);
 
   /** How grave an event is. */
--- a/core/src/main/java/org/currantslip/core/limits/PlaceQueue.java
+++ b/core/src/main/java/org/currantslip/core/limits/PlaceQueue.java
@@ -32,6 +32,9 @@
   /** Span over which the rate of freed places is measured. */
   private static final long RATE_SPAN_MS = 2_000;
 
+  /** Assumed while nothing was freed yet, so that the first of a burst are not refused. */
+  private static final int FEWEST_FREED = 10;
+
   private static final int MAX_WAITING = 512;
   private static final long MIN_RETRY_MS = 100;
   private static final long MAX_RETRY_MS = 5_000;
@@ -178,7 +181,7 @@
         freedMs.remove();
       }
       long ahead = waiting.stream().filter(w -> w.query().rank() <= query.rank()).count();
-      double perMs = (double) Math.max(1, freedMs.size()) / RATE_SPAN_MS;
+      double perMs = (double) Math.max(FEWEST_FREED, freedMs.size()) / RATE_SPAN_MS;
       return (long) (ahead / perMs);
     }
   }
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -191,6 +191,7 @@
     revision = Math.max(revision, changes.revision());
     if (changed) {
       changedRevision = revision;
+      nextMs = clock.nowMs() + options.settleMs();
       notifyChange();
     }
   }
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
@@ -6,8 +6,9 @@
  * @param watchMs how long one watch call waits for a change
  * @param firstRetryMs pause after a first failed call; doubles with each further failure
  * @param lastRetryMs longest pause after a failed call
+ * @param settleMs pause after a change, so that changes in quick succession come in one call
  */
-public record MirrorOptions(long watchMs, long firstRetryMs, long lastRetryMs) {
+public record MirrorOptions(long watchMs, long firstRetryMs, long lastRetryMs, long settleMs) {
   /** Below the store's limit of 30 s for one watch; each renewal costs a call. */
   private static final long WATCH_MS = 25_000;
 
@@ -16,8 +17,11 @@
   /** Bounds how long the return of the store goes unnoticed. */
   private static final long LAST_RETRY_MS = 400;
 
+  /** Small against the seconds within which a change has to be in force. */
+  private static final long SETTLE_MS = 100;
+
   /** Returns the timing used in production. */
   public static MirrorOptions defaults() {
-    return new MirrorOptions(WATCH_MS, FIRST_RETRY_MS, LAST_RETRY_MS);
+    return new MirrorOptions(WATCH_MS, FIRST_RETRY_MS, LAST_RETRY_MS, SETTLE_MS);
   }
 }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -68,6 +68,7 @@
   private String model = "";
   private int size;
   private boolean larger;
+  private boolean paid;
   private int nextSize;
   private SizeCascade.@Nullable Answer previous;
   private boolean expired;
@@ -261,15 +262,27 @@
   public boolean isFault(Attempt a, EndpointHead head) {
     noteLoad(a, head);
     if (!head.isSuccess()) {
-      return HttpStatus.isEndpointFault(head.status()) && maySendAgain(true);
+      return HttpStatus.isEndpointFault(head.status()) && payForAnotherRun();
     }
     if (!head.authentic()) {
       return true;
     }
-    larger = !answer.isOpened() && maySendAgain(true) && wantsLarger(a, head);
+    larger = !answer.isOpened() && wantsLarger(a, head) && payForAnotherRun();
     return larger;
   }
 
+  /** Returns whether the request may run once more after this run; takes it off the budget. */
+  private boolean payForAnotherRun() {
+    paid =
+        !gone
+            && !expired
+            && timeLeftMs() >= MIN_TIME_LEFT_MS
+            && route().isRepeatable()
+            && runs + 1 < route().attempts()
+            && ports.retries().trySpend(service);
+    return paid;
+  }
+
   private boolean wantsLarger(Attempt a, EndpointHead head) {
     Route r = route();
     if (previous != null) {
@@ -282,7 +295,11 @@
     }
     RouteQuery query =
         RouteQuery.ofService(
-            service, a.endpoint().getVersion(), modelOf(next.getAsInt()), forwarded.prompt(), tried);
+            service,
+            a.endpoint().getVersion(),
+            modelOf(next.getAsInt()),
+            forwarded.prompt(),
+            tried);
     double expectedMs = ports.chooser().expectedMs(query).orElse(0);
     long leftMs = startedMs + r.objectiveMs() - ports.clock().nowMs();
     if (!ports.sizes().isWorthIt(seen, expectedMs, leftMs, r.objectiveMs())) {
@@ -365,7 +382,8 @@
       ran = Ran.UNKNOWN;
       size = nextSize;
       tried.clear();
-      sendAgainOr(ResultCode.ENDPOINT_FAILED, "no further attempt");
+      paid = false;
+      choose();
       return;
     }
     trace(a, fault);
@@ -378,8 +396,10 @@
       judge(a, fault == Attempt.Fault.ERROR_STATUS);
     }
     boolean again =
-        maySendAgain(!notRun)
-            && (fault == Attempt.Fault.NOT_SENT || ports.retries().trySpend(service));
+        paid
+            || (maySendAgain(!notRun)
+                && (fault == Attempt.Fault.NOT_SENT || ports.retries().trySpend(service)));
+    paid = false;
     if (again) {
       choose();
     } else {
@@ -387,14 +407,6 @@
     }
   }
 
-  private void sendAgainOr(ResultCode code, String detail) {
-    if (ports.retries().trySpend(service)) {
-      choose();
-    } else {
-      refuse(notServed(code, detail));
-    }
-  }
-
   private void trace(Attempt a, Attempt.Fault fault) {
     ports
         .trace()
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -0,0 +1,402 @@
+package org.currantslip.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+import org.currantslip.core.cascade.SizeCascade;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.limits.PlaceQueue;
+import org.currantslip.core.limits.RetryBudget;
+import org.currantslip.core.rollout.ServiceRollouts;
+import org.currantslip.core.route.Account;
+import org.currantslip.core.route.CallerLimits;
+import org.currantslip.core.route.PromptPart;
+import org.currantslip.core.route.Route;
+import org.currantslip.core.route.RouteHolder;
+import org.currantslip.core.route.RouteKind;
+import org.currantslip.core.route.RouteTable;
+import org.currantslip.core.route.WeightedService;
+import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.NodeId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Plays endpoints against one forwarded request and checks what its caller gets. */
+final class ForwardedFlowTest {
+  private static final long TIMEOUT_MS = 4_000;
+  private static final long OBJECTIVE_MS = 400;
+
+  private final DrivenClock clock = DrivenClock.startingAt(1_000_000);
+  private final RouteHolder routes = RouteHolder.create();
+  private final FakeCalls calls = new FakeCalls();
+  private final ExpectedWaitChooser chooser = ExpectedWaitChooser.create(clock, "fd", 1);
+  private final List<RequestOutcome> outcomes = new ArrayList<>();
+  private final ForwardedSink sink = new ForwardedSink();
+  private final RequestEngine engine =
+      RequestEngine.forwarding(
+          new ForwardPorts(
+              clock,
+              routes,
+              PlaceQueue.create(clock, chooser::freePlaces, 1),
+              chooser,
+              RetryBudget.create(clock, new RetryBudget.Bound(0.5, 50, 10_000), () -> 1),
+              ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
+              SizeCascade.create(),
+              calls,
+              outcomes::add,
+              (event, id, fields) -> assertThat(fields.get()).isNotEmpty()));
+
+  private static Route route(String name, RouteKind kind, boolean resumable, List<String> sizes) {
+    return new Route(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        List.of(new WeightedService("s", 1)),
+        kind == RouteKind.UNSAFE ? 1 : 3,
+        TIMEOUT_MS,
+        OBJECTIVE_MS,
+        600,
+        1,
+        false,
+        resumable,
+        sizes);
+  }
+
+  @BeforeEach
+  void start() {
+    routes.offer(
+        RouteTable.of(
+            5,
+            List.of(
+                route("safe", RouteKind.SAFE, false, List.of()),
+                route("unsafe", RouteKind.UNSAFE, false, List.of()),
+                route("stream", RouteKind.STREAMING, true, List.of()),
+                route("once", RouteKind.STREAMING, false, List.of()),
+                route("sized", RouteKind.STREAMING, true, List.of("small", "large"))),
+            List.of(),
+            Map.of("key", new Account("account", OptionalInt.empty())),
+            CallerLimits.defaults()));
+    chooser.onEndpoints(
+        IntStream.range(0, 4)
+            .mapToObj(
+                i ->
+                    EndpointRecord.newBuilder()
+                        .setId("i" + i)
+                        .setService("s")
+                        .setVersion("v1")
+                        .setSlots(4)
+                        .build())
+            .toList());
+  }
+
+  private RequestHandle send(String name) {
+    return send(name, "key", 60_000);
+  }
+
+  private RequestHandle send(String name, String key, long timeLeftMs) {
+    return engine.start(
+        new RouterRequest(
+            "id",
+            "",
+            "",
+            "",
+            "",
+            "POST",
+            "/" + name + "/x?y=z",
+            "text/plain",
+            ByteString.copyFromUtf8("body"),
+            false,
+            null,
+            true,
+            "",
+            "",
+            clock.nowMs() + timeLeftMs,
+            0,
+            100,
+            50,
+            0,
+            new ForwardedRequest("host", key, List.of(), List.of(new PromptPart("p", 100)), "")),
+        sink);
+  }
+
+  private FakeCalls.Call call(int i) {
+    return calls.calls.get(i);
+  }
+
+  private static void head(FakeCalls.Call call, int status, boolean notRun) {
+    call.listener().onHead(endpointHead(status, notRun, OptionalDouble.empty()));
+  }
+
+  private static EndpointHead endpointHead(int status, boolean notRun, OptionalDouble confidence) {
+    return new EndpointHead(
+        status,
+        "text/plain",
+        "id",
+        notRun,
+        true,
+        confidence,
+        null,
+        List.of(new HeaderField("Mac", "m")));
+  }
+
+  private static ForwardedCall forwarded(EndpointRequest request) {
+    ForwardedCall forwarded = request.forwarded();
+    if (forwarded == null) {
+      throw new AssertionError("not a forwarded request");
+    }
+    return forwarded;
+  }
+
+  private List<HeaderField> endpointFields() {
+    EndpointHead head = sink.head().endpoint();
+    return head == null ? List.of() : head.fields();
+  }
+
+  private static void event(FakeCalls.Call call, int id) {
+    call.data("id: " + id + "\ndata: x\n\n");
+  }
+
+  private void answer(FakeCalls.Call call, int status) {
+    head(call, status, false);
+    call.data("whole");
+    call.listener().onEnd(EndpointUsage.none());
+  }
+
+  private void after(long ms) {
+    clock.advance(ms);
+    engine.tick();
+  }
+
+  @Test
+  void theRequestPassesUnchangedAndTheAnswerToo() {
+    send("safe");
+    EndpointRequest request = call(0).request();
+    assertThat(request.path()).isEqualTo("/safe/x?y=z");
+    assertThat(request.body()).isEqualTo(ByteString.copyFromUtf8("body"));
+    assertThat(forwarded(request).account()).isEqualTo("account");
+    assertThat(forwarded(request).remainingMs()).isEqualTo(TIMEOUT_MS);
+    assertThat(forwarded(request).instance()).isEqualTo(call(0).endpoint().getId());
+    answer(call(0), 200);
+    assertThat(sink.status()).isEqualTo(200);
+    assertThat(sink.data()).isEqualTo("whole");
+    assertThat(endpointFields()).containsExactly(new HeaderField("Mac", "m"));
+    assertThat(outcomes.get(0).code()).isEqualTo(ResultCode.OK);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"missing, key, 404", "safe, wrong, 401", "safe, '', 401"})
+  void whatNoRouteAllowsIsRefused(String name, String key, int status) {
+    send(name, key, 1_000);
+    assertThat(sink.status()).isEqualTo(status);
+    assertThat(calls.calls).isEmpty();
+  }
+
+  @Test
+  void aNodeWithoutConfigurationSendsCallersAway() {
+    RequestEngine fresh =
+        RequestEngine.forwarding(
+            new ForwardPorts(
+                clock,
+                RouteHolder.create(),
+                PlaceQueue.create(clock, s -> 1, 1),
+                chooser,
+                RetryBudget.create(clock, new RetryBudget.Bound(1, 1, 1_000), () -> 1),
+                ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
+                SizeCascade.create(),
+                calls,
+                o -> {},
+                (event, id, fields) -> {}));
+    fresh.start(
+        new RouterRequest(
+            "id",
+            "",
+            "",
+            "",
+            "",
+            "GET",
+            "/safe/",
+            "",
+            ByteString.EMPTY,
+            false,
+            null,
+            true,
+            "",
+            "",
+            clock.nowMs() + 1_000,
+            0,
+            0,
+            0,
+            0,
+            new ForwardedRequest("host", "key", List.of(), List.of(), "")),
+        sink);
+    assertThat(sink.status()).isEqualTo(503);
+    assertThat(sink.head().retryAfterMs()).isGreaterThan(0);
+  }
+
+  /** What one failed call may lead to: another call, and else which status. */
+  @ParameterizedTest
+  @CsvSource({
+    // route, fault, sent again, status when every endpoint fails so
+    "safe, NOT_SENT, true, 503",
+    "safe, NOT_RUN, true, 503",
+    "safe, BROKEN, true, 502",
+    "safe, STATUS_500, true, 500",
+    "unsafe, NOT_SENT, true, 503",
+    "unsafe, NOT_RUN, true, 503",
+    "unsafe, BROKEN, false, 502",
+    "unsafe, STATUS_500, false, 500",
+    "unsafe, CROSSED, false, 502",
+    "unsafe, UNPROVED, false, 502",
+    "once, NOT_SENT, true, 503",
+    "once, NOT_RUN, true, 503",
+    "once, BROKEN, false, 502",
+    "once, STATUS_500, false, 500",
+    "stream, NOT_RUN, true, 503",
+    "stream, BROKEN, true, 502",
+    "stream, STATUS_500, true, 500",
+    "stream, CROSSED, true, 502"
+  })
+  void onlyWhatMayRunAgainOrDidNotRunIsSentAgain(
+      String name, String fault, boolean again, int status) {
+    send(name);
+    for (int i = 0; i < calls.calls.size() && i < 10; i++) {
+      fail(call(i), fault);
+    }
+    assertThat(calls.calls.size() > 1).isEqualTo(again);
+    assertThat(sink.status()).isEqualTo(status);
+    boolean ran = !fault.startsWith("NOT_");
+    assertThat(outcomes.get(0).ran() == Ran.NO).isEqualTo(!ran);
+    assertThat(sink.status() == 503).isEqualTo(!ran);
+  }
+
+  private void fail(FakeCalls.Call call, String fault) {
+    switch (fault) {
+      case "NOT_SENT" -> call.listener().onFailure(CallFailure.NOT_SENT, "");
+      case "NOT_RUN" -> head(call, 503, true);
+      case "BROKEN" -> call.listener().onFailure(CallFailure.BROKEN, "");
+      case "STATUS_500" -> answer(call, 500);
+      case "CROSSED" ->
+          call.listener().onHead(EndpointHead.of(200, "text/plain", "another request's id"));
+      case "UNPROVED" ->
+          call.listener()
+              .onHead(
+                  new EndpointHead(
+                      200, "", "id", false, false, OptionalDouble.empty(), null, List.of()));
+      default -> throw new IllegalArgumentException(fault);
+    }
+  }
+
+  @Test
+  void aRequestRunsOnNoMoreEndpointsThanItsRouteAllows() {
+    send("safe");
+    for (int i = 0; i < calls.calls.size(); i++) {
+      call(i).listener().onFailure(CallFailure.BROKEN, "");
+    }
+    assertThat(calls.calls).hasSize(3);
+    assertThat(calls.calls.stream().map(c -> c.endpoint().getId()).distinct().count()).isEqualTo(3);
+  }
+
+  @Test
+  void aBrokenStreamGoesOnAfterItsLastEventWithinOneAnswer() {
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 3);
+    event(call(0), 6);
+    call(0).listener().onFailure(CallFailure.TRUNCATED, "");
+    assertThat(forwarded(call(1).request()).lastEventId()).isEqualTo("6");
+    head(call(1), 200, false);
+    event(call(1), 6);
+    event(call(1), 9);
+    call(1).listener().onEnd(EndpointUsage.none());
+    assertThat(sink.heads()).isEqualTo(1);
+    assertThat(sink.data()).isEqualTo("id: 3\ndata: x\n\nid: 6\ndata: x\n\nid: 9\ndata: x\n\n");
+    assertThat(sink.end().code()).isEqualTo(ResultCode.OK);
+  }
+
+  @Test
+  void aStreamThatMayNotBeResumedIsBrokenOff() {
+    send("once");
+    head(call(0), 200, false);
+    event(call(0), 3);
+    call(0).listener().onFailure(CallFailure.TRUNCATED, "");
+    assertThat(calls.calls).hasSize(1);
+    assertThat(sink.end().code()).isEqualTo(ResultCode.ANSWER_TRUNCATED);
+  }
+
+  @Test
+  void aSilentEndpointOfAnIdempotentRequestIsLeft() {
+    send("safe");
+    after(2 * OBJECTIVE_MS - 1);
+    assertThat(calls.calls).hasSize(1);
+    after(1);
+    assertThat(calls.calls).hasSize(2);
+    assertThat(calls.cancelled).containsExactly(call(0));
+  }
+
+  @Test
+  void anUnsafeRequestWaitsForItsOneEndpointUntilTheTimeoutOfItsRoute() {
+    send("unsafe");
+    after(TIMEOUT_MS - 1);
+    assertThat(sink.heads()).isEqualTo(0);
+    after(1);
+    assertThat(sink.status()).isEqualTo(504);
+    assertThat(calls.calls).hasSize(1);
+    assertThat(outcomes.get(0).ran()).isEqualTo(Ran.UNKNOWN);
+  }
+
+  @Test
+  void theSecondEndpointIsToldOnlyTheTimeThatIsLeft() {
+    send("safe", "key", 3_000);
+    clock.advance(700);
+    call(0).listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(forwarded(call(1).request()).remainingMs()).isEqualTo(2_300);
+  }
+
+  @Test
+  void workForACallerWhoLeftIsStoppedUnlessItMayRunOnlyOnce() {
+    send("safe").callerGone();
+    assertThat(calls.cancelled).hasSize(1);
+    calls.calls.clear();
+    calls.cancelled.clear();
+    send("unsafe").callerGone();
+    assertThat(calls.cancelled).isEmpty();
+    answer(call(0), 200);
+    assertThat(sink.heads()).isEqualTo(0);
+    assertThat(engine.activeCount()).isEqualTo(0);
+  }
+
+  @Test
+  void aDoubtedAnswerIsDroppedForThatOfALargerModel() {
+    send("sized");
+    assertThat(call(0).request().model()).isEqualTo("small");
+    call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.3)));
+    assertThat(call(1).request().model()).isEqualTo("large");
+    call(1).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.3)));
+    event(call(1), 1);
+    call(1).listener().onEnd(EndpointUsage.none());
+    assertThat(sink.data()).isEqualTo("id: 1\ndata: x\n\n");
+    assertThat(calls.cancelled).containsExactly(call(0));
+    assertThat(outcomes.get(0).model()).isEqualTo("large");
+  }
+
+  @Test
+  void aTrustedAnswerOfTheSmallModelIsPassedOn() {
+    send("sized");
+    call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.8)));
+    event(call(0), 1);
+    assertThat(sink.data()).isEqualTo("id: 1\ndata: x\n\n");
+    assertThat(calls.calls).hasSize(1);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedSink.java
@@ -0,0 +1,47 @@
+package org.currantslip.core.request;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Records what a caller of a forwarded request gets. */
+final class ForwardedSink implements CallerSink {
+  private final List<AnswerHead> heads = new ArrayList<>();
+  private final StringBuilder data = new StringBuilder();
+  private final List<AnswerHead> ends = new ArrayList<>();
+
+  @Override
+  public void head(AnswerHead head) {
+    heads.add(head);
+  }
+
+  @Override
+  public void data(ByteString part) {
+    data.append(part.toStringUtf8());
+  }
+
+  @Override
+  public void finish(AnswerHead end) {
+    ends.add(end);
+  }
+
+  int heads() {
+    return heads.size();
+  }
+
+  AnswerHead head() {
+    return heads.get(0);
+  }
+
+  int status() {
+    return head().httpStatus();
+  }
+
+  String data() {
+    return data.toString();
+  }
+
+  AnswerHead end() {
+    return ends.get(0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -0,0 +1,177 @@
+package org.currantslip.core.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.core.port.StoreException;
+import org.currantslip.core.rollout.RolloutOrder.Progress;
+import org.currantslip.core.rollout.RolloutOrder.State;
+import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.NodeRecord;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Three nodes with one stored order; writes are guarded by its version as the store does it. */
+final class RolloutDutyTest {
+  private static final List<String> NODES = List.of("a", "b", "c");
+  private static final long STEP_MS = 50;
+
+  private final DrivenClock clock = DrivenClock.startingAt(1_000_000);
+  private final Map<String, ServiceRollouts> rollouts = new HashMap<>();
+  private final Map<String, RolloutDuty> duties = new HashMap<>();
+  private final List<Progress> written = new ArrayList<>();
+  private final List<String> writers = new ArrayList<>();
+  private final List<String> stopped = new ArrayList<>();
+  private RolloutOrder order = new RolloutOrder("s", "v2", 24_000, 7, Progress.ordered());
+
+  @BeforeEach
+  void start() {
+    NODES.forEach(this::addNode);
+    NODES.forEach(n -> tell(n));
+  }
+
+  private void addNode(String name) {
+    NodeId id = NodeId.newBuilder().setName(name).build();
+    ServiceRollouts r = ServiceRollouts.create(id, h -> {});
+    r.onEndpoints(
+        Stream.of("v1", "v2")
+            .map(v -> EndpointRecord.newBuilder().setService("s").setVersion(v).build())
+            .toList());
+    rollouts.put(name, r);
+    duties.put(
+        name,
+        RolloutDuty.create(
+            new Nodes(id), r, (o, p) -> write(name, o.storeVersion(), p), clock, 0.15));
+  }
+
+  private ServiceRollouts rolloutsOf(String name) {
+    return Objects.requireNonNull(rollouts.get(name));
+  }
+
+  private RolloutDuty dutyOf(String name) {
+    return Objects.requireNonNull(duties.get(name));
+  }
+
+  private void tell(String name) {
+    rolloutsOf(name).onOrders(List.of(order));
+  }
+
+  private CompletableFuture<Long> write(String name, long expected, Progress progress) {
+    if (expected != order.storeVersion()) {
+      return CompletableFuture.failedFuture(
+          StoreException.of(StoreException.Kind.CONFLICT, "test"));
+    }
+    order = new RolloutOrder("s", "v2", 24_000, expected + 1, progress);
+    written.add(progress);
+    writers.add(name);
+    return CompletableFuture.completedFuture(order.storeVersion());
+  }
+
+  private void run(long ms) {
+    for (long t = 0; t < ms; t += STEP_MS) {
+      clock.advance(STEP_MS);
+      NODES.stream().filter(n -> !stopped.contains(n)).forEach(n -> dutyOf(n).tick());
+      NODES.forEach(this::tell);
+    }
+  }
+
+  private void answers(int count, OutcomeSample sample) {
+    NODES.forEach(
+        n ->
+            IntStream.range(0, count)
+                .forEach(i -> rolloutsOf(n).onOutcome("s", "v2", "r", sample)));
+  }
+
+  @Test
+  void aGoodVersionIsCompleteInTimeAndFewUseItInTheFirstHalf() {
+    run(1_000);
+    assertThat(order.progress().state()).isEqualTo(State.IN_PROGRESS);
+    answers(20, OutcomeSample.answered(10));
+    run(10_500);
+    assertThat(order.progress().share()).isAtMost(0.15);
+    run(12_000);
+    assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
+    assertThat(written.stream().map(Progress::share).toList()).isInOrder();
+  }
+
+  @Test
+  void aBadVersionIsRolledBackAtOnceAndForGood() {
+    run(1_000);
+    answers(20, OutcomeSample.failed());
+    run(1_000);
+    assertThat(order.progress().state()).isEqualTo(State.ROLLED_BACK);
+    int writes = written.size();
+    run(24_000);
+    assertThat(written).hasSize(writes);
+  }
+
+  @Test
+  void anotherNodeGoesOnWhenTheActingOneStops() {
+    run(1_000);
+    stopped.add(writers.get(0));
+    answers(20, OutcomeSample.failed());
+    run(3_000);
+    assertThat(order.progress().state()).isEqualTo(State.ROLLED_BACK);
+    assertThat(writers.get(1)).isNotEqualTo(writers.get(0));
+  }
+
+  @Test
+  void aNodeThatSawAnOldVersionIsRefusedAndChangesNothing() {
+    run(1_000);
+    RolloutOrder seen = order;
+    assertThat(write("late", seen.storeVersion() - 1, new Progress(State.COMPLETE, 1))).isNotNull();
+    assertThat(order).isEqualTo(seen);
+  }
+
+  @Test
+  void aRestartedNodeGoesOnFromTheStoredStage() {
+    order = new RolloutOrder("s", "v2", 24_000, 9, new Progress(State.IN_PROGRESS, 1));
+    NODES.forEach(this::tell);
+    answers(20, OutcomeSample.answered(10));
+    run(6_000);
+    assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
+  }
+
+  /** All nodes, seen by one of them. */
+  private record Nodes(NodeId id) implements Membership {
+    private static NodeRecord record(String name) {
+      return NodeRecord.newBuilder().setId(NodeId.newBuilder().setName(name)).build();
+    }
+
+    @Override
+    public NodeRecord self() {
+      return record(id.getName());
+    }
+
+    @Override
+    public List<NodeRecord> live() {
+      return NODES.stream().map(Nodes::record).toList();
+    }
+
+    @Override
+    public List<NodeRecord> entries() {
+      return live();
+    }
+
+    @Override
+    public Optional<NodeRecord> find(String name) {
+      return Optional.of(record(name));
+    }
+
+    @Override
+    public boolean isGone(NodeId other) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
@@ -0,0 +1,144 @@
+package org.currantslip.core.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.currantslip.core.rollout.RolloutOrder.Progress;
+import org.currantslip.core.rollout.RolloutOrder.State;
+import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.NodeId;
+import org.currantslip.schema.VersionHalt;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class ServiceRolloutsTest {
+  private final List<VersionHalt> halts = new ArrayList<>();
+  private final ServiceRollouts rollouts =
+      ServiceRollouts.create(NodeId.newBuilder().setName("n").build(), halts::add);
+
+  private static RolloutOrder order(State state, double share) {
+    return new RolloutOrder("s", "v2", 24_000, 7, new Progress(state, share));
+  }
+
+  private void progress(State state, double share) {
+    rollouts.onOrders(List.of(order(state, share)));
+  }
+
+  private void outcomes(String version, int count, OutcomeSample sample) {
+    IntStream.range(0, count).forEach(i -> rollouts.onOutcome("s", version, "r", sample));
+  }
+
+  @BeforeEach
+  void endpoints() {
+    rollouts.onEndpoints(
+        Stream.of("v1", "v2")
+            .map(v -> EndpointRecord.newBuilder().setService("s").setVersion(v).build())
+            .toList());
+  }
+
+  @Test
+  void anyVersionWillDoWithoutAnOrder() {
+    assertThat(rollouts.versions("s", "k")).containsExactly("");
+  }
+
+  @Test
+  void theNewVersionGetsNothingBeforeTheFirstStageAndAfterARollBack() {
+    for (State state : List.of(State.ORDERED, State.ROLLED_BACK)) {
+      progress(state, 0);
+      assertThat(rollouts.versions("s", "k")).containsExactly("v1");
+    }
+  }
+
+  @Test
+  void theShareGrowsWithoutMovingASessionBack() {
+    List<String> keys = IntStream.range(0, 2_000).mapToObj(i -> "session" + i).toList();
+    progress(State.IN_PROGRESS, 0.09);
+    List<String> early = keys.stream().filter(this::isNew).toList();
+    progress(State.IN_PROGRESS, 0.5);
+    List<String> later = keys.stream().filter(this::isNew).toList();
+    assertThat(early.size()).isIn(Range.closed(130, 230));
+    assertThat(later.size()).isIn(Range.closed(900, 1_100));
+    assertThat(later).containsAtLeastElementsIn(early);
+    progress(State.COMPLETE, 1);
+    assertThat(keys.stream().allMatch(this::isNew)).isTrue();
+  }
+
+  private boolean isNew(String key) {
+    return rollouts.versions("s", key).get(0).equals("v2");
+  }
+
+  @Test
+  void aBadVersionIsStoppedAfterFewAnswers() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 50, OutcomeSample.answered(10));
+    int bad = 0;
+    while (halts.isEmpty() && bad < 50) {
+      outcomes("v2", 1, OutcomeSample.answered(10));
+      outcomes("v2", 1, OutcomeSample.failed());
+      bad++;
+    }
+    assertThat(bad).isAtMost(6);
+    assertThat(rollouts.versions("s", "k")).containsExactly("v1");
+  }
+
+  @Test
+  void aSlowVersionIsStopped() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 50, OutcomeSample.answered(10));
+    outcomes("v2", 10, OutcomeSample.answered(80));
+    assertThat(halts).hasSize(1);
+  }
+
+  @Test
+  void aVersionThatIsBadOnOneRouteOnlyIsStopped() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 500, OutcomeSample.answered(10));
+    outcomes("v2", 200, OutcomeSample.answered(10));
+    IntStream.range(0, 5)
+        .forEach(i -> rollouts.onOutcome("s", "v2", "other", OutcomeSample.failed()));
+    assertThat(halts).hasSize(1);
+  }
+
+  @Test
+  void troubleOfBothVersionsStopsNeither() {
+    progress(State.IN_PROGRESS, 0.09);
+    for (int i = 0; i < 100; i++) {
+      outcomes("v1", 9, OutcomeSample.answered(10));
+      outcomes("v1", 3, OutcomeSample.failed());
+      outcomes("v2", 3, OutcomeSample.answered(10));
+      outcomes("v2", 1, OutcomeSample.failed());
+    }
+    assertThat(halts).isEmpty();
+  }
+
+  @Test
+  void evidenceOfPeersCounts() {
+    ServiceRollouts peer =
+        ServiceRollouts.create(NodeId.newBuilder().setName("p").build(), h -> {});
+    for (ServiceRollouts r : List.of(peer, rollouts)) {
+      r.onOrders(List.of(order(State.IN_PROGRESS, 0.09)));
+    }
+    IntStream.range(0, 3)
+        .forEach(
+            i -> {
+              peer.onOutcome("s", "v2", "r", OutcomeSample.failed());
+              rollouts.onOutcome("s", "v2", "r", OutcomeSample.failed());
+            });
+    rollouts.onReport(peer.report().orElseThrow());
+    assertThat(halts).hasSize(1);
+  }
+
+  @Test
+  void aNewOrderStartsWithoutTheEvidenceOfTheOldOne() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v2", 10, OutcomeSample.failed());
+    assertThat(rollouts.isHalted("s")).isTrue();
+    rollouts.onOrders(
+        List.of(new RolloutOrder("s", "v3", 24_000, 9, new Progress(State.IN_PROGRESS, 0.09))));
+    assertThat(rollouts.isHalted("s")).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/route/RouteTableTest.java
@@ -0,0 +1,77 @@
+package org.currantslip.core.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class RouteTableTest {
+  private static Route route(String name, String host, String prefix, WeightedService... services) {
+    return new Route(
+        name,
+        host,
+        prefix,
+        RouteKind.SAFE,
+        List.of(services),
+        2,
+        1_000,
+        300,
+        0,
+        0,
+        false,
+        false,
+        List.of());
+  }
+
+  private static final WeightedService ONE = new WeightedService("one", 1);
+
+  private static RouteTable table(long version) {
+    return RouteTable.of(
+        version,
+        List.of(
+            route("short", "h", "/a/", ONE),
+            route("long", "h", "/a/b/", ONE),
+            route("other", "g", "/a/", ONE)),
+        List.of(),
+        Map.of("key", new Account("account", OptionalInt.empty())),
+        CallerLimits.defaults());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "h, /a/x, short",
+    "h, /a/b/x, long",
+    "h, /a/b, short",
+    "g, /a/b/x, other",
+    "h, /b/, ",
+    "f, /a/, "
+  })
+  void theLongestPrefixOfTheHostWins(String host, String path, String name) {
+    assertThat(table(1).route(host, path).map(Route::name).orElse(null)).isEqualTo(name);
+  }
+
+  @Test
+  void splitsByWeightAndKeepsTheServiceOfAKey() {
+    Route split =
+        route("r", "h", "/", new WeightedService("one", 90), new WeightedService("two", 10));
+    long two =
+        IntStream.range(0, 10_000).filter(i -> split.serviceFor("k" + i).equals("two")).count();
+    assertThat((int) two).isIn(Range.closed(800, 1_200));
+    assertThat(split.serviceFor("k1")).isEqualTo(split.serviceFor("k1"));
+  }
+
+  @Test
+  void anOlderTableIsNeverPutInForce() {
+    RouteHolder holder = RouteHolder.create();
+    assertThat(holder.offer(table(7))).isTrue();
+    assertThat(holder.offer(table(5))).isFalse();
+    assertThat(holder.offer(table(7))).isFalse();
+    assertThat(holder.current().version()).isEqualTo(7);
+  }
+}
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -105,8 +105,8 @@
   private EdgeNode(EdgeSettings settings) throws InterruptedException {
     this.settings = settings;
     decisions = DecisionThread.create(clock);
-    storeClient = HttpClients.start("store", CLIENT_THREADS, CONNECT_MS);
-    endpointClient = HttpClients.start("endpoint", CLIENT_THREADS, CONNECT_MS);
+    storeClient = HttpClients.startPlain("store", CLIENT_THREADS, CONNECT_MS);
+    endpointClient = HttpClients.startPlain("endpoint", CLIENT_THREADS, CONNECT_MS);
     decisions.start();
     ObjectsClient store =
         ObjectsClient.create(
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -20,8 +20,11 @@
   /** Callers that keep answers longer than told come back this many times later. */
   private static final int TTL_OVERSTAY = 3;
 
-  /** Part of the grace that is spent at most on callers that still come. */
-  private static final double LEAVING_SHARE = 0.4;
+  /**
+   * Longest time spent on callers that still come. Streams that begin later than 3 s after SIGTERM
+   * may outlast the grace, and would be cut.
+   */
+  private static final double MAX_LEAVING_MS = 2_700;
 
   /** Part of the grace by which everything has to be over. */
   private static final double STOPPED_SHARE = 0.9;
@@ -88,7 +91,7 @@
   static PlannedStop.Options stop(EdgeSettings settings) {
     double graceMs = settings.getStop().getGraceS() * MS_PER_S;
     double staleMs = TTL_OVERSTAY * directoryTtlS(settings) * MS_PER_S;
-    long leavingMs = (long) Math.min(staleMs, LEAVING_SHARE * graceMs);
+    long leavingMs = (long) Math.min(Math.min(staleMs, MAX_LEAVING_MS), graceMs / 2);
     long drainMs = (long) (STOPPED_SHARE * graceMs) - leavingMs - MARK_MS;
     return new PlannedStop.Options(leavingMs, Math.max(0, drainMs), 0, MARK_MS);
   }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
@@ -10,10 +10,7 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.node.log.LogSetup;
-import org.currantslip.schema.EdgeListenSettings;
-import org.currantslip.schema.EdgeRetrySettings;
 import org.currantslip.schema.EdgeSettings;
-import org.currantslip.schema.EdgeStoreSettings;
 import sun.misc.Signal;
 
 /** Runs an edge node as a process: its signals, its settings file and its exit status. */
@@ -25,6 +22,21 @@
   /** A file that changes without a signal is found this soon. */
   private static final long WATCH_MS = 1_000;
 
+  private static final String REHEARSAL =
+      """
+      name = "rehearsal"
+      region = "none"
+      failure_domain = "none"
+      host = "127.0.0.1"
+      [listen]
+      caller = "127.0.0.1:0"
+      readiness = "127.0.0.1:0"
+      directory = "127.0.0.1:0"
+      peer_port = 17340
+      [store]
+      address = "127.0.0.1:9"
+      """;
+
   private final Path file;
   private String text = "";
 
@@ -50,21 +62,9 @@
 
   /** Runs a rehearsal on loopback, by which the build finds the classes to keep in its archive. */
   public static int rehearse(PrintStream err) {
-    String any = "127.0.0.1:0";
-    EdgeSettings settings =
-        EdgeSettings.newBuilder()
-            .setName("rehearsal")
-            .setHost("127.0.0.1")
-            .setListen(
-                EdgeListenSettings.newBuilder()
-                    .setCaller(any)
-                    .setReadiness(any)
-                    .setDirectory(any))
-            .setStore(EdgeStoreSettings.newBuilder().setAddress("127.0.0.1:9").setValueBytes(1))
-            .setRetry(EdgeRetrySettings.newBuilder().setWindowS(1))
-            .build();
-    LogSetup.apply(settings.getLog());
     try {
+      EdgeSettings settings = SettingsLoader.loadEdge(REHEARSAL);
+      LogSetup.apply(settings.getLog());
       EdgeNode.rehearse(settings);
       return EXIT_OK;
     } catch (Exception e) {
--- a/node/src/main/java/org/currantslip/node/log/JsonLineEncoder.java
+++ b/node/src/main/java/org/currantslip/node/log/JsonLineEncoder.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
 import com.google.common.base.Strings;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
@@ -15,6 +16,8 @@
 /** Writes each log entry as one line of JSON. */
 public final class JsonLineEncoder extends EncoderBase<ILoggingEvent> {
   private static final Pattern EVENT = Pattern.compile("(?s)([0-9]{4}) ([A-Z_]+) ?(.*)");
+  private static final Pattern FIELDS = Pattern.compile("[a-z_]+=[^\\s\"]*(?: [a-z_]+=[^\\s\"]*)*");
+  private static final Splitter SPACE = Splitter.on(' ');
   private static final byte[] NOTHING = {};
 
   private final ObjectMapper json = new ObjectMapper();
@@ -41,7 +44,7 @@
     if (event.matches()) {
       line.put("event", Integer.parseInt(Strings.nullToEmpty(event.group(1))));
       line.put("name", event.group(2));
-      line.put("message", event.group(3));
+      putFields(line, Strings.nullToEmpty(event.group(3)));
     } else {
       line.put("logger", entry.getLoggerName());
       line.put("message", message);
@@ -56,6 +59,19 @@
     }
   }
 
+  /** Puts {@code key=value} fields into the line as such; any other text stays a message. */
+  private static void putFields(ObjectNode line, String text) {
+    if (!FIELDS.matcher(text).matches()) {
+      line.put("message", text);
+      return;
+    }
+    ObjectNode fields = line.putObject("fields");
+    for (String field : SPACE.split(text)) {
+      int equals = field.indexOf('=');
+      fields.put(field.substring(0, equals), field.substring(equals + 1));
+    }
+  }
+
   @Override
   public byte[] footerBytes() {
     return NOTHING;
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -31,6 +31,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final JvmGcMetrics gc = new JvmGcMetrics();
+  private boolean runtimeBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
 
   private NodeMetrics() {
@@ -44,9 +45,16 @@
     gauge(Metric.CONFIG_AGE, g -> g.configAgeMs() / MS_PER_S);
     FunctionCounter.builder(Metric.PEER_FRAMES.meter(), this, m -> m.gauges.frames())
         .register(registry);
-    new JvmMemoryMetrics().bindTo(registry);
-    new ProcessorMetrics().bindTo(registry);
-    gc.bindTo(registry);
+  }
+
+  /** Binds the figures of the runtime, which take a tenth of a second of a start. */
+  private synchronized void bindRuntime() {
+    if (!runtimeBound) {
+      runtimeBound = true;
+      new JvmMemoryMetrics().bindTo(registry);
+      new ProcessorMetrics().bindTo(registry);
+      gc.bindTo(registry);
+    }
   }
 
   /** Returns metrics that all stand at zero. */
@@ -79,6 +87,7 @@
 
   /** Returns the page that Prometheus reads. */
   public String page() {
+    bindRuntime();
     return registry.scrape();
   }
 
--- a/node/src/test/java/org/currantslip/node/log/LogEventsTest.java
+++ b/node/src/test/java/org/currantslip/node/log/LogEventsTest.java
@@ -54,7 +54,28 @@
     assertThat(json.path("name").asText()).isEqualTo("MEMBER_LOST");
     assertThat(json.path("message").asText()).isEqualTo("node=\"a\"\nb");
     assertThat(json.path("level").asText()).isEqualTo("WARN");
+    assertThat(json.has("fields")).isFalse();
     assertThat(new String(line, java.nio.charset.StandardCharsets.UTF_8).strip())
         .doesNotContain("\n");
   }
+
+  @Test
+  void fieldsOfAnEventStandByThemselves() throws IOException {
+    LoggerContext context = new LoggerContext();
+    LoggingEvent entry =
+        new LoggingEvent(
+            "",
+            context.getLogger("x"),
+            Level.WARN,
+            "4002 REQUEST_FAILED request=9c41 code=5002 endpoint=",
+            null,
+            null);
+
+    JsonNode json = new ObjectMapper().readTree(JsonLineEncoder.create().encode(entry));
+
+    assertThat(json.path("fields").path("request").asText()).isEqualTo("9c41");
+    assertThat(json.path("fields").path("code").asText()).isEqualTo("5002");
+    assertThat(json.path("fields").path("endpoint").asText()).isEmpty();
+    assertThat(json.has("message")).isFalse();
+  }
 }
