Lists after watches without changes; one store client; dead endpoints left sooner

A watch that ends without a change, or is cut, is now followed by a list, and its revision not taken. - Links that fell silent showed what the watches did not: a lost link, or a peer that is ahead, restarts the watches.

--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -38,7 +38,9 @@
     return start(name, threads, connectTimeoutMs, connector);
   }
 
-  /** Takes the place of TLS that is never spoken; a trust store takes a tenth of a second to load. */
+  /**
+   * Takes the place of TLS that is never spoken; a trust store takes a tenth of a second to load.
+   */
   private static final class NoTls extends SslContextFactory.Client {
     @Override
     protected void doStart() {}
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -18,7 +18,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A copy of all objects of one kind: listed once, then kept current by one waiting watch.
+ * A copy of all objects of one kind: listed, then kept current by one waiting watch.
+ *
+ * <p>A watch that ends without a change is followed by a list, as a store that drops its history
+ * may leave changes out of a watch.
  *
  * <p>A node that cannot reach the store takes whole copies from peers. Copies are ordered by store
  * revision, so a mirror never goes back. Owned by the decision thread.
@@ -187,6 +190,11 @@
       return;
     }
     succeeded();
+    if (changes.changes().isEmpty()) {
+      // A watch may have lost its changes without a word; only a list shows that nothing changed.
+      listed = false;
+      return;
+    }
     boolean changed = changes.changes().stream().map(this::apply).reduce(false, (a, b) -> a | b);
     revision = Math.max(revision, changes.revision());
     if (changed) {
@@ -241,8 +249,8 @@
   }
 
   private void failed(@Nullable Throwable failure) {
+    listed = false;
     if (isHistoryGone(failure)) {
-      listed = false;
       nextMs = 0;
       return;
     }
@@ -284,7 +292,7 @@
     return snapshot.build();
   }
 
-  /** Takes a peer's copy if it is newer, and watches on from there; returns whether it was. */
+  /** Takes a peer's copy if it is newer; returns whether it was. */
   public boolean offer(MirrorSnapshot snapshot) {
     if (snapshot.getRevision() <= revision) {
       return false;
@@ -297,8 +305,16 @@
     // The watch under way did not report what the peer knew; it may hang on a dead connection.
     call++;
     underWay = false;
-    listed = true;
-    nextMs = Math.max(nextMs, clock.nowMs());
+    listed = false;
     return true;
   }
+
+  /** Gives up the watch under way, which may hang on a dead connection, and lists again. */
+  public void recheck() {
+    if (listed) {
+      call++;
+      underWay = false;
+      listed = false;
+    }
+  }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
@@ -77,6 +77,7 @@
       return;
     }
     askedUntilMs.put(kind, nowMs + ASK_TIMEOUT_MS);
+    mine.recheck();
     PeerFrame ask =
         PeerFrame.newBuilder().setMirrorRequest(MirrorRequest.newBuilder().setKind(kind)).build();
     CompletableFuture<Void> unused =
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
@@ -9,8 +9,8 @@
  * @param settleMs pause after a change, so that changes in quick succession come in one call
  */
 public record MirrorOptions(long watchMs, long firstRetryMs, long lastRetryMs, long settleMs) {
-  /** Below the store's limit of 30 s for one watch; each renewal costs a call. */
-  private static final long WATCH_MS = 25_000;
+  /** Bounds how long changes that a watch left out go unnoticed; each renewal costs two calls. */
+  private static final long WATCH_MS = 12_000;
 
   private static final long FIRST_RETRY_MS = 50;
 
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -145,6 +145,11 @@
     return !ended && nowMs - lastEventMs >= bound;
   }
 
+  /** Returns whether nothing came from the endpoint for so long. */
+  boolean isQuietFor(long ms, long nowMs) {
+    return !ended && nowMs - lastEventMs >= ms;
+  }
+
   /** Ends the attempt because the endpoint is silent. */
   void failSilent() {
     if (!ended) {
@@ -210,6 +215,9 @@
     if (ended) {
       return;
     }
+    if (failure == CallFailure.NOT_SENT) {
+      use.unreachable();
+    }
     fail(
         switch (failure) {
           case NOT_SENT -> Fault.NOT_SENT;
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -48,6 +48,9 @@
   /** A full batch or a preempted request pauses a stream for about a second. */
   private static final long MIN_BETWEEN_EVENTS_MS = 1_000;
 
+  /** A little more than a step of a full batch takes. */
+  private static final long QUIET_WHILE_UNREACHABLE_MS = 400;
+
   private static final long MAX_HELD_BYTES = 16L << 20;
 
   private final ForwardPorts ports;
@@ -448,11 +451,20 @@
   void onTick(long nowMs) {
     if (nowMs >= deadlineMs) {
       onDeadline();
-    } else if (isIn(Stage.CALLING) && attempt != null && attempt.isSilent(nowMs)) {
+    } else if (isIn(Stage.CALLING) && attempt != null && isLost(attempt, nowMs)) {
       attempt.failSilent();
     }
   }
 
+  /** An endpoint that others cannot connect to is left sooner than one that is only slow. */
+  private boolean isLost(Attempt a, long nowMs) {
+    boolean elsewhere = route().isRepeatable() && runs + 1 < route().attempts();
+    return a.isSilent(nowMs)
+        || (elsewhere
+            && a.isQuietFor(QUIET_WHILE_UNREACHABLE_MS, nowMs)
+            && ports.chooser().isUnreachable(a.endpoint().getId()));
+  }
+
   private void onDeadline() {
     expired = true;
     if (isIn(Stage.CALLING) && attempt != null && !attempt.isEnded()) {
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -45,6 +45,11 @@
     };
   }
 
+  /** Returns whether connections to an endpoint failed lately, so that it may be down. */
+  default boolean isUnreachable(String endpointId) {
+    return false;
+  }
+
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -22,6 +22,9 @@
   /** Prompts that waited at the time of a report are read within about this time. */
   private static final double REPORT_HALF_TIME_MS = 400;
 
+  /** Longer than the pause between two probes of an ejected endpoint. */
+  private static final long UNREACHABLE_MS = 1_500;
+
   /** Weight of one outcome in the share of failures. */
   private static final double FAULT_SMOOTHING = 0.15;
 
@@ -42,6 +45,7 @@
   private int pendingAtReport;
   private double faultShare;
   private long faultAtMs;
+  private long unreachableMs;
 
   EndpointState(EndpointRecord rec) {
     this.rec = rec;
@@ -96,6 +100,7 @@
     faultShare += FAULT_SMOOTHING * ((result.ok() ? 0 : 1) - faultShare);
     faultAtMs = nowMs;
     if (result.ok()) {
+      unreachableMs = 0;
       serviceMs += SMOOTHING * (result.totalMs() - serviceMs);
       failures = 0;
       ejectedUntilMs = 0;
@@ -109,6 +114,17 @@
     }
   }
 
+  /** A connection failed: the endpoint gets nothing until a probe shows that it is back. */
+  void unreachable(long nowMs) {
+    unreachableMs = nowMs;
+    ejectedUntilMs = Math.max(ejectedUntilMs, nowMs + FIRST_EJECTION_MS);
+  }
+
+  /** Returns whether a connection failed lately and no request was answered since. */
+  boolean isUnreachable(long nowMs) {
+    return unreachableMs > 0 && nowMs - unreachableMs < UNREACHABLE_MS;
+  }
+
   /** Returns whether requests may go here; an ejected endpoint gets one probe at a time. */
   boolean usable(long nowMs) {
     return !rec.getLeaving() && (ejectedUntilMs == 0 || (nowMs >= ejectedUntilMs && !probing));
--- a/core/src/main/java/org/currantslip/core/routing/EndpointUse.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointUse.java
@@ -8,6 +8,9 @@
   /** The endpoint answers: its first byte came after {@code firstByteMs}. */
   void answering(long firstByteMs);
 
+  /** The endpoint could not be connected to. */
+  default void unreachable() {}
+
   /** The request is over at this endpoint. */
   void finished(CallResult result);
 }
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -208,17 +208,22 @@
     return home ? Math.min(missing, own) : missing;
   }
 
+  @Override
+  public boolean isUnreachable(String endpointId) {
+    EndpointState state = states.get(endpointId);
+    return state != null && state.isUnreachable(clock.nowMs());
+  }
+
   @Override
   public EndpointUse use(String endpointId, RouteQuery query) {
     EndpointState state = states.get(endpointId);
-    if (state == null || query.prompt().isEmpty()) {
-      return EndpointChooser.super.use(endpointId, query);
-    }
-    return new PromptUse(state, query, rate(query));
+    return state == null
+        ? EndpointChooser.super.use(endpointId, query)
+        : new CountedUse(state, query, rate(query));
   }
 
-  /** Counts a prompt against the endpoint that reads it. */
-  private final class PromptUse implements EndpointUse {
+  /** Counts a request, and the prompt that is to be read for it, against its endpoint. */
+  private final class CountedUse implements EndpointUse {
     private final EndpointState state;
     private final RouteQuery query;
     private final PrefillRate rate;
@@ -227,7 +232,7 @@
     private final double aheadMs;
     private boolean reading;
 
-    private PromptUse(EndpointState state, RouteQuery query, PrefillRate rate) {
+    private CountedUse(EndpointState state, RouteQuery query, PrefillRate rate) {
       this.state = state;
       this.query = query;
       this.rate = rate;
@@ -256,6 +261,11 @@
       }
     }
 
+    @Override
+    public void unreachable() {
+      state.unreachable(clock.nowMs());
+    }
+
     @Override
     public void finished(CallResult result) {
       if (reading) {
--- a/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
@@ -52,6 +52,10 @@
         .complete(new KindChanges(List.of(new KindChanges.Change(object, removed)), revision));
   }
 
+  void failList(StoreException.Kind kind) {
+    lists.get(lists.size() - 1).completeExceptionally(StoreException.of(kind, "test"));
+  }
+
   CompletableFuture<KindChanges> lastWatch() {
     return watches.get(watches.size() - 1);
   }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -345,6 +345,21 @@
     assertThat(calls.cancelled).containsExactly(call(0));
   }
 
+  @Test
+  void anEndpointThatCannotBeConnectedToLosesItsStreamsSooner() {
+    chooser.onEndpoints(List.of(chooser.endpoints().get(0)));
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 3);
+    after(399);
+    send("safe");
+    call(1).listener().onFailure(CallFailure.NOT_SENT, "");
+    engine.tick();
+    assertThat(calls.cancelled).doesNotContain(call(0));
+    after(1);
+    assertThat(calls.cancelled).contains(call(0));
+  }
+
   @Test
   void anUnsafeRequestWaitsForItsOneEndpointUntilTheTimeoutOfItsRoute() {
     send("unsafe");
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -20,6 +20,7 @@
 import org.currantslip.core.membership.HeartbeatMembership;
 import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.PlannedStop;
+import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorGossip;
 import org.currantslip.core.request.ForwardPorts;
 import org.currantslip.core.request.RequestEngine;
@@ -111,7 +112,7 @@
     ObjectsClient store =
         ObjectsClient.create(
             storeClient,
-            settings.getStore().getAddress(),
+            "http://" + settings.getStore().getAddress(),
             decisions,
             STORE_TIMEOUT_MS,
             settings.getStore().getValueBytes());
@@ -406,6 +407,12 @@
       membership.onRecord(peer);
     }
 
+    /** What silenced a link may have silenced the watches of the store as well. */
+    @Override
+    public void onLinkLost(NodeRecord peer) {
+      mirrors.all().forEach(KindMirror::recheck);
+    }
+
     @Override
     public void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply) {
       PeerFrame.Builder answer = PeerFrame.newBuilder();
--- a/node/src/main/java/org/currantslip/node/log/FirstLog.java
+++ b/node/src/main/java/org/currantslip/node/log/FirstLog.java
@@ -10,8 +10,7 @@
 
 /** The log until the settings are read: warnings as text; {@link LogSetup} then replaces it. */
 public final class FirstLog extends ContextAwareBase implements Configurator {
-  private static final String TEXT =
-      "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %level %logger{0} %msg%n";
+  private static final String TEXT = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %level %logger{0} %msg%n";
 
   /** Called by the service loader. */
   public FirstLog() {}
--- a/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerDispatcher.java
@@ -9,6 +9,9 @@
   /** A link to this node was opened or accepted. */
   void onLink(NodeRecord peer);
 
+  /** A link broke or fell silent. */
+  default void onLinkLost(NodeRecord peer) {}
+
   /** A frame arrived; {@code reply} sends the answer if the peer asked for one. */
   void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply);
 
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -244,6 +244,7 @@
       if (links.remove(link.name(), link)) {
         EventLog.write(LogEvent.LINK_CLOSED, "node=" + link.name());
         failAsks(link.name(), "the link broke to ");
+        dispatcher.onLinkLost(link.peer());
       }
     }
 
--- a/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
@@ -10,12 +10,12 @@
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.adapter.rating.RatingClient;
 import org.currantslip.adapter.rating.RatingSource;
-import org.currantslip.adapter.store.HttpObjectStore;
 import org.currantslip.adapter.vmlist.VmListClient;
 import org.currantslip.adapter.vmlist.VmListSource;
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.request.EndpointCalls;
 import org.currantslip.core.request.EngineOptions;
+import org.currantslip.platform.ObjectsClient;
 import org.currantslip.schema.NodeSettings;
 import org.currantslip.schema.TimeoutSettings;
 import org.eclipse.jetty.client.HttpClient;
@@ -24,6 +24,10 @@
 final class PlatformPorts {
   private static final int STORE_THREADS = 4;
   private static final int ENDPOINT_THREADS = 8;
+
+  /** The largest value, as a base 64 text. */
+  private static final int MAX_OBJECT_BYTES = ObjectStore.MAX_VALUE_BYTES / 3 * 4 + 4_096;
+
   private static final long MAX_ANSWER_BYTES = 8L << 20;
 
   private final HttpClient platformClient;
@@ -40,8 +44,12 @@
     var platform = settings.getPlatform();
     var timeouts = settings.getTimeouts();
     store =
-        HttpObjectStore.create(
-            platformClient, URI.create(platform.getObjectApi()), decisions, timeouts.getStoreMs());
+        ObjectsClient.create(
+            platformClient,
+            platform.getObjectApi(),
+            decisions,
+            timeouts.getStoreMs(),
+            MAX_OBJECT_BYTES);
     vmList = VmListClient.create(platformClient, URI.create(platform.getVmList()), decisions);
     ratings =
         Optional.of(platform.getRatingService())
--- a/standin/src/main/java/org/currantslip/standin/demo/BillingStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/BillingStep.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import org.currantslip.adapter.http.HttpClients;
-import org.currantslip.adapter.store.HttpObjectStore;
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.port.StoredObject;
+import org.currantslip.platform.ObjectsClient;
 import org.currantslip.schema.UsageBatch;
 import org.currantslip.schema.UsageRecord;
 import org.eclipse.jetty.client.HttpClient;
@@ -25,7 +25,9 @@
     HttpClient http = HttpClients.start("billing", 4);
     Map<String, Long> billed;
     try {
-      ObjectStore store = HttpObjectStore.create(http, objectApi, Runnable::run, TIMEOUT_MS);
+      ObjectStore store =
+          ObjectsClient.create(
+              http, objectApi.toString(), Runnable::run, TIMEOUT_MS, ObjectStore.MAX_VALUE_BYTES);
       billed =
           store.list("usage/", "", PAGE).join().stream()
               .flatMap(o -> records(o).stream())
