--- a/adapters/src/test/java/org/currantslip/adapter/http/HttpClientsTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/http/HttpClientsTest.java
@@ -57,7 +57,7 @@
   }
 
   @Test
-  void anAnswerWithoutALengthEndsWithItsConnection() throws IOException {
+  void answerWithoutOneLengthEndsWithItsConnection() throws IOException {
     try (ServerSocket server = listen()) {
       serve(server, false);
       assertThat(get(server.getLocalPort()).body().toStringUtf8()).isEqualTo("part");
@@ -65,7 +65,7 @@
   }
 
   @Test
-  void anAnswerWithoutALengthIsNotCompleteIfItsConnectionWasReset() throws IOException {
+  void answerWithoutOneLengthIsNotCompleteIfItsConnectionWasReset() throws IOException {
     try (ServerSocket server = listen()) {
       serve(server, true);
       assertThrows(CompletionException.class, () -> get(server.getLocalPort()));
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -195,7 +195,7 @@
       listed = false;
       return;
     }
-    boolean changed = changes.changes().stream().map(this::apply).reduce(false, (a, b) -> a | b);
+    boolean changed = changes.changes().stream().map(this::apply).reduce(false, Boolean::logicalOr);
     revision = Math.max(revision, changes.revision());
     if (changed) {
       changedRevision = revision;
@@ -220,12 +220,11 @@
   private void replace(List<KindObject> all, long asOf, long changedAt) {
     TreeMap<String, KindObject> fresh = new TreeMap<>();
     all.forEach(o -> fresh.put(o.name(), o));
-    boolean changed = !fresh.equals(objects);
+    boolean changed = revision == 0 || !fresh.equals(objects);
     objects.clear();
     objects.putAll(fresh);
-    boolean first = revision == 0;
     revision = asOf;
-    if (changed || first) {
+    if (changed) {
       changedRevision = changedAt;
       notifyChange();
     }
--- a/core/src/test/java/org/currantslip/core/limits/PlaceQueueTest.java
+++ b/core/src/test/java/org/currantslip/core/limits/PlaceQueueTest.java
@@ -32,6 +32,10 @@
     return place;
   }
 
+  private void fill(String name, String account, int rank) {
+    assertThat(ask(name, account, rank).isDone()).isFalse();
+  }
+
   private void free(int places) {
     free += places;
     queue.tick();
@@ -60,7 +64,7 @@
   }
 
   @Test
-  void theMostUrgentIsNextAndWithinARankTheAccountThatHadLess() {
+  void theMostUrgentIsNextAndWithinOneRankTheAccountThatHadLess() {
     ask("late", "large", 2);
     ask("first", "large", 0);
     ask("second", "large", 0);
@@ -70,7 +74,7 @@
   }
 
   @Test
-  void aLessUrgentRequestIsNotStarved() {
+  void lessUrgentRequestIsNotStarved() {
     ask("late", "b", 2);
     for (int i = 0; i < 20; i++) {
       ask("urgent" + i, "a", 0);
@@ -80,7 +84,7 @@
   }
 
   @Test
-  void whatCannotBeOnTimeIsRefusedAtOnceWithATimeToComeBack() {
+  void whatCannotBeOnTimeIsRefusedAtOnceWithOneTimeToComeBack() {
     CompletableFuture<Permit> last = ask("r", "a", 0);
     for (int i = 0; i < 30 && !last.isDone(); i++) {
       last = ask("r" + i, "a", 0);
@@ -102,7 +106,7 @@
   }
 
   @Test
-  void aReleasedPlaceGoesToTheNextAtOnce() {
+  void releasedPlaceGoesToTheNextAtOnce() {
     free = 1;
     ask("first", "a", 0);
     ask("second", "a", 0);
--- a/core/src/test/java/org/currantslip/core/limits/RetryBudgetTest.java
+++ b/core/src/test/java/org/currantslip/core/limits/RetryBudgetTest.java
@@ -32,7 +32,7 @@
   }
 
   @Test
-  void aNodeThatLosesSightOfItsPeersDoesNotTakeTheirPart() {
+  void nodeThatLosesSightOfItsPeersDoesNotTakeTheirPart() {
     int[] live = {6};
     RetryBudget budget = RetryBudget.create(clock, BOUND, () -> live[0]);
     assertThat(spend(budget, 100)).isEqualTo(7);
--- a/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
@@ -66,7 +66,7 @@
   }
 
   @Test
-  void aChangeThatIsOlderThanTheCopyChangesNothing() {
+  void changeThatIsOlderThanTheCopyChangesNothing() {
     start();
     feed.changed(12, FakeFeed.object("a", 2), false);
     assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 3));
@@ -102,7 +102,7 @@
   }
 
   @Test
-  void givesUpAWatchThatIsNeverAnswered() {
+  void givesUpOneWatchThatIsNeverAnswered() {
     start();
     clock.advance(27_001);
     mirror.tick();
@@ -114,7 +114,7 @@
   }
 
   @Test
-  void takesANewerCopyOfAPeer() {
+  void takesOneNewerCopyOfOnePeer() {
     start();
     KindMirror peer = KindMirror.create("k", new FakeFeed(), clock, OPTIONS, 2);
     MirrorSnapshot newer =
@@ -131,7 +131,7 @@
   }
 
   @Test
-  void aWatchThatLeftAChangeOutIsMadeGoodByAList() {
+  void watchThatLeftOneChangeOutIsMadeGoodByOneList() {
     start();
     feed.lastWatch().complete(new KindChanges(List.of(), 30));
     assertThat(mirror.revision()).isEqualTo(10);
@@ -142,7 +142,7 @@
   }
 
   @Test
-  void aWatchThatWasCutIsFollowedByAList() {
+  void watchThatWasCutIsFollowedByOneList() {
     start();
     feed.failWatch(StoreException.Kind.NOT_DONE);
     after(400);
@@ -151,7 +151,7 @@
   }
 
   @Test
-  void aWatchThatMayHangIsGivenUpForAList() {
+  void watchThatMayHangIsGivenUpForOneList() {
     start();
     mirror.recheck();
     mirror.tick();
@@ -162,7 +162,7 @@
   }
 
   @Test
-  void aListThatIsOlderThanAPeersCopyDoesNotTakeItBack() {
+  void listThatIsOlderThanOnePeersCopyDoesNotTakeItBack() {
     mirror.tick();
     MirrorSnapshot newer =
         MirrorSnapshot.newBuilder().setKind("k").setRevision(40).setChangedRevision(40).build();
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -204,7 +204,7 @@
   }
 
   @Test
-  void aNodeWithoutConfigurationSendsCallersAway() {
+  void nodeWithoutConfigurationSendsCallersAway() {
     RequestEngine fresh =
         RequestEngine.forwarding(
             new ForwardPorts(
@@ -299,7 +299,7 @@
   }
 
   @Test
-  void aRequestRunsOnNoMoreEndpointsThanItsRouteAllows() {
+  void requestRunsOnNoMoreEndpointsThanItsRouteAllows() {
     send("safe");
     for (int i = 0; i < calls.calls.size(); i++) {
       call(i).listener().onFailure(CallFailure.BROKEN, "");
@@ -309,7 +309,7 @@
   }
 
   @Test
-  void aBrokenStreamGoesOnAfterItsLastEventWithinOneAnswer() {
+  void brokenStreamGoesOnAfterItsLastEventWithinOneAnswer() {
     send("stream");
     head(call(0), 200, false);
     event(call(0), 3);
@@ -326,7 +326,7 @@
   }
 
   @Test
-  void aStreamThatMayNotBeResumedIsBrokenOff() {
+  void streamThatMayNotBeResumedIsBrokenOff() {
     send("once");
     head(call(0), 200, false);
     event(call(0), 3);
@@ -336,7 +336,7 @@
   }
 
   @Test
-  void aSilentEndpointOfAnIdempotentRequestIsLeft() {
+  void silentEndpointOfAnIdempotentRequestIsLeft() {
     send("safe");
     after(2 * OBJECTIVE_MS - 1);
     assertThat(calls.calls).hasSize(1);
@@ -346,7 +346,7 @@
   }
 
   @Test
-  void anEndpointThatCannotBeConnectedToLosesItsStreamsSooner() {
+  void endpointThatCannotBeConnectedToLosesItsStreamsSooner() {
     chooser.onEndpoints(List.of(chooser.endpoints().get(0)));
     send("stream");
     head(call(0), 200, false);
@@ -361,7 +361,7 @@
   }
 
   @Test
-  void anUnsafeRequestWaitsForItsOneEndpointUntilTheTimeoutOfItsRoute() {
+  void unsafeRequestWaitsForItsOneEndpointUntilTheTimeoutOfItsRoute() {
     send("unsafe");
     after(TIMEOUT_MS - 1);
     assertThat(sink.heads()).isEqualTo(0);
@@ -380,7 +380,7 @@
   }
 
   @Test
-  void workForACallerWhoLeftIsStoppedUnlessItMayRunOnlyOnce() {
+  void workForOneCallerWhoLeftIsStoppedUnlessItMayRunOnlyOnce() {
     send("safe").callerGone();
     assertThat(calls.cancelled).hasSize(1);
     calls.calls.clear();
@@ -393,7 +393,7 @@
   }
 
   @Test
-  void aDoubtedAnswerIsDroppedForThatOfALargerModel() {
+  void doubtedAnswerIsDroppedForThatOfOneLargerModel() {
     send("sized");
     assertThat(call(0).request().model()).isEqualTo("small");
     call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.3)));
@@ -407,7 +407,7 @@
   }
 
   @Test
-  void aTrustedAnswerOfTheSmallModelIsPassedOn() {
+  void trustedAnswerOfTheSmallModelIsPassedOn() {
     send("sized");
     call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.8)));
     event(call(0), 1);
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void aGoodVersionIsCompleteInTimeAndFewUseItInTheFirstHalf() {
+  void goodVersionIsCompleteInTimeAndFewUseItInTheFirstHalf() {
     run(1_000);
     assertThat(order.progress().state()).isEqualTo(State.IN_PROGRESS);
     answers(20, OutcomeSample.answered(10));
@@ -106,7 +106,7 @@
   }
 
   @Test
-  void aBadVersionIsRolledBackAtOnceAndForGood() {
+  void badVersionIsRolledBackAtOnceAndForGood() {
     run(1_000);
     answers(20, OutcomeSample.failed());
     run(1_000);
@@ -127,7 +127,7 @@
   }
 
   @Test
-  void aNodeThatSawAnOldVersionIsRefusedAndChangesNothing() {
+  void nodeThatSawAnOldVersionIsRefusedAndChangesNothing() {
     run(1_000);
     RolloutOrder seen = order;
     assertThat(write("late", seen.storeVersion() - 1, new Progress(State.COMPLETE, 1))).isNotNull();
@@ -135,7 +135,7 @@
   }
 
   @Test
-  void aRestartedNodeGoesOnFromTheStoredStage() {
+  void restartedNodeGoesOnFromTheStoredStage() {
     order = new RolloutOrder("s", "v2", 24_000, 9, new Progress(State.IN_PROGRESS, 1));
     NODES.forEach(this::tell);
     answers(20, OutcomeSample.answered(10));
--- a/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
@@ -46,7 +46,7 @@
   }
 
   @Test
-  void theNewVersionGetsNothingBeforeTheFirstStageAndAfterARollBack() {
+  void theNewVersionGetsNothingBeforeTheFirstStageAndAfterOneRollBack() {
     for (State state : List.of(State.ORDERED, State.ROLLED_BACK)) {
       progress(state, 0);
       assertThat(rollouts.versions("s", "k")).containsExactly("v1");
@@ -54,7 +54,7 @@
   }
 
   @Test
-  void theShareGrowsWithoutMovingASessionBack() {
+  void theShareGrowsWithoutMovingOneSessionBack() {
     List<String> keys = IntStream.range(0, 2_000).mapToObj(i -> "session" + i).toList();
     progress(State.IN_PROGRESS, 0.09);
     List<String> early = keys.stream().filter(this::isNew).toList();
@@ -72,7 +72,7 @@
   }
 
   @Test
-  void aBadVersionIsStoppedAfterFewAnswers() {
+  void badVersionIsStoppedAfterFewAnswers() {
     progress(State.IN_PROGRESS, 0.09);
     outcomes("v1", 50, OutcomeSample.answered(10));
     int bad = 0;
@@ -86,7 +86,7 @@
   }
 
   @Test
-  void aSlowVersionIsStopped() {
+  void slowVersionIsStopped() {
     progress(State.IN_PROGRESS, 0.09);
     outcomes("v1", 50, OutcomeSample.answered(10));
     outcomes("v2", 10, OutcomeSample.answered(80));
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void aVersionThatIsBadOnOneRouteOnlyIsStopped() {
+  void versionThatIsBadOnOneRouteOnlyIsStopped() {
     progress(State.IN_PROGRESS, 0.09);
     outcomes("v1", 500, OutcomeSample.answered(10));
     outcomes("v2", 200, OutcomeSample.answered(10));
@@ -133,7 +133,7 @@
   }
 
   @Test
-  void aNewOrderStartsWithoutTheEvidenceOfTheOldOne() {
+  void newOrderStartsWithoutTheEvidenceOfTheOldOne() {
     progress(State.IN_PROGRESS, 0.09);
     outcomes("v2", 10, OutcomeSample.failed());
     assertThat(rollouts.isHalted("s")).isTrue();
--- a/core/src/test/java/org/currantslip/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/currantslip/core/route/RouteTableTest.java
@@ -57,7 +57,7 @@
   }
 
   @Test
-  void splitsByWeightAndKeepsTheServiceOfAKey() {
+  void splitsByWeightAndKeepsTheServiceOfOneKey() {
     Route split =
         route("r", "h", "/", new WeightedService("one", 90), new WeightedService("two", 10));
     long two =
@@ -67,7 +67,7 @@
   }
 
   @Test
-  void anOlderTableIsNeverPutInForce() {
+  void olderTableIsNeverPutInForce() {
     RouteHolder holder = RouteHolder.create();
     assertThat(holder.offer(table(7))).isTrue();
     assertThat(holder.offer(table(5))).isFalse();
--- a/core/src/test/java/org/currantslip/core/routing/EndpointRegistryTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/EndpointRegistryTest.java
@@ -27,7 +27,7 @@
   }
 
   @Test
-  void anEntryThatIsRemovedEndsTheUseAtOnce() {
+  void entryThatIsRemovedEndsTheUseAtOnce() {
     entries("a", "b");
     entries("b");
     assertThat(known).containsExactly("b");
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void aShortOutageCanLetNoEntryLapse() {
+  void shortOutageCanLetNoEntryLapse() {
     entries("a", "b");
     registry.onStoreRegained(2_000);
     entries("b");
