--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -24,7 +24,7 @@
    * @param threads most threads it may use
    */
   public static HttpClient start(String name, int threads) {
-    return start(name, threads, CONNECT_TIMEOUT_MS, new ProbingConnector());
+    return open(name, threads, CONNECT_TIMEOUT_MS, new ProbingConnector());
   }
 
   /**
@@ -35,7 +35,7 @@
   public static HttpClient startPlain(String name, int threads, long connectTimeoutMs) {
     ClientConnector connector = new ProbingConnector();
     connector.setSslContextFactory(new NoTls());
-    return start(name, threads, connectTimeoutMs, connector);
+    return open(name, threads, connectTimeoutMs, connector);
   }
 
   /**
@@ -46,7 +46,7 @@
     protected void doStart() {}
   }
 
-  private static HttpClient start(
+  private static HttpClient open(
       String name, int threads, long connectTimeoutMs, ClientConnector connector) {
     QueuedThreadPool pool = new QueuedThreadPool(Math.max(threads, MIN_THREADS), MIN_THREADS);
     pool.setName(name);
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -220,7 +220,7 @@
   private void replace(List<KindObject> all, long asOf, long changedAt) {
     TreeMap<String, KindObject> fresh = new TreeMap<>();
     all.forEach(o -> fresh.put(o.name(), o));
-    boolean changed = revision == 0 || !fresh.equals(objects);
+    final boolean changed = revision == 0 || !fresh.equals(objects);
     objects.clear();
     objects.putAll(fresh);
     revision = asOf;
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -127,6 +127,9 @@
     deadlineMs = Math.min(request.deadlineMs(), startedMs + r.timeoutMs());
     size = ports.sizes().first(r);
     ports.retries().request(service);
+    if (request.body().size() > table.limits().bodyBytes()) {
+      throw RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "the body is too large");
+    }
     if (timeLeftMs() <= 0) {
       throw RefusalException.notRun(ResultCode.DEADLINE_PASSED, "the deadline has passed");
     }
--- a/core/src/main/java/org/currantslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/currantslip/core/route/RouteTable.java
@@ -10,24 +10,20 @@
 
 /** One accepted version of the operators' routes; immutable. */
 public final class RouteTable {
-  private static final RouteTable NONE =
-      of(0, List.of(), List.of(), Map.of(), CallerLimits.defaults());
+  private static final RouteTable NONE = of(0, List.of(), Map.of(), CallerLimits.defaults());
 
   private final long version;
   private final ImmutableListMultimap<String, Route> byHost;
-  private final ImmutableMap<String, RoutedService> services;
   private final ImmutableMap<String, Account> accounts;
   private final CallerLimits limits;
 
   private RouteTable(
       long version,
       ImmutableListMultimap<String, Route> byHost,
-      ImmutableMap<String, RoutedService> services,
       ImmutableMap<String, Account> accounts,
       CallerLimits limits) {
     this.version = version;
     this.byHost = byHost;
-    this.services = services;
     this.accounts = accounts;
     this.limits = limits;
   }
@@ -38,23 +34,13 @@
    * @param accounts accounts by their keys
    */
   public static RouteTable of(
-      long version,
-      List<Route> routes,
-      List<RoutedService> services,
-      Map<String, Account> accounts,
-      CallerLimits limits) {
+      long version, List<Route> routes, Map<String, Account> accounts, CallerLimits limits) {
     List<Route> longestFirst =
         routes.stream()
             .sorted(Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed())
             .toList();
-    ImmutableMap.Builder<String, RoutedService> named = ImmutableMap.builder();
-    services.forEach(s -> named.put(s.name(), s));
     return new RouteTable(
-        version,
-        Multimaps.index(longestFirst, Route::host),
-        named.buildKeepingLast(),
-        ImmutableMap.copyOf(accounts),
-        limits);
+        version, Multimaps.index(longestFirst, Route::host), ImmutableMap.copyOf(accounts), limits);
   }
 
   /** Returns the table before any configuration is known. */
@@ -77,16 +63,6 @@
     return Optional.ofNullable(accounts.get(key));
   }
 
-  /** Returns a service by its name. */
-  public Optional<RoutedService> service(String name) {
-    return Optional.ofNullable(services.get(name));
-  }
-
-  /** Returns all services. */
-  public List<RoutedService> services() {
-    return services.values().asList();
-  }
-
   /** Returns how many routes there are. */
   public int size() {
     return byHost.size();
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -36,6 +36,7 @@
 final class ForwardedFlowTest {
   private static final long TIMEOUT_MS = 4_000;
   private static final long OBJECTIVE_MS = 400;
+  private static final int MAX_BODY_BYTES = 4;
 
   private final DrivenClock clock = DrivenClock.startingAt(1_000_000);
   private final RouteHolder routes = RouteHolder.create();
@@ -85,9 +86,8 @@
                 route("stream", RouteKind.STREAMING, true, List.of()),
                 route("once", RouteKind.STREAMING, false, List.of()),
                 route("sized", RouteKind.STREAMING, true, List.of("small", "large"))),
-            List.of(),
             Map.of("key", new Account("account", OptionalInt.empty())),
-            CallerLimits.defaults()));
+            new CallerLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000)));
     chooser.onEndpoints(
         IntStream.range(0, 4)
             .mapToObj(
@@ -106,6 +106,10 @@
   }
 
   private RequestHandle send(String name, String key, long timeLeftMs) {
+    return send(name, key, timeLeftMs, "body");
+  }
+
+  private RequestHandle send(String name, String key, long timeLeftMs, String body) {
     return engine.start(
         new RouterRequest(
             "id",
@@ -116,7 +120,7 @@
             "POST",
             "/" + name + "/x?y=z",
             "text/plain",
-            ByteString.copyFromUtf8("body"),
+            ByteString.copyFromUtf8(body),
             false,
             null,
             true,
@@ -160,7 +164,7 @@
   }
 
   private List<HeaderField> endpointFields() {
-    EndpointHead head = sink.head().endpoint();
+    EndpointHead head = sink.firstHead().endpoint();
     return head == null ? List.of() : head.fields();
   }
 
@@ -190,7 +194,7 @@
     assertThat(forwarded(request).instance()).isEqualTo(call(0).endpoint().getId());
     answer(call(0), 200);
     assertThat(sink.status()).isEqualTo(200);
-    assertThat(sink.data()).isEqualTo("whole");
+    assertThat(sink.text()).isEqualTo("whole");
     assertThat(endpointFields()).containsExactly(new HeaderField("Mac", "m"));
     assertThat(outcomes.get(0).code()).isEqualTo(ResultCode.OK);
   }
@@ -242,7 +246,14 @@
             new ForwardedRequest("host", "key", List.of(), List.of(), "")),
         sink);
     assertThat(sink.status()).isEqualTo(503);
-    assertThat(sink.head().retryAfterMs()).isGreaterThan(0);
+    assertThat(sink.firstHead().retryAfterMs()).isGreaterThan(0);
+  }
+
+  @Test
+  void bodyBeyondTheLimitOfTheConfigurationIsRefused() {
+    send("safe", "key", 1_000, "bodyX");
+    assertThat(sink.status()).isEqualTo(413);
+    assertThat(calls.calls).isEmpty();
   }
 
   /** What one failed call may lead to: another call, and else which status. */
@@ -321,7 +332,7 @@
     event(call(1), 9);
     call(1).listener().onEnd(EndpointUsage.none());
     assertThat(sink.heads()).isEqualTo(1);
-    assertThat(sink.data()).isEqualTo("id: 3\ndata: x\n\nid: 6\ndata: x\n\nid: 9\ndata: x\n\n");
+    assertThat(sink.text()).isEqualTo("id: 3\ndata: x\n\nid: 6\ndata: x\n\nid: 9\ndata: x\n\n");
     assertThat(sink.end().code()).isEqualTo(ResultCode.OK);
   }
 
@@ -401,7 +412,7 @@
     call(1).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.3)));
     event(call(1), 1);
     call(1).listener().onEnd(EndpointUsage.none());
-    assertThat(sink.data()).isEqualTo("id: 1\ndata: x\n\n");
+    assertThat(sink.text()).isEqualTo("id: 1\ndata: x\n\n");
     assertThat(calls.cancelled).containsExactly(call(0));
     assertThat(outcomes.get(0).model()).isEqualTo("large");
   }
@@ -411,7 +422,7 @@
     send("sized");
     call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.8)));
     event(call(0), 1);
-    assertThat(sink.data()).isEqualTo("id: 1\ndata: x\n\n");
+    assertThat(sink.text()).isEqualTo("id: 1\ndata: x\n\n");
     assertThat(calls.calls).hasSize(1);
   }
 }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedSink.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedSink.java
@@ -29,15 +29,15 @@
     return heads.size();
   }
 
-  AnswerHead head() {
+  AnswerHead firstHead() {
     return heads.get(0);
   }
 
   int status() {
-    return head().httpStatus();
+    return firstHead().httpStatus();
   }
 
-  String data() {
+  String text() {
     return data.toString();
   }
 
--- a/core/src/test/java/org/currantslip/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/currantslip/core/route/RouteTableTest.java
@@ -38,7 +38,6 @@
             route("short", "h", "/a/", ONE),
             route("long", "h", "/a/b/", ONE),
             route("other", "g", "/a/", ONE)),
-        List.of(),
         Map.of("key", new Account("account", OptionalInt.empty())),
         CallerLimits.defaults());
   }
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -41,7 +41,7 @@
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> view) {
-    return create(
+    return build(
         options,
         OwnProtocol.create(options, tokens, clock),
         UriCompliance.DEFAULT,
@@ -62,7 +62,7 @@
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> view) {
-    return create(
+    return build(
         options,
         protocol,
         UriCompliance.UNSAFE,
@@ -74,7 +74,7 @@
         view);
   }
 
-  private static FrontDoor create(
+  private static FrontDoor build(
       CallerOptions options,
       CallerProtocol protocol,
       UriCompliance paths,
--- a/node/src/main/java/org/currantslip/node/caller/OwnProtocol.java
+++ b/node/src/main/java/org/currantslip/node/caller/OwnProtocol.java
@@ -100,7 +100,7 @@
 
   @Override
   public ByteString event(ByteString unit) {
-    return event("", unit);
+    return frame("", unit);
   }
 
   @Override
@@ -110,15 +110,15 @@
 
   @Override
   public Optional<ByteString> streamEnd(AnswerHead end) {
-    ByteString last = event("currantslip", ByteString.copyFrom(AnswerJson.streamEnd(end)));
+    ByteString last = frame("currantslip", ByteString.copyFrom(AnswerJson.streamEnd(end)));
     ByteString done =
         end.code() == ResultCode.OK
-            ? event("", ByteString.copyFromUtf8("[DONE]"))
+            ? frame("", ByteString.copyFromUtf8("[DONE]"))
             : ByteString.EMPTY;
     return Optional.of(last.concat(done));
   }
 
-  private static ByteString event(String name, ByteString payload) {
+  private static ByteString frame(String name, ByteString payload) {
     String prefix = name.isEmpty() ? "" : "event: " + name + "\n";
     String data = "data: " + payload.toStringUtf8().replace("\n", "\ndata: ");
     return ByteString.copyFrom(prefix + data + "\n\n", StandardCharsets.UTF_8);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -110,14 +110,14 @@
     endpointClient = HttpClients.startPlain("endpoint", CLIENT_THREADS, CONNECT_MS);
     decisions.start();
     ObjectsClient store =
-        ObjectsClient.create(
+        ObjectsClient.open(
             storeClient,
             "http://" + settings.getStore().getAddress(),
             decisions,
             STORE_TIMEOUT_MS,
             settings.getStore().getValueBytes());
     NodeRecord self = selfRecord(incarnation(store));
-    long seed = self.getId().getIncarnation();
+    final long seed = self.getId().getIncarnation();
     AtomicReference<HeartbeatMembership> known = new AtomicReference<>();
     links =
         PeerLinks.create(
@@ -284,7 +284,7 @@
   }
 
   private void tick() {
-    long nowMs = clock.nowMs();
+    final long nowMs = clock.nowMs();
     membership.tick();
     mirrors.tick();
     registry.tick();
--- a/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
+++ b/node/src/main/java/org/currantslip/node/wiring/PlatformPorts.java
@@ -44,7 +44,7 @@
     var platform = settings.getPlatform();
     var timeouts = settings.getTimeouts();
     store =
-        ObjectsClient.create(
+        ObjectsClient.open(
             platformClient,
             platform.getObjectApi(),
             decisions,
--- a/standin/src/main/java/org/currantslip/standin/demo/BillingStep.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/BillingStep.java
@@ -26,7 +26,7 @@
     Map<String, Long> billed;
     try {
       ObjectStore store =
-          ObjectsClient.create(
+          ObjectsClient.open(
               http, objectApi.toString(), Runnable::run, TIMEOUT_MS, ObjectStore.MAX_VALUE_BYTES);
       billed =
           store.list("usage/", "", PAGE).join().stream()
--- a/standin/src/test/java/org/currantslip/standin/contract/ObjectStoreContractTest.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/ObjectStoreContractTest.java
@@ -41,7 +41,7 @@
   }
 
   private ObjectsClient client(int port, long timeoutMs) {
-    return ObjectsClient.create(
+    return ObjectsClient.open(
         bench.http, Bench.uri(port).toString(), bench.decisions, timeoutMs, MAX_OBJECT_BYTES);
   }
 
