--- a/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.currantslip.adapter.settings.SettingsException;
@@ -32,7 +34,8 @@
       caller = "127.0.0.1:0"
       readiness = "127.0.0.1:0"
       directory = "127.0.0.1:0"
-      peer_port = 17340
+      peer_port = %d
+      metrics_port = %d
       [store]
       address = "127.0.0.1:9"
       """;
@@ -63,7 +66,7 @@
   /** Runs a rehearsal on loopback, by which the build finds the classes to keep in its archive. */
   public static int rehearse(PrintStream err) {
     try {
-      EdgeSettings settings = SettingsLoader.loadEdge(REHEARSAL);
+      EdgeSettings settings = SettingsLoader.loadEdge(REHEARSAL.formatted(freePort(), freePort()));
       LogSetup.apply(settings.getLog());
       EdgeNode.rehearse(settings);
       return EXIT_OK;
@@ -73,6 +76,12 @@
     }
   }
 
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
   private void watch() {
     text = read();
     Signal.handle(new Signal("HUP"), signal -> reload());
