--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -4,9 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.currantslip.adapter.http.HttpAnswer;
@@ -18,7 +16,6 @@
 import org.currantslip.core.limits.PlaceQueue;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.membership.HeartbeatMembership;
-import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorGossip;
@@ -40,6 +37,7 @@
 import org.currantslip.node.peer.PeerDispatcher;
 import org.currantslip.node.peer.PeerLinks;
 import org.currantslip.node.peer.PeerTls;
+import org.currantslip.node.wiring.StartNumbers;
 import org.currantslip.node.wiring.SteadyClock;
 import org.currantslip.platform.ObjectsClient;
 import org.currantslip.platform.RolloutOrderCodec;
@@ -116,7 +114,10 @@
             decisions,
             STORE_TIMEOUT_MS,
             settings.getStore().getValueBytes());
-    NodeRecord self = selfRecord(incarnation(store));
+    NodeRecord self =
+        selfRecord(
+            StartNumbers.incarnation(
+                settings.getName(), store, decisions, clock, INCARNATION_WAIT_MS));
     final long seed = self.getId().getIncarnation();
     AtomicReference<HeartbeatMembership> known = new AtomicReference<>();
     links =
@@ -229,21 +230,6 @@
     }
   }
 
-  /** Asks the store for an incarnation, and takes the clock's when the store is out. */
-  private long incarnation(ObjectsClient store) throws InterruptedException {
-    CompletableFuture<Long> found = new CompletableFuture<>();
-    decisions.execute(
-        () ->
-            Incarnations.next(settings.getName(), store, clock)
-                .whenComplete(
-                    (number, failure) -> found.complete(failure == null ? number : clock.nowMs())));
-    try {
-      return found.get(INCARNATION_WAIT_MS, TimeUnit.MILLISECONDS);
-    } catch (TimeoutException | ExecutionException e) {
-      return clock.nowMs();
-    }
-  }
-
   private NodeRecord selfRecord(long incarnation) {
     return NodeRecord.newBuilder()
         .setId(NodeId.newBuilder().setName(settings.getName()).setIncarnation(incarnation))
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -3,14 +3,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.membership.HeartbeatMembership;
-import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.MembershipOptions;
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.request.RequestHandle;
@@ -64,7 +60,12 @@
     decisions = DecisionThread.create(clock);
     platform = PlatformPorts.open(settings, decisions);
     decisions.start();
-    NodeRecord self = SelfRecord.of(settings, incarnation(settings.getName()), clock);
+    NodeRecord self =
+        SelfRecord.of(
+            settings,
+            StartNumbers.incarnation(
+                settings.getName(), platform.store(), decisions, clock, INCARNATION_WAIT_MS),
+            clock);
     AtomicReference<HeartbeatMembership> known = new AtomicReference<>();
     links =
         PeerLinks.create(
@@ -148,21 +149,6 @@
     return new PlannedStop.Options(entryMs, times.getDrainMs(), FLUSH_MS, MARK_MS);
   }
 
-  /** Asks the store for an incarnation, and takes the clock's when the store is out. */
-  private long incarnation(String name) throws InterruptedException {
-    CompletableFuture<Long> found = new CompletableFuture<>();
-    decisions.execute(
-        () ->
-            Incarnations.next(name, platform.store(), clock)
-                .whenComplete(
-                    (number, failure) -> found.complete(failure == null ? number : clock.nowMs())));
-    try {
-      return found.get(INCARNATION_WAIT_MS, TimeUnit.MILLISECONDS);
-    } catch (TimeoutException | ExecutionException e) {
-      return clock.nowMs();
-    }
-  }
-
   private ConfigAnnounce configStatus() {
     return ConfigAnnounce.newBuilder()
         .setVersion(core.config().current().version())
