A few nodes of each failure domain watch the store; the others follow them

Cause: every node watched every kind, so that each change cost one call a node.

Change: RelayedFeed asks a watcher of the own failure domain, two by hash; MirrorRelay answers from its copy with what changed since. The choice needs no agreement: nodes only follow nodes of a smaller hash, a node that does not watch says so, and the store remains the last resort. Answers over a link that was replaced meanwhile go over the newer link.

Ruled out: stale reads; they cost a tenth but may be seconds old.

Tests: RelayedMirrorsTest (calls for a change with 80 nodes: 8 watchers, at most three calls each; frozen, refused, silent and unknown watchers; outage of the store).

--- a/core/src/main/java/org/currantslip/core/common/LogEvent.java
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -38,6 +38,7 @@
   STORE_REGAINED(6002, Level.INFO),
   ENTRY_UNREADABLE(6003, Level.WARN),
   LINES_LEFT_OUT(6004, Level.WARN),
+  WATCHER_CHANGED(6005, Level.INFO),
   TASK_FAILED(9001, Level.ERROR);
 
   /** How grave an event is. */
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -1,8 +1,12 @@
 package org.currantslip.core.mirror;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.MapDifference;
+import com.google.common.collect.Maps;
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
@@ -13,7 +17,6 @@
 import org.currantslip.core.port.KindObject;
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.StoreException;
-import org.currantslip.schema.MirrorObject;
 import org.currantslip.schema.MirrorSnapshot;
 import org.jspecify.annotations.Nullable;
 
@@ -45,6 +48,7 @@
   private final MirrorOptions options;
   private final SplittableRandom random;
   private final TreeMap<String, KindObject> objects = new TreeMap<>();
+  private final ChangeLog log = ChangeLog.create();
   private Runnable onChange = () -> {};
   private Consumer<Link> onLink = link -> {};
   private @Nullable ImmutableMap<String, KindObject> view;
@@ -192,12 +196,14 @@
     succeeded();
     if (changes.changes().isEmpty()) {
       // A watch may have lost its changes without a word; only a list shows that nothing changed.
-      listed = false;
+      listed = changes.proved();
       return;
     }
-    boolean changed = changes.changes().stream().map(this::apply).reduce(false, Boolean::logicalOr);
+    List<String> changed =
+        changes.changes().stream().filter(this::apply).map(c -> c.object().name()).toList();
     revision = Math.max(revision, changes.revision());
-    if (changed) {
+    log.add(revision, changed);
+    if (!changed.isEmpty()) {
       changedRevision = revision;
       nextMs = clock.nowMs() + options.settleMs();
       notifyChange();
@@ -220,7 +226,15 @@
   private void replace(List<KindObject> all, long asOf, long changedAt) {
     TreeMap<String, KindObject> fresh = new TreeMap<>();
     all.forEach(o -> fresh.put(o.name(), o));
-    final boolean changed = revision == 0 || !fresh.equals(objects);
+    MapDifference<String, KindObject> difference = Maps.difference(objects, fresh);
+    final boolean changed = revision == 0 || !difference.areEqual();
+    if (revision == 0) {
+      log.startAt(asOf);
+    } else {
+      log.add(asOf, difference.entriesDiffering().keySet());
+      log.add(asOf, difference.entriesOnlyOnLeft().keySet());
+      log.add(asOf, difference.entriesOnlyOnRight().keySet());
+    }
     objects.clear();
     objects.putAll(fresh);
     revision = asOf;
@@ -272,6 +286,24 @@
     return cause instanceof StoreException e && e.kind() == StoreException.Kind.HISTORY_GONE;
   }
 
+  /** Returns what changed after a revision, for a peer; empty when that is no longer known. */
+  public Optional<KindChanges> changesAfter(long after) {
+    return log.namesAfter(after)
+        .map(
+            names -> {
+              List<KindChanges.Change> changes = names.stream().map(this::lastChange).toList();
+              return new KindChanges(changes, revision, true);
+            });
+  }
+
+  private KindChanges.Change lastChange(String name) {
+    KindObject known = objects.get(name);
+    return known != null
+        ? new KindChanges.Change(known, false)
+        : new KindChanges.Change(
+            new KindObject(name, revision, ByteString.EMPTY, ByteString.EMPTY), true);
+  }
+
   /** Returns this copy, for a peer that is behind. */
   public MirrorSnapshot snapshot() {
     MirrorSnapshot.Builder snapshot =
@@ -279,15 +311,7 @@
             .setKind(kind)
             .setRevision(revision)
             .setChangedRevision(changedRevision);
-    objects.values().stream()
-        .map(
-            o ->
-                MirrorObject.newBuilder()
-                    .setName(o.name())
-                    .setVersion(o.version())
-                    .setSpec(o.spec())
-                    .setStatus(o.status()))
-        .forEach(snapshot::addObject);
+    objects.values().stream().map(MirrorCodec::object).forEach(snapshot::addObject);
     return snapshot.build();
   }
 
@@ -296,10 +320,7 @@
     if (snapshot.getRevision() <= revision) {
       return false;
     }
-    List<KindObject> all =
-        snapshot.getObjectList().stream()
-            .map(o -> new KindObject(o.getName(), o.getVersion(), o.getSpec(), o.getStatus()))
-            .toList();
+    List<KindObject> all = snapshot.getObjectList().stream().map(MirrorCodec::object).toList();
     replace(all, snapshot.getRevision(), snapshot.getChangedRevision());
     // The watch under way did not report what the peer knew; it may hang on a dead connection.
     call++;
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -0,0 +1,92 @@
+package org.currantslip.core.mirror;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.port.KindChanges;
+import org.currantslip.core.port.KindFeed;
+import org.currantslip.core.port.KindPage;
+import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.core.port.StoreException;
+import org.currantslip.schema.MirrorChanges;
+import org.currantslip.schema.MirrorWatch;
+import org.currantslip.schema.PeerFrame;
+
+/** Lists and watches at a node that watches the store, or at the store when there is none. */
+public final class RelayedFeed implements KindFeed {
+  /** Time over its wait after which a watcher's answer counts as lost; two network round trips. */
+  private static final long MARGIN_MS = 1_000;
+
+  private final KindFeed store;
+  private final PeerNetwork peers;
+  private final StoreWatchers watchers;
+
+  private RelayedFeed(KindFeed store, PeerNetwork peers, StoreWatchers watchers) {
+    this.store = store;
+    this.peers = peers;
+    this.watchers = watchers;
+  }
+
+  /** Returns a feed that prefers the watchers to the store. */
+  public static RelayedFeed create(KindFeed store, PeerNetwork peers, StoreWatchers watchers) {
+    return new RelayedFeed(store, peers, watchers);
+  }
+
+  @Override
+  public CompletableFuture<KindPage> listKind(String kind, String startAfter) {
+    Optional<String> watcher = startAfter.isEmpty() ? watchers.watcher() : Optional.empty();
+    return watcher
+        .map(
+            name ->
+                ask(name, kind, 0, 0)
+                    .thenApply(RelayedFeed::page)
+                    .exceptionallyCompose(failure -> listKind(kind, startAfter)))
+        .orElseGet(() -> store.listKind(kind, startAfter));
+  }
+
+  private static KindPage page(MirrorChanges copy) {
+    return new KindPage(
+        copy.getObjectList().stream().map(MirrorCodec::object).toList(), false, copy.getRevision());
+  }
+
+  @Override
+  public CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs) {
+    return watchers
+        .watcher()
+        .map(name -> ask(name, kind, afterRevision, waitMs).thenApply(MirrorCodec::changes))
+        .orElseGet(() -> store.watchKind(kind, afterRevision, waitMs));
+  }
+
+  @Override
+  public CompletableFuture<Long> putStatus(
+      String kind, String name, ByteString status, long expectedVersion) {
+    return store.putStatus(kind, name, status, expectedVersion);
+  }
+
+  /** Asks a watcher; a failure says that the caller has to list anew, from another source. */
+  private CompletableFuture<MirrorChanges> ask(
+      String watcher, String kind, long afterRevision, long waitMs) {
+    MirrorWatch.Builder watch =
+        MirrorWatch.newBuilder()
+            .setKind(kind)
+            .setAfterRevision(afterRevision)
+            .setWaitMs((int) waitMs);
+    PeerFrame frame = PeerFrame.newBuilder().setMirrorWatch(watch).build();
+    return peers
+        .ask(watcher, frame, waitMs + MARGIN_MS)
+        .handle(
+            (reply, failure) -> {
+              boolean answered = failure == null && reply.hasMirrorChanges();
+              MirrorChanges changes =
+                  answered ? reply.getMirrorChanges() : MirrorChanges.getDefaultInstance();
+              if (!answered || changes.getOutcome() == MirrorChanges.Outcome.NOT_WATCHING) {
+                watchers.avoid(watcher);
+              }
+              if (!answered || changes.getOutcome() != MirrorChanges.Outcome.COMPLETE) {
+                throw StoreException.of(
+                    StoreException.Kind.HISTORY_GONE, watcher + " cannot tell the changes");
+              }
+              return changes;
+            });
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -0,0 +1,100 @@
+package org.currantslip.core.mirror;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.membership.Membership;
+import org.currantslip.schema.NodeRecord;
+
+/**
+ * Chooses which nodes watch the store, and whom each other node follows.
+ *
+ * <p>A few nodes of each failure domain watch, by the hash of their names, so that the calls to the
+ * store do not grow with the fleet. The choice needs no agreement: a node that is asked but does
+ * not watch says so, and the asker goes elsewhere or to the store.
+ */
+public final class StoreWatchers {
+  /** One may be lost; its followers then share the other. */
+  private static final int WATCHERS_PER_DOMAIN = 2;
+
+  /** Long enough for the membership to notice that a watcher is gone. */
+  private static final long AVOID_MS = 2_000;
+
+  private final Membership membership;
+  private final Clock clock;
+  private final Map<String, Long> avoidedUntilMs = new HashMap<>();
+  private List<NodeRecord> known = List.of();
+  private List<String> watchers = List.of();
+  private Optional<String> followed = Optional.empty();
+
+  private StoreWatchers(Membership membership, Clock clock) {
+    this.membership = membership;
+    this.clock = clock;
+  }
+
+  /** Returns a choice among the live nodes of this node's failure domain. */
+  public static StoreWatchers create(Membership membership, Clock clock) {
+    return new StoreWatchers(membership, clock);
+  }
+
+  /** Returns whether this node is to watch the store itself. */
+  public boolean isWatcher() {
+    return watchers().contains(self());
+  }
+
+  /** Returns the watcher to ask; empty when this node has to turn to the store. */
+  public Optional<String> watcher() {
+    if (isWatcher()) {
+      return Optional.empty();
+    }
+    long nowMs = clock.nowMs();
+    avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
+    return watchers().stream()
+        .filter(name -> !avoidedUntilMs.containsKey(name))
+        .min(Comparator.comparingLong(name -> hash(self(), name)));
+  }
+
+  /** Leaves a watcher alone that did not answer or does not watch. */
+  public void avoid(String watcher) {
+    avoidedUntilMs.put(watcher, clock.nowMs() + AVOID_MS);
+  }
+
+  /** Returns the watcher that this node now follows, if it is another than when last asked. */
+  public Optional<Optional<String>> takeChange() {
+    Optional<String> now = watcher();
+    if (now.equals(followed)) {
+      return Optional.empty();
+    }
+    followed = now;
+    return Optional.of(now);
+  }
+
+  private String self() {
+    return membership.self().getId().getName();
+  }
+
+  private List<String> watchers() {
+    List<NodeRecord> live = membership.live();
+    if (live != known) {
+      known = live;
+      String domain = membership.self().getFailureDomain();
+      watchers =
+          live.stream()
+              .filter(n -> n.getFailureDomain().equals(domain))
+              .map(n -> n.getId().getName())
+              .sorted(Comparator.comparingLong(name -> hash(domain, name)))
+              .limit(WATCHERS_PER_DOMAIN)
+              .toList();
+    }
+    return watchers;
+  }
+
+  private static long hash(String salt, String name) {
+    return Hashing.murmur3_128().hashString(salt + '\0' + name, StandardCharsets.UTF_8).asLong();
+  }
+}
--- a/core/src/main/java/org/currantslip/core/port/KindChanges.java
+++ b/core/src/main/java/org/currantslip/core/port/KindChanges.java
@@ -7,8 +7,9 @@
  *
  * @param changes changes in the order in which they happened
  * @param revision store revision up to which all changes are included
+ * @param proved whether none can be missing; a store that drops its history may leave some out
  */
-public record KindChanges(List<Change> changes, long revision) {
+public record KindChanges(List<Change> changes, long revision, boolean proved) {
   /**
    * One change.
    *
--- a/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
@@ -49,7 +49,8 @@
 
   void changed(long revision, KindObject object, boolean removed) {
     lastWatch()
-        .complete(new KindChanges(List.of(new KindChanges.Change(object, removed)), revision));
+        .complete(
+            new KindChanges(List.of(new KindChanges.Change(object, removed)), revision, false));
   }
 
   void failList(StoreException.Kind kind) {
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
@@ -0,0 +1,144 @@
+package org.currantslip.core.mirror;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.fake.FakeEvents;
+import org.currantslip.core.port.KindChanges;
+import org.currantslip.core.port.KindFeed;
+import org.currantslip.core.port.KindObject;
+import org.currantslip.core.port.KindPage;
+import org.currantslip.core.port.StoreException;
+
+/** A store of one kind of object that many nodes list and watch; counts their calls. */
+final class FakeKindStore {
+  private static final long CALL_MS = 4;
+
+  private record Logged(KindChanges.Change change, long revision) {}
+
+  private record Watch(Link link, long after, CompletableFuture<KindChanges> answer) {}
+
+  private final FakeEvents events;
+  private final TreeMap<String, KindObject> objects = new TreeMap<>();
+  private final List<Logged> log = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision = 1;
+  private int calls;
+
+  private FakeKindStore(FakeEvents events) {
+    this.events = events;
+  }
+
+  static FakeKindStore on(FakeEvents events) {
+    return new FakeKindStore(events);
+  }
+
+  /** Returns how many calls nodes have made. */
+  int calls() {
+    return calls;
+  }
+
+  void put(String name) {
+    revision++;
+    KindObject object =
+        new KindObject(name, revision, ByteString.copyFromUtf8(name), ByteString.EMPTY);
+    objects.put(name, object);
+    note(new KindChanges.Change(object, false));
+  }
+
+  void remove(String name) {
+    revision++;
+    note(new KindChanges.Change(objects.remove(name), true));
+  }
+
+  private void note(KindChanges.Change change) {
+    log.add(new Logged(change, revision));
+    List<Watch> due = List.copyOf(watches);
+    watches.clear();
+    due.forEach(this::answer);
+  }
+
+  private void answer(Watch watch) {
+    List<KindChanges.Change> since =
+        log.stream().filter(e -> e.revision() > watch.after()).map(Logged::change).toList();
+    KindChanges changes = new KindChanges(since, revision, false);
+    events.after(CALL_MS, () -> watch.link().complete(watch.answer(), changes));
+  }
+
+  Link newLink() {
+    return new Link();
+  }
+
+  /** The store as one node reaches it. */
+  final class Link implements KindFeed {
+    private boolean cut;
+    private boolean refused;
+
+    /** Lets calls hang, as on a link that is cut without a word. */
+    void setCut(boolean now) {
+      cut = now;
+    }
+
+    /** Refuses calls at once. */
+    void setRefused(boolean now) {
+      refused = now;
+      if (now) {
+        List<Watch> mine = watches.stream().filter(w -> w.link() == this).toList();
+        watches.removeAll(mine);
+        mine.forEach(w -> w.answer().completeExceptionally(refusal()));
+      }
+    }
+
+    private static StoreException refusal() {
+      return StoreException.of(StoreException.Kind.NOT_DONE, "refused");
+    }
+
+    private <T> void complete(CompletableFuture<T> call, T value) {
+      if (!cut) {
+        call.complete(value);
+      }
+    }
+
+    @Override
+    public CompletableFuture<KindPage> listKind(String kind, String startAfter) {
+      calls++;
+      if (refused) {
+        return CompletableFuture.failedFuture(refusal());
+      }
+      CompletableFuture<KindPage> answer = new CompletableFuture<>();
+      KindPage page = new KindPage(List.copyOf(objects.values()), false, revision);
+      events.after(CALL_MS, () -> complete(answer, page));
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs) {
+      calls++;
+      if (refused) {
+        return CompletableFuture.failedFuture(refusal());
+      }
+      Watch watch = new Watch(this, afterRevision, new CompletableFuture<>());
+      if (afterRevision < revision) {
+        answer(watch);
+      } else {
+        watches.add(watch);
+        events.after(waitMs, () -> endWait(watch));
+      }
+      return watch.answer();
+    }
+
+    private void endWait(Watch watch) {
+      if (watches.remove(watch)) {
+        complete(watch.answer(), new KindChanges(List.of(), revision, false));
+      }
+    }
+
+    @Override
+    public CompletableFuture<Long> putStatus(
+        String kind, String name, ByteString status, long expectedVersion) {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
--- a/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
@@ -133,7 +133,7 @@
   @Test
   void watchThatLeftOneChangeOutIsMadeGoodByOneList() {
     start();
-    feed.lastWatch().complete(new KindChanges(List.of(), 30));
+    feed.lastWatch().complete(new KindChanges(List.of(), 30, false));
     assertThat(mirror.revision()).isEqualTo(10);
     mirror.tick();
     feed.listed(31, FakeFeed.object("a", 25));
--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -0,0 +1,229 @@
+package org.currantslip.core.mirror;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.currantslip.core.common.DrivenClock;
+import org.currantslip.core.fake.FakeEvents;
+import org.currantslip.core.fake.FakeMembership;
+import org.currantslip.core.fake.FakePeerNetwork;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+import org.junit.jupiter.api.Test;
+
+/** Mirrors of a fleet of which a few nodes watch the store, and the others follow these. */
+final class RelayedMirrorsTest {
+  private static final int DOMAINS = 4;
+  private static final String KIND = "things";
+  private static final long TICK_MS = 10;
+
+  /** Bound of the platform's stricter deployments for a change to be in force. */
+  private static final long IN_FORCE_MS = 2_000;
+
+  /** Over the time for which a watcher is avoided that was asked before it had a copy. */
+  private static final long SETTLED_MS = 3_000;
+
+  private final FakeEvents events = FakeEvents.on(DrivenClock.startingAt(1_000_000));
+  private final FakeKindStore store = FakeKindStore.on(events);
+  private final FakePeerNetwork network = FakePeerNetwork.create(events);
+  private final TreeMap<String, Node> nodes = new TreeMap<>();
+  private List<NodeRecord> live = List.of();
+
+  private final class Node {
+    private final FakeMembership membership;
+    private final FakeKindStore.Link link = store.newLink();
+    private final KindMirror mirror;
+    private final StoreWatchers watchers;
+    private final MirrorRelay relay;
+    private final MirrorGossip gossip;
+    private boolean frozen;
+
+    private Node(NodeRecord self) {
+      membership = FakeMembership.of(self);
+      live.forEach(membership::add);
+      String name = name();
+      watchers = StoreWatchers.create(membership, events.clock());
+      var peers = network.join(name, (from, frame) -> take(frame));
+      mirror =
+          KindMirror.create(
+              KIND,
+              RelayedFeed.create(link, peers, watchers),
+              events.clock(),
+              MirrorOptions.defaults(),
+              name.hashCode());
+      relay = MirrorRelay.create(List.of(mirror), watchers::isWatcher, events.clock());
+      gossip = MirrorGossip.create(List.of(mirror), peers, events.clock());
+    }
+
+    private String name() {
+      return membership.self().getId().getName();
+    }
+
+    private CompletableFuture<PeerFrame> take(PeerFrame frame) {
+      CompletableFuture<PeerFrame> reply = new CompletableFuture<>();
+      PeerFrame.Builder answer = PeerFrame.newBuilder();
+      if (frame.hasMirrorWatch()) {
+        relay.onWatch(
+            frame.getMirrorWatch(), c -> reply.complete(answer.setMirrorChanges(c).build()));
+      } else {
+        gossip
+            .answer(frame.getMirrorRequest())
+            .ifPresent(s -> reply.complete(answer.setMirrorSnapshot(s).build()));
+      }
+      return reply;
+    }
+
+    private void tick() {
+      if (!frozen) {
+        watchers.takeChange().ifPresent(change -> mirror.recheck());
+        mirror.tick();
+        relay.tick();
+      }
+    }
+  }
+
+  private void start(int count) {
+    live =
+        IntStream.range(0, count)
+            .mapToObj(i -> FakeMembership.node("n%03d".formatted(i), 1, "domain-" + i % DOMAINS))
+            .toList();
+    live.forEach(rec -> nodes.put(rec.getId().getName(), new Node(rec)));
+    advance(SETTLED_MS);
+  }
+
+  private void advance(long byMs) {
+    for (long ms = 0; ms < byMs; ms += TICK_MS) {
+      nodes.values().forEach(Node::tick);
+      events.advance(TICK_MS);
+    }
+  }
+
+  private Stream<Node> watchers() {
+    return nodes.values().stream().filter(n -> n.watchers.isWatcher());
+  }
+
+  /** Returns a node that watches the store and one that follows it. */
+  private List<Node> watcherAndFollower() {
+    Node follower =
+        nodes.values().stream().filter(n -> !n.watchers.isWatcher()).findFirst().orElseThrow();
+    return List.of(nodes.get(follower.watchers.watcher().orElseThrow()), follower);
+  }
+
+  private void assertAllKnow(String name, boolean there) {
+    List<String> wrong = new ArrayList<>();
+    nodes.forEach(
+        (node, n) -> {
+          if (!n.frozen && n.mirror.objects().containsKey(name) != there) {
+            wrong.add(node);
+          }
+        });
+    assertWithMessage("nodes that do not know of %s", name).that(wrong).isEmpty();
+  }
+
+  @Test
+  void changesReachAllNodesAtTheCallsOfAFewWatchers() {
+    store.put("a");
+    start(80);
+    assertAllKnow("a", true);
+    int before = store.calls();
+    store.put("b");
+    advance(100);
+    store.remove("a");
+    advance(200);
+    assertAllKnow("b", true);
+    assertAllKnow("a", false);
+    assertThat(watchers().count()).isEqualTo(2 * DOMAINS);
+    assertThat(store.calls() - before).isAtMost(3 * 2 * DOMAINS);
+  }
+
+  @Test
+  void smallFleetsWatchTheStoreThemselves() {
+    store.put("a");
+    start(6);
+    assertThat(watchers().count()).isEqualTo(6);
+  }
+
+  @Test
+  void quietFollowersCostTheStoreNothing() {
+    store.put("a");
+    start(40);
+    int before = store.calls();
+    advance(24_000);
+    long rounds = 24_000 / MirrorOptions.defaults().watchMs();
+    assertThat(store.calls() - before).isAtMost((int) (2 * (rounds + 1) * 2 * DOMAINS));
+  }
+
+  @Test
+  void followersOfAFrozenWatcherGoToAnother() {
+    store.put("a");
+    start(40);
+    Node watcher = watcherAndFollower().get(0);
+    watcher.frozen = true;
+    network.freeze(watcher.name());
+    advance(500);
+    nodes.values().forEach(n -> n.membership.suspect(watcher.name()));
+    store.put("b");
+    advance(IN_FORCE_MS);
+    assertAllKnow("b", true);
+  }
+
+  @Test
+  void watcherThatLosesTheStoreSendsItsFollowersElsewhere() {
+    store.put("a");
+    start(40);
+    List<Node> pair = watcherAndFollower();
+    pair.get(0).link.setRefused(true);
+    advance(100);
+    store.put("b");
+    advance(IN_FORCE_MS);
+    assertThat(pair.get(1).mirror.objects()).containsKey("b");
+  }
+
+  @Test
+  void followersOfAWatcherWhoseWatchHangsLearnFromPeers() {
+    store.put("a");
+    start(40);
+    List<Node> pair = watcherAndFollower();
+    pair.get(0).link.setCut(true);
+    store.put("b");
+    Node other = watchers().filter(n -> n != pair.get(0)).findFirst().orElseThrow();
+    for (int beat = 0; beat < 4; beat++) {
+      advance(400);
+      String name = other.name();
+      pair.get(1).gossip.onRevisions(name, other.gossip.revisions());
+    }
+    advance(100);
+    assertThat(pair.get(1).mirror.objects()).containsKey("b");
+  }
+
+  @Test
+  void nodeThatKnowsNoWatcherGoesToTheStore() {
+    store.put("a");
+    start(40);
+    Node follower = watcherAndFollower().get(1);
+    watchers().forEach(w -> follower.membership.suspect(w.name()));
+    assertThat(follower.watchers.watcher()).isPresent();
+    store.put("b");
+    advance(IN_FORCE_MS);
+    assertThat(follower.mirror.objects()).containsKey("b");
+    assertThat(follower.watchers.watcher()).isEmpty();
+  }
+
+  @Test
+  void storeOutageEndsForAllWithinTheRetryPause() {
+    store.put("a");
+    start(40);
+    nodes.values().forEach(n -> n.link.setRefused(true));
+    advance(5_000);
+    store.put("b");
+    nodes.values().forEach(n -> n.link.setRefused(false));
+    advance(1_000);
+    assertAllKnow("b", true);
+  }
+}
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -19,6 +19,9 @@
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorGossip;
+import org.currantslip.core.mirror.MirrorRelay;
+import org.currantslip.core.mirror.RelayedFeed;
+import org.currantslip.core.mirror.StoreWatchers;
 import org.currantslip.core.request.ForwardPorts;
 import org.currantslip.core.request.RequestEngine;
 import org.currantslip.core.request.RequestHandle;
@@ -83,6 +86,8 @@
   private final HeartbeatMembership membership;
   private final StoreMirrors mirrors;
   private final MirrorGossip gossip;
+  private final StoreWatchers watchers;
+  private final MirrorRelay relay;
   private final EndpointRegistry registry;
   private final ExpectedWaitChooser chooser;
   private final ServiceRollouts rollouts;
@@ -130,7 +135,9 @@
             name -> Optional.ofNullable(known.get()).flatMap(m -> m.lastKnown(name)));
     membership = HeartbeatMembership.create(self, store, links, clock, EdgeOptions.membership());
     known.set(membership);
-    mirrors = StoreMirrors.create(store, clock, seed);
+    watchers = StoreWatchers.create(membership, clock);
+    mirrors = StoreMirrors.create(RelayedFeed.create(store, links, watchers), clock, seed);
+    relay = MirrorRelay.create(mirrors.all(), watchers::isWatcher, clock);
     gossip = MirrorGossip.create(mirrors.all(), links, clock);
     membership.setMirrors(gossip::revisions, gossip::onRevisions);
     chooser = ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed);
@@ -272,7 +279,9 @@
   private void tick() {
     final long nowMs = clock.nowMs();
     membership.tick();
+    watchers.takeChange().ifPresent(this::follow);
     mirrors.tick();
+    relay.tick();
     registry.tick();
     queue.tick();
     engine.tick();
@@ -305,6 +314,11 @@
     }
   }
 
+  private void follow(Optional<String> watcher) {
+    EventLog.write(LogEvent.WATCHER_CHANGED, "watcher=" + watcher.orElse("store"));
+    mirrors.all().forEach(KindMirror::recheck);
+  }
+
   /** Sends the evidence on versions to the nodes that act on it. */
   private void report() {
     rollouts
@@ -409,6 +423,10 @@
             gossip
                 .answer(frame.getMirrorRequest())
                 .ifPresent(s -> reply.accept(answer.setMirrorSnapshot(s).build()));
+        case MIRROR_WATCH ->
+            relay.onWatch(
+                frame.getMirrorWatch(),
+                changes -> reply.accept(answer.setMirrorChanges(changes).build()));
         case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
         case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
         default -> {
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -235,7 +235,8 @@
 
     private void reply(PeerLink link, long correlation, PeerFrame answer) {
       if (correlation != 0) {
-        link.send(answer.toBuilder().setCorrelation(correlation).setReply(true).build());
+        PeerLink open = link.isOpen() ? link : links.getOrDefault(link.name(), link);
+        open.send(answer.toBuilder().setCorrelation(correlation).setReply(true).build());
       }
     }
 
