Cheaper starts and idle seconds: fuller class archive, no flight recorder, ticks of 25 ms

The archive lacked all classes that need a store or a peer, Netty loaded the flight recorder, string concatenation was linked at run time, and the decision thread woke 100 times a second.

An unreadable settings file now leaves a line in the log.

--- a/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
+++ b/node/src/main/java/org/currantslip/node/CurrantslipdMain.java
@@ -35,6 +35,8 @@
 
   /** Runs a node until it is told to stop. */
   public static void main(String[] args) {
+    // Otherwise each start loads the flight recorder, for events that nobody records.
+    System.setProperty("io.netty.jfr.enabled", "false");
     int code = run(args, System.err);
     LogSetup.stop();
     System.exit(code);
--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -21,7 +21,10 @@
   private static final int REQUEST_CAPACITY = 1 << 12;
   private static final int COMPLETION_CAPACITY = 1 << 14;
   private static final int BATCH = 256;
-  private static final long TICK_MS = 10;
+
+  /** Small against all timeouts; each tick of an idle node costs a wake-up. */
+  private static final long TICK_MS = 25;
+
   private static final long FULL_PARK_NS = 50_000;
 
   private final TaskRing requests;
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -4,12 +4,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import org.currantslip.adapter.http.HttpAnswer;
 import org.currantslip.adapter.http.HttpClients;
-import org.currantslip.adapter.http.HttpExchange;
 import org.currantslip.core.cascade.SizeCascade;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
@@ -68,7 +65,6 @@
   /** A start during an outage of the store goes on with the clock's number. */
   private static final long INCARNATION_WAIT_MS = 800;
 
-  private static final long REHEARSAL_MS = 5_000;
   private static final long PUBLISH_MS = 50;
   private static final long REPORT_MS = 300;
 
@@ -356,23 +352,6 @@
             0));
   }
 
-  /**
-   * Starts a node on loopback without a store, lets it refuse one request and closes it, so that
-   * the classes of a running node are loaded.
-   */
-  public static void rehearse(EdgeSettings settings) throws Exception {
-    EdgeNode node = start(settings);
-    HttpAnswer answer =
-        HttpExchange.send(
-                node.endpointClient.newRequest("127.0.0.1", node.door.port()).path("/rehearsal"),
-                node.decisions,
-                REHEARSAL_MS,
-                Integer.MAX_VALUE)
-            .get(REHEARSAL_MS, TimeUnit.MILLISECONDS);
-    EventLog.write(LogEvent.REHEARSED, "status=" + answer.status());
-    node.close();
-  }
-
   /** Begins a planned stop. */
   public void beginStop() {
     decisions.execute(stop::begin);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeProcess.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.currantslip.adapter.settings.SettingsException;
@@ -24,22 +22,6 @@
   /** A file that changes without a signal is found this soon. */
   private static final long WATCH_MS = 1_000;
 
-  private static final String REHEARSAL =
-      """
-      name = "rehearsal"
-      region = "none"
-      failure_domain = "none"
-      host = "127.0.0.1"
-      [listen]
-      caller = "127.0.0.1:0"
-      readiness = "127.0.0.1:0"
-      directory = "127.0.0.1:0"
-      peer_port = %d
-      metrics_port = %d
-      [store]
-      address = "127.0.0.1:9"
-      """;
-
   private final Path file;
   private String text = "";
 
@@ -66,9 +48,7 @@
   /** Runs a rehearsal on loopback, by which the build finds the classes to keep in its archive. */
   public static int rehearse(PrintStream err) {
     try {
-      EdgeSettings settings = SettingsLoader.loadEdge(REHEARSAL.formatted(freePort(), freePort()));
-      LogSetup.apply(settings.getLog());
-      EdgeNode.rehearse(settings);
+      Rehearsal.run();
       return EXIT_OK;
     } catch (Exception e) {
       err.println(ResultCode.INTERNAL.number() + " rehearsal failed: " + e);
@@ -76,12 +56,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private void watch() {
     text = read();
     Signal.handle(new Signal("HUP"), signal -> reload());
@@ -108,6 +82,7 @@
     try {
       return Files.readString(file);
     } catch (IOException e) {
+      EventLog.write(LogEvent.SETTINGS_REJECTED, "file=%s unreadable=%s".formatted(file, e));
       return text;
     }
   }
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -16,6 +16,7 @@
 import java.util.function.BooleanSupplier;
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.adapter.settings.SettingsLoader;
+import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.schema.EdgeSettings;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -29,18 +30,18 @@
 
   private final HttpClient http = HttpClient.newHttpClient();
   private final org.eclipse.jetty.client.HttpClient callers = HttpClients.start("test", 2);
-  private FakePlatform platform;
+  private RehearsalPlatform platform;
   private EdgeSettings settings;
   private EdgeNode node;
 
   @BeforeEach
   void start() throws Exception {
-    platform = new FakePlatform();
+    platform = new RehearsalPlatform();
     settings = settings();
     node = EdgeNode.start(settings);
     awaitThat(() -> status(settings.getListen().getReadiness(), "/api/readiness") == 200);
     awaitThat(() -> call("/once/warm", "key", "warm").getStatus() == 200);
-    platform.runnerRequests.clear();
+    platform.endpointRequests().clear();
   }
 
   @AfterEach
@@ -131,7 +132,7 @@
     assertThat(answer.getContentAsString()).isEqualTo("ran /once/x?y=%2f");
     assertThat(answer.getHeaders().get("X-Currantslip-Response-Seal")).isEqualTo("mac");
     assertThat(answer.getHeaders().contains("X-Currantslip-Server-Load")).isFalse();
-    Map<String, List<String>> seen = platform.runnerRequests.get(0);
+    Map<String, List<String>> seen = platform.endpointRequests().get(0);
     assertThat(seen.get("x-currantslip-request-id")).containsExactly("id-1");
     assertThat(seen.get("x-currantslip-tenant")).containsExactly("crew");
     assertThat(seen.get("x-currantslip-expect-instance")).containsExactly("i-1");
@@ -154,7 +155,7 @@
   void refusesWhatNoRouteOrKeyAllows() {
     assertThat(call("/once/x", "wrong", "id-3").getStatus()).isEqualTo(401);
     assertThat(call("/none/x", "key", "id-4").getStatus()).isEqualTo(404);
-    assertThat(platform.runnerRequests).isEmpty();
+    assertThat(platform.endpointRequests()).isEmpty();
   }
 
   @Test
