--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -127,11 +127,11 @@
   }
 
   @Test
-  void changesReachAllNodesAtTheCallsOfAFewWatchers() {
+  void changesReachAllNodesAtTheCallsOfFewWatchers() {
     store.put("a");
     start(80);
     assertAllKnow("a", true);
-    int before = store.calls();
+    final int before = store.calls();
     store.put("b");
     advance(100);
     store.remove("a");
@@ -153,14 +153,14 @@
   void quietFollowersCostTheStoreNothing() {
     store.put("a");
     start(40);
-    int before = store.calls();
+    final int before = store.calls();
     advance(24_000);
     long rounds = 24_000 / MirrorOptions.defaults().watchMs();
     assertThat(store.calls() - before).isAtMost((int) (2 * (rounds + 1) * 2 * DOMAINS));
   }
 
   @Test
-  void followersOfAFrozenWatcherGoToAnother() {
+  void followersOfFrozenWatcherGoToAnother() {
     store.put("a");
     start(40);
     Node watcher = watcherAndFollower().get(0);
@@ -186,7 +186,7 @@
   }
 
   @Test
-  void followersOfAWatcherWhoseWatchHangsLearnFromPeers() {
+  void followersOfWatcherWhoseWatchHangsLearnFromPeers() {
     store.put("a");
     start(40);
     List<Node> pair = watcherAndFollower();
