why reads logs, check reads settings, and a byte order mark is no problem

Cause: on the platform nodes have no administration API, so that why had nothing to ask; settings of an edge node could only be checked by starting one; rules files written by some editors were refused.

CliTest: the story of one request from mixed, unordered and cut lines; exit codes of the new uses.

--- a/cli/src/main/java/org/currantslip/cli/CheckCommand.java
+++ b/cli/src/main/java/org/currantslip/cli/CheckCommand.java
@@ -3,11 +3,29 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.currantslip.adapter.settings.SettingsException;
+import org.currantslip.adapter.settings.SettingsLoader;
+import org.currantslip.adapter.settings.SettingsProblem;
+import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.rules.RuleSet;
 import org.currantslip.schema.ApplyReply;
+import org.currantslip.schema.EdgeSettings;
+import org.currantslip.schema.NodeSettings;
 
-/** Checks a rules file without any node. */
+/** Checks files of rules or settings without any node. */
 final class CheckCommand implements Command {
+  /** Whose settings a file holds. */
+  private enum Kind {
+    NODE("node"),
+    EDGE("edge");
+
+    private final String word;
+
+    Kind(String word) {
+      this.word = word;
+    }
+  }
+
   @Override
   public String name() {
     return "check";
@@ -15,7 +33,7 @@
 
   @Override
   public String help() {
-    return "check rules files and report every problem";
+    return "check rules files or settings files and report every problem";
   }
 
   @Override
@@ -25,13 +43,27 @@
 
   @Override
   public void declare(Subparser parser) {
-    parser.addArgument("file").nargs("+").help("rules files");
+    parser.addArgument("file").nargs("+").help("rules files, or settings files with --settings-of");
+    parser
+        .addArgument("--settings-of")
+        .choices(Kind.NODE.word, Kind.EDGE.word)
+        .help("check settings of a node, or of an edge node, in place of rules");
   }
 
   @Override
   public ExitCode run(Namespace args, CliContext context) {
     List<String> files = args.getList("file");
+    String settings = args.getString("settings_of");
     for (String file : files) {
+      if (settings != null) {
+        checkSettings(file, settings.equals(Kind.EDGE.word) ? Kind.EDGE : Kind.NODE);
+        context
+            .output()
+            .show(
+                ApplyReply.getDefaultInstance(),
+                () -> context.output().line("%s: settings without a problem", file));
+        continue;
+      }
       RuleSet rules = CliContext.parse(CliContext.read(file), file);
       context
           .output()
@@ -41,4 +73,20 @@
     }
     return ExitCode.OK;
   }
+
+  private static void checkSettings(String file, Kind kind) {
+    String toml = CliContext.read(file);
+    try {
+      if (kind == Kind.EDGE) {
+        EdgeSettings unused = SettingsLoader.loadEdge(toml);
+      } else {
+        NodeSettings unused = SettingsLoader.loadNode(toml);
+      }
+    } catch (SettingsException e) {
+      throw CliException.of(
+          ResultCode.SETTINGS_UNREADABLE,
+          e.problems().size() + " problems in the settings " + file,
+          e.problems().stream().map(SettingsProblem::toString).toList());
+    }
+  }
 }
--- a/cli/src/main/java/org/currantslip/cli/CliContext.java
+++ b/cli/src/main/java/org/currantslip/cli/CliContext.java
@@ -1,6 +1,8 @@
 package org.currantslip.cli;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +18,9 @@
 
 /** What the commands share: output, files and the connection to the nodes. */
 final class CliContext implements AutoCloseable {
+  /** Some editors put it first; it is no part of the text. */
+  private static final String BYTE_ORDER_MARK = "\uFEFF";
+
   private final Output output;
   private final String settingsFile;
   private @Nullable AdminClient client;
@@ -46,7 +51,20 @@
   /** Reads a text file. */
   static String read(String file) {
     try {
-      return Files.readString(Path.of(file), StandardCharsets.UTF_8);
+      String text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+      return text.startsWith(BYTE_ORDER_MARK) ? text.substring(1) : text;
+    } catch (IOException | RuntimeException e) {
+      throw CliException.of(ResultCode.FILE_UNREADABLE, "cannot read " + file + ": " + e);
+    }
+  }
+
+  /** Opens a text file, or standard input for {@code -}. */
+  static BufferedReader open(String file) {
+    if (file.equals("-")) {
+      return new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    }
+    try {
+      return Files.newBufferedReader(Path.of(file), StandardCharsets.UTF_8);
     } catch (IOException | RuntimeException e) {
       throw CliException.of(ResultCode.FILE_UNREADABLE, "cannot read " + file + ": " + e);
     }
--- a/cli/src/main/java/org/currantslip/cli/WhyCommand.java
+++ b/cli/src/main/java/org/currantslip/cli/WhyCommand.java
@@ -1,5 +1,7 @@
 package org.currantslip.cli;
 
+import java.io.BufferedReader;
+import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
@@ -29,16 +31,37 @@
   @Override
   public void declare(Subparser parser) {
     parser.addArgument("request_id").metavar("REQUEST-ID").help("id from the answer's header");
+    parser
+        .addArgument("--logs")
+        .metavar("FILE")
+        .help("logs of the nodes to search in place of asking a node; - is standard input");
   }
 
   @Override
   public ExitCode run(Namespace args, CliContext context) throws Exception {
+    String logs = args.getString("logs");
+    if (logs != null) {
+      return fromLogs(logs, args.getString("request_id"), context);
+    }
     String id = URLEncoder.encode(args.getString("request_id"), StandardCharsets.UTF_8);
     WhyReply reply = context.client().get("why/" + id, WhyReply.getDefaultInstance());
     context.output().show(reply, () -> describe(context.output(), reply));
     return ExitCode.OK;
   }
 
+  private static ExitCode fromLogs(String file, String request, CliContext context)
+      throws IOException {
+    try (BufferedReader reader = CliContext.open(file)) {
+      LogStory story = LogStory.read(reader, request);
+      if (story.isEmpty()) {
+        throw CliException.of(
+            ResultCode.NOT_FOUND, "no line on request " + request + " in " + file);
+      }
+      story.lines().forEach(l -> context.output().line("%s", l));
+    }
+    return ExitCode.OK;
+  }
+
   private static void describe(Output output, WhyReply reply) {
     DecisionRecord decision = reply.getDecision();
     output.view(reply.getView());
--- a/cli/src/test/java/org/currantslip/cli/CliTest.java
+++ b/cli/src/test/java/org/currantslip/cli/CliTest.java
@@ -37,6 +37,32 @@
   private static final String CONFIG =
       "{" + VIEW + ",\"config\":{\"version\":\"3\",\"rules_text\":\"" + RULES + "\"}}";
 
+  private static final String EDGE_SETTINGS =
+      """
+      name = "edge-1"
+      region = "r"
+      failure_domain = "z"
+      host = "127.0.0.1"
+      [listen]
+      caller = "127.0.0.1:1"
+      readiness = "127.0.0.1:2"
+      directory = "127.0.0.1:3"
+      peer_port = 4
+      [store]
+      address = "127.0.0.1:5"
+      """;
+
+  /** Lines of two nodes out of order, one with a prefix, one cut short, one of another program. */
+  private static final String LOGS =
+      """
+      {"time":"T3","event":4002,"fields":{"request":"r1","config_version":"7","code":"5001","ran":"yes"}}
+      not JSON
+      n2 {"time":"T2","event":4004,"fields":{"request":"r1","endpoint":"i-4","fault":"SILENT","status":""}}
+      {"time":"T1","event":2001,"fields":{"version":"7"}}
+      {"time":"T0","event":2001,"fields":{"version":"6"}}
+      {"time":"T4","event":4002,"fields":{"request":"r2","code":"1001","ran":"no"}}
+      {"time":"T5","event":400""";
+
   @TempDir private Path dir = Path.of("");
   private final Map<String, String> answers = new ConcurrentHashMap<>();
   private final List<String> bodies = Collections.synchronizedList(new ArrayList<>());
@@ -111,6 +137,13 @@
         "check good.txt | 0",
         "check bad.txt | 2",
         "check absent.txt | 2",
+        "check marked.txt | 0",
+        "check edge.toml --settings-of edge | 0",
+        "check nobody.toml --settings-of edge | 2",
+        "check bad.txt --settings-of node | 2",
+        "why r1 --logs logs.txt | 0",
+        "why r9 --logs logs.txt | 1",
+        "why r1 --logs absent.txt | 2",
         "diff good.txt --from good.txt | 0",
         "codes | 0",
         "--help | 0",
@@ -127,11 +160,27 @@
   void endsWithDocumentedCodeAndNoStackTrace(String line, int code) throws Exception {
     write("good.txt", "serve model=m version=a # Ana: x\n");
     write("bad.txt", "serve model=m\n");
+    write("marked.txt", "\uFEFFserve model=m version=a # Ana: x\n");
+    write("edge.toml", EDGE_SETTINGS);
+    write("logs.txt", LOGS);
     write("nobody.toml", "admin = [\"http://127.0.0.1:1\"]\ntoken = \"0123456789abcdef\"\n");
     assertThat(run(Splitter.on(' ').splitToList(line).toArray(new String[0]))).isEqualTo(code);
     assertThat(out + err.toString(UTF_8)).doesNotContain("\tat ");
   }
 
+  @Test
+  void tellsTheStoryOfOneRequestFromMixedLogs() throws Exception {
+    write("logs.txt", LOGS);
+    assertThat(run("why", "r1", "--logs", "logs.txt")).isEqualTo(0);
+    assertThat(out.toString(UTF_8).lines())
+        .containsExactly(
+            "T2 ATTEMPT_FAILED request=r1 endpoint=i-4 fault=SILENT",
+            "T3 REQUEST_FAILED request=r1 config_version=7 code=5001 ran=yes",
+            "outcome: 5001 ENDPOINT_FAILED; it may have run",
+            "configuration 7: in force on 1 nodes, from T1 to T1")
+        .inOrder();
+  }
+
   @Test
   void appliesInTheNameOfThoseWhomChangedLinesName() throws Exception {
     answers.put("apply", "{" + VIEW + ",\"version\":\"4\",\"missing_on\":[\"entry-5\"]}");
