Fault soak: a small fleet of real processes under random faults

bin/soak starts edge nodes as processes, with a proxy before the store of each and before each endpoint, and at random kills, stops, pauses and restarts nodes, harms connections (delay, reset, silence, one way cut) and changes the configuration, in series and overlapping. It checks from what callers and endpoints see: at most one run, true refusals, own and whole answers, a final answer in time, no loss without a fault, recovery, and a new route on all nodes.

Clocks are not harmed: that needs rights or libraries that the soak does without.

--- a/standin/src/main/java/org/currantslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/currantslip/standin/StandinMain.java
@@ -9,6 +9,7 @@
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.standin.demo.DemoCommands;
 import org.currantslip.standin.load.LoadCommand;
+import org.currantslip.standin.soak.SoakCommand;
 
 /** The stand-in binary: fakes of the platform and of endpoints, and the load driver. */
 public final class StandinMain {
@@ -35,6 +36,9 @@
     Subparser load = subparsers.addParser("load");
     LoadCommand.declare(load);
     load.setDefault("run", (StandinCommand) LoadCommand::run);
+    Subparser soak = subparsers.addParser("soak");
+    SoakCommand.declare(soak);
+    soak.setDefault("run", (StandinCommand) SoakCommand::run);
     try {
       Namespace parsed = parser.parseArgs(args);
       StandinCommand command = parsed.get("run");
