--- a/core/src/main/java/org/currantslip/core/common/LogEvent.java
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -17,6 +17,7 @@
   SETTINGS_RELOADED(1006, Level.INFO),
   SETTINGS_REJECTED(1007, Level.WARN),
   REHEARSED(1008, Level.INFO),
+  INCARNATION_GUESSED(1009, Level.WARN),
   MEMBER_LIVE(1101, Level.INFO),
   MEMBER_LOST(1102, Level.WARN),
   LINK_OPENED(1201, Level.INFO),
@@ -39,6 +40,7 @@
   ENTRY_UNREADABLE(6003, Level.WARN),
   LINES_LEFT_OUT(6004, Level.WARN),
   WATCHER_CHANGED(6005, Level.INFO),
+  COPY_MISSED(6006, Level.INFO),
   TASK_FAILED(9001, Level.ERROR);
 
   /** How grave an event is. */
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -62,7 +62,6 @@
   private int failures;
   private long lostSinceMs;
   private long lastOutageMs;
-  private long regainedMs;
 
   private KindMirror(String kind, KindFeed feed, Clock clock, MirrorOptions options, long seed) {
     this.kind = kind;
@@ -118,11 +117,6 @@
     return failures == 0 && revision > 0;
   }
 
-  /** Returns when the store last came back, by this node's clock; zero when it was never lost. */
-  public long regainedMs() {
-    return regainedMs;
-  }
-
   /** Returns how long the store was out of reach before it last came back. */
   public long lastOutageMs() {
     return lastOutageMs;
@@ -255,9 +249,7 @@
       return;
     }
     failures = 0;
-    long nowMs = clock.nowMs();
-    lastOutageMs = nowMs - lostSinceMs;
-    regainedMs = nowMs;
+    lastOutageMs = clock.nowMs() - lostSinceMs;
     onLink.accept(Link.REGAINED);
   }
 
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.PeerNetwork;
 import org.currantslip.schema.MirrorRequest;
@@ -29,18 +30,32 @@
   private final ImmutableMap<String, KindMirror> mirrors;
   private final PeerNetwork peers;
   private final Clock clock;
+  private final BiConsumer<String, Throwable> onMissed;
   private final Map<String, Long> behindSinceMs = new HashMap<>();
   private final Map<String, Long> askedUntilMs = new HashMap<>();
 
-  private MirrorGossip(List<KindMirror> mirrors, PeerNetwork peers, Clock clock) {
+  private MirrorGossip(
+      List<KindMirror> mirrors,
+      PeerNetwork peers,
+      Clock clock,
+      BiConsumer<String, Throwable> onMissed) {
     this.mirrors = Maps.uniqueIndex(mirrors, KindMirror::kind);
     this.peers = peers;
     this.clock = clock;
+    this.onMissed = onMissed;
   }
 
-  /** Returns a gossip over these mirrors. */
-  public static MirrorGossip create(List<KindMirror> mirrors, PeerNetwork peers, Clock clock) {
-    return new MirrorGossip(mirrors, peers, clock);
+  /**
+   * Returns a gossip over these mirrors.
+   *
+   * @param onMissed told of a peer that did not send its copy; another heartbeat asks again
+   */
+  public static MirrorGossip create(
+      List<KindMirror> mirrors,
+      PeerNetwork peers,
+      Clock clock,
+      BiConsumer<String, Throwable> onMissed) {
+    return new MirrorGossip(mirrors, peers, clock, onMissed);
   }
 
   /** Returns what heartbeats tell of this node's copies. */
@@ -84,8 +99,11 @@
         peers
             .ask(node, ask, ASK_TIMEOUT_MS)
             .thenAccept(reply -> onSnapshot(reply.getMirrorSnapshot()))
-            // Another heartbeat asks again.
-            .exceptionally(failure -> null);
+            .exceptionally(
+                failure -> {
+                  onMissed.accept(node, failure);
+                  return null;
+                });
   }
 
   private void onSnapshot(MirrorSnapshot snapshot) {
--- a/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
@@ -81,7 +81,7 @@
     feed.listed(20, FakeFeed.object("b", 4));
     assertThat(mirror.objects().keySet()).containsExactly("b");
     assertThat(links).isEmpty();
-    assertThat(mirror.regainedMs()).isEqualTo(0);
+    assertThat(mirror.lastOutageMs()).isEqualTo(0);
   }
 
   @Test
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -58,7 +58,7 @@
               MirrorOptions.defaults(),
               name.hashCode());
       relay = MirrorRelay.create(List.of(mirror), watchers::isWatcher, events.clock());
-      gossip = MirrorGossip.create(List.of(mirror), peers, events.clock());
+      gossip = MirrorGossip.create(List.of(mirror), peers, events.clock(), (n, failure) -> {});
     }
 
     private String name() {
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -134,7 +134,13 @@
     watchers = StoreWatchers.create(membership, clock);
     mirrors = StoreMirrors.create(RelayedFeed.create(store, links, watchers), clock, seed);
     relay = MirrorRelay.create(mirrors.all(), watchers::isWatcher, clock);
-    gossip = MirrorGossip.create(mirrors.all(), links, clock);
+    gossip =
+        MirrorGossip.create(
+            mirrors.all(),
+            links,
+            clock,
+            (node, failure) ->
+                EventLog.write(LogEvent.COPY_MISSED, "node=%s reason=%s".formatted(node, failure)));
     membership.setMirrors(gossip::revisions, gossip::onRevisions);
     chooser = ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed);
     rollouts = ServiceRollouts.create(self.getId(), this::onHalt);
--- a/node/src/main/java/org/currantslip/node/wiring/StartNumbers.java
+++ b/node/src/main/java/org/currantslip/node/wiring/StartNumbers.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.port.ObjectStore;
+import org.currantslip.node.log.EventLog;
 
 /** Numbers that tell one start of a node from another. */
 public final class StartNumbers {
@@ -27,11 +29,20 @@
         () ->
             Incarnations.next(name, store, clock)
                 .whenComplete(
-                    (number, failure) -> found.complete(failure == null ? number : clock.nowMs())));
+                    (number, failure) -> {
+                      if (failure == null) {
+                        found.complete(number);
+                      } else {
+                        found.completeExceptionally(failure);
+                      }
+                    }));
     try {
       return found.get(waitMs, TimeUnit.MILLISECONDS);
     } catch (TimeoutException | ExecutionException e) {
-      return clock.nowMs();
+      long byClock = clock.nowMs();
+      EventLog.write(
+          LogEvent.INCARNATION_GUESSED, "incarnation=%d reason=%s".formatted(byClock, e));
+      return byClock;
     }
   }
 }
