Streams of a leaving node are chunked, so that a broken one shows as broken

Cause: an answer with Connection: close and no length ended with its connection, so that an abort looked like its end. The node itself knew (ATTEMPT_FAILED fault=TRUNCATED).

Change: streamed answers are always chunked. FrontDoorTest failed before (no Transfer-Encoding field) and passes.

--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -8,6 +8,7 @@
 import org.currantslip.core.request.AnswerHead;
 import org.currantslip.core.request.CallerSink;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
@@ -66,6 +67,8 @@
     streaming = head.stream();
     if (streaming) {
       start(head);
+      // Otherwise an answer on a connection about to close ends with it, broken off or not.
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
       add(NOTHING, false);
     }
   }
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -280,6 +280,19 @@
     }
   }
 
+  @Test
+  void streamsOfLeavingNodeTellTheirEndFromTheEndOfTheConnection() throws Exception {
+    view = new EntryView(List.of(), 1, true, true);
+    try (Socket socket = openChat(BODY)) {
+      started.take().sink().head(head(ResultCode.OK, true));
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+      List<String> fields = reader.lines().takeWhile(line -> !line.isEmpty()).toList();
+      assertThat(fields).containsAtLeast("Connection: close", "Transfer-Encoding: chunked");
+    }
+  }
+
   @Test
   void endsFailedStreamsWithoutDone() throws Exception {
     CompletableFuture<ContentResponse> answer =
