--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -80,7 +80,8 @@
         settings.getStore().getAddress(),
         MAX_FRAME_BYTES,
         MAX_LINKS,
-        HEARTBEAT_MS,
+        // Links that carry heartbeats need no pings of their own.
+        PEER_SILENT_MS,
         2 * PEER_SILENT_MS);
   }
 
