--- a/node/src/main/java/org/currantslip/node/edge/Rehearsal.java
+++ b/node/src/main/java/org/currantslip/node/edge/Rehearsal.java
@@ -36,8 +36,8 @@
 
   private static final String SETTINGS =
       """
-      name = "rehearsal-%d"
-      region = "none"
+      name = "%s"
+      region = "r"
       failure_domain = "z"
       host = "127.0.0.1"
       [listen]
@@ -75,7 +75,7 @@
     List<EdgeSettings> settings = new ArrayList<>();
     List<EdgeNode> nodes = new ArrayList<>();
     for (int i = 0; i < NODES; i++) {
-      EdgeSettings its = settings(i);
+      EdgeSettings its = settings("rehearsal-" + i, platform);
       LogSetup.apply(its.getLog());
       settings.add(its);
       nodes.add(EdgeNode.start(its));
@@ -117,10 +117,12 @@
         .getStatus();
   }
 
-  private EdgeSettings settings(int number) throws IOException, SettingsException {
+  /** Returns settings of a node on free ports of this machine. */
+  static EdgeSettings settings(String name, RehearsalPlatform platform)
+      throws IOException, SettingsException {
     return SettingsLoader.loadEdge(
         SETTINGS.formatted(
-            number,
+            name,
             freePort(),
             freePort(),
             freePort(),
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,7 +13,6 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.currantslip.adapter.http.HttpClients;
-import org.currantslip.adapter.settings.SettingsLoader;
 import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.schema.EdgeSettings;
 import org.eclipse.jetty.client.ContentResponse;
@@ -37,7 +34,7 @@
   @BeforeEach
   void start() throws Exception {
     platform = new RehearsalPlatform();
-    settings = settings();
+    settings = Rehearsal.settings("edge-1", platform);
     node = EdgeNode.start(settings);
     awaitThat(() -> status(settings.getListen().getReadiness(), "/api/readiness") == 200);
     awaitThat(() -> call("/once/warm", "key", "warm").getStatus() == 200);
@@ -52,39 +49,6 @@
     callers.stop();
   }
 
-  private EdgeSettings settings() throws Exception {
-    return SettingsLoader.loadEdge(
-        """
-        name = "edge-1"
-        region = "r"
-        failure_domain = "z"
-        host = "127.0.0.1"
-        [listen]
-        caller = "127.0.0.1:%d"
-        readiness = "127.0.0.1:%d"
-        directory = "127.0.0.1:%d"
-        peer_port = %d
-        metrics_port = %d
-        [store]
-        address = "%s"
-        [stop]
-        grace_s = 1
-        """
-            .formatted(
-                freePort(),
-                freePort(),
-                freePort(),
-                freePort(),
-                freePort(),
-                platform.storeAddress()));
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static void awaitThat(BooleanSupplier condition) {
     long endNs = System.nanoTime() + LIMIT.toNanos();
     while (!condition.getAsBoolean()) {
