Stages of a rollout within the exposure bound; first events as evidence

Sessions were moved by hash from the first stage on, also those that already ran on the old version. Slow versions showed only at the end of streams of four events or more, and streams that timed out counted as good.

Change: 0.35 of the bound from the start for requests without a session, sessions from half of the time on, then 25, 50 and 100 in 100 in the last 0.8 of the bound, so that the sum is nine tenths of it. Evidence by signal: failures, pace by model size, first event against its expected time, also while it is awaited; slow answers of the old version count alike. Reports carry only what changed. Progress never goes back, even if the stored status does. A successful write no longer delays the next stage by a second.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -43,6 +43,9 @@
     ERROR_STATUS
   }
 
+  /** Time to the first token of an idle engine without prefill, connection set-up included. */
+  private static final double FIRST_TOKEN_OVERHEAD_MS = 30;
+
   /** Fewer events give no meaningful mean interval. */
   private static final int MIN_INTERVAL_EVENTS = 4;
 
@@ -129,6 +132,11 @@
     return firstByteMs >= 0;
   }
 
+  /** Returns the time since the call was started, relative to the expected first token. */
+  double relativeTime() {
+    return elapsedMs() / (tracker.expectedFirstTokenMs() + FIRST_TOKEN_OVERHEAD_MS);
+  }
+
   /** Returns the time since the call was started. */
   long elapsedMs() {
     return clock.nowMs() - startedMs;
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -84,6 +84,7 @@
   private int runCount;
   private int declineCount;
   private int eventCount;
+  private boolean firstEventRecorded;
   private Ran ran = Ran.NO;
   private @Nullable ByteString lastEvent;
 
@@ -178,8 +179,8 @@
 
   private void choose() {
     enter(Stage.CHOOSING);
-    String key = request.session().isEmpty() ? request.requestId() : request.session();
-    for (String version : ports.rollouts().versionsFor(service, key)) {
+    for (String version :
+        ports.rollouts().versionsFor(service, request.session(), request.requestId())) {
       EndpointQuery query = query(version);
       Optional<EndpointRecord> endpoint = ports.chooser().choose(query);
       if (endpoint.isPresent()) {
@@ -204,6 +205,7 @@
     enter(Stage.CALLING);
     triedEndpoints.add(endpoint.getId());
     sendCount++;
+    firstEventRecorded = false;
     model = modelOf(sizeIndex);
     response.setModelVersion(model, endpoint.getVersion(), false, "");
     Attempt a =
@@ -350,6 +352,7 @@
     if (route().kind() != RouteKind.STREAMING || !a.head().isSuccess()) {
       return false;
     }
+    recordFirstEvent(a);
     if (lastEvent != null && !EventIds.isAfter(data, lastEvent)) {
       return true;
     }
@@ -363,6 +366,15 @@
     return true;
   }
 
+  /** Adds the time to the first event of an attempt to the statistics of the version. */
+  private void recordFirstEvent(Attempt a) {
+    if (!firstEventRecorded) {
+      firstEventRecorded = true;
+      OutcomeSample sample = OutcomeSample.firstEvent(model, a.relativeTime());
+      ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
+    }
+  }
+
   private void recordFirstByte() {
     if (firstByteMs < 0) {
       firstByteMs = ports.clock().nowMs() - startedMs;
@@ -394,6 +406,7 @@
         failed
             ? OutcomeSample.failed()
             : OutcomeSample.answered(
+                model,
                 route().kind() == RouteKind.STREAMING
                     ? a.meanEventIntervalMs(eventCount)
                     : a.elapsedMs());
@@ -419,7 +432,11 @@
     } else {
       runCount++;
       ran = ran == Ran.NO ? Ran.UNKNOWN : ran;
-      recordOutcome(a, fault == Attempt.Fault.ERROR_STATUS);
+      if (fault == Attempt.Fault.SILENT && route().kind() == RouteKind.STREAMING) {
+        recordFirstEvent(a);
+      } else {
+        recordOutcome(a, fault == Attempt.Fault.ERROR_STATUS);
+      }
     }
     boolean retry =
         retryPaid
@@ -482,11 +499,24 @@
   void onTick(long nowMs) {
     if (nowMs >= deadlineMs) {
       onDeadline();
-    } else if (isIn(Stage.CALLING) && attempt != null && hasTimedOut(attempt, nowMs)) {
-      attempt.failOnTimeout();
+    } else if (isIn(Stage.CALLING) && attempt != null) {
+      Attempt current = attempt;
+      if (isFirstEventOverdue(current)) {
+        recordFirstEvent(current);
+      }
+      if (hasTimedOut(current, nowMs)) {
+        current.failOnTimeout();
+      }
     }
   }
 
+  /** Returns whether an awaited first event already counts as slow for the version. */
+  private boolean isFirstEventOverdue(Attempt a) {
+    return !firstEventRecorded
+        && route().kind() == RouteKind.STREAMING
+        && ports.rollouts().isFirstEventSlow(route().name(), model, a.relativeTime());
+  }
+
   /**
    * Returns whether the attempt has timed out. The timeout is shorter if other requests fail to
    * connect to the endpoint than if the endpoint is merely slow.
--- a/core/src/main/java/org/currantslip/core/rollout/OutcomeSample.java
+++ b/core/src/main/java/org/currantslip/core/rollout/OutcomeSample.java
@@ -1,14 +1,19 @@
 package org.currantslip.core.rollout;
 
+import org.currantslip.schema.OutcomeSignal;
+
 /**
- * Outcome of one request, used as evidence about the version that served it.
+ * Observation on one request, used as evidence about the version that served it.
  *
+ * @param signal what was observed
+ * @param model model size that answered, or empty if the request names none
  * @param isFailure whether the endpoint returned a failure
- * @param responseTimeMs time per event for a stream, total time otherwise; negative if not
- *     applicable
+ * @param responseTime time per event of a stream or total time of any other answer, in
+ *     milliseconds; for a first event, its time relative to the expected one; negative if unknown
  */
-public record OutcomeSample(boolean isFailure, double responseTimeMs) {
-  private static final OutcomeSample FAILED = new OutcomeSample(true, -1);
+public record OutcomeSample(
+    OutcomeSignal signal, String model, boolean isFailure, double responseTime) {
+  private static final OutcomeSample FAILED = new OutcomeSample(OutcomeSignal.ANSWER, "", true, -1);
 
   /** Returns a sample for a failed request. */
   public static OutcomeSample failed() {
@@ -17,6 +22,16 @@
 
   /** Returns a sample for a request that was answered. */
   public static OutcomeSample answered(double responseTimeMs) {
-    return new OutcomeSample(false, responseTimeMs);
+    return answered("", responseTimeMs);
+  }
+
+  /** Returns a sample for a request that was answered by a model size. */
+  public static OutcomeSample answered(String model, double responseTimeMs) {
+    return new OutcomeSample(OutcomeSignal.ANSWER, model, false, responseTimeMs);
+  }
+
+  /** Returns a sample for the first event of a stream, which may still be awaited. */
+  public static OutcomeSample firstEvent(String model, double relativeTime) {
+    return new OutcomeSample(OutcomeSignal.FIRST_EVENT, model, false, relativeTime);
   }
 }
--- a/core/src/main/java/org/currantslip/core/rollout/RolloutOrder.java
+++ b/core/src/main/java/org/currantslip/core/rollout/RolloutOrder.java
@@ -25,11 +25,17 @@
    * Progress of a rollout.
    *
    * @param state state of the rollout
-   * @param share fraction of the sessions on the new version
+   * @param share fraction of the requests without a session on the new version
+   * @param sessionShare fraction of the sessions on the new version
    */
-  public record Progress(State state, double share) {
+  public record Progress(State state, double share, double sessionShare) {
     private static final Progress ORDERED = new Progress(State.ORDERED, 0);
 
+    /** Creates a progress with the same share of requests and sessions. */
+    public Progress(State state, double share) {
+      this(state, share, share);
+    }
+
     /** Returns the progress of an order without a status. */
     public static Progress ordered() {
       return ORDERED;
@@ -39,6 +45,17 @@
     public boolean isFinal() {
       return state == State.COMPLETE || state == State.ROLLED_BACK;
     }
+
+    /** Returns the later of two progresses of one order. Progress never reverts. */
+    Progress latest(Progress other) {
+      if (isFinal() || other.isFinal()) {
+        return state.compareTo(other.state) >= 0 ? this : other;
+      }
+      return new Progress(
+          state.compareTo(other.state) >= 0 ? state : other.state,
+          Math.max(share, other.share),
+          Math.max(sessionShare, other.sessionShare));
+    }
   }
 
   /** Returns whether both have the same service and target, regardless of progress. */
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
@@ -15,6 +15,10 @@
 /**
  * Advances service rollouts from stage to stage by writing their status.
  *
+ * <p>The stages keep the requests that reach the new version within the exposure bound even if it
+ * never shows a fault: a version that fails under load only looks good until it gets the load. No
+ * session changes its version in the first half of the duration.
+ *
  * <p>All nodes derive the same order of candidates from a hash. A candidate acts if the candidates
  * ranked before it have left a due step unwritten for a while, so a crashed or stalled node is
  * replaced without an election. Each write is conditional on the store version of the object, and
@@ -41,7 +45,25 @@
   private static final long WRITE_TIMEOUT_MS = 1_000;
 
   /** Fraction of the exposure bound used by the first stage; leaves room for retries and skew. */
-  private static final double FIRST_STAGE_FRACTION = 0.6;
+  private static final double FIRST_STAGE_FRACTION = 0.35;
+
+  /** Start of the stage that includes sessions, as a fraction of the duration. */
+  private static final double SESSION_STAGE_START = 0.5;
+
+  /**
+   * Lengths of the final stages in multiples of the exposure bound. Together with the first stage
+   * they expose nine tenths of the bound.
+   */
+  private static final double QUARTER_STAGE_LENGTH = 0.8;
+
+  private static final double HALF_STAGE_LENGTH = 0.6;
+  private static final double FULL_STAGE_LENGTH = 0.4;
+
+  /** Time before the end at which a rollout with share 1 is complete, in the same unit. */
+  private static final double COMPLETION_LENGTH = 0.33;
+
+  /** Limits the final stages if the exposure bound is large. */
+  private static final double MAX_EXPOSURE_SHARE = 0.5;
 
   /** Answers of the new version required before its share may grow. */
   private static final long MIN_ANSWERS = 10;
@@ -50,15 +72,21 @@
    * One stage of a rollout.
    *
    * @param startFraction start of the stage, as a fraction of the rollout duration
-   * @param share fraction of the sessions on the new version
+   * @param share fraction of the requests without a session on the new version
+   * @param sessionShare fraction of the sessions on the new version
    */
-  private record Stage(double startFraction, double share) {}
+  private record Stage(double startFraction, double share, double sessionShare) {
+    private boolean isReachedBy(RolloutOrder.Progress progress) {
+      return share <= progress.share() && sessionShare <= progress.sessionShare();
+    }
+  }
 
   private final Membership membership;
   private final ServiceRollouts rollouts;
   private final StatusWriter writer;
   private final Clock clock;
   private final List<Stage> stages;
+  private final double completionFraction;
   private final Map<String, OrderState> orderStates = new HashMap<>();
 
   private ServiceRolloutController(
@@ -71,18 +99,18 @@
     this.rollouts = rollouts;
     this.writer = writer;
     this.clock = clock;
-    // No session changes its version in the first half of the duration; the last fifth is reserve.
+    double bound = Math.min(MAX_EXPOSURE_SHARE, exposureShare);
+    double first = Math.min(0.25, FIRST_STAGE_FRACTION * bound);
     stages =
         List.of(
-            new Stage(0, FIRST_STAGE_FRACTION * exposureShare),
-            new Stage(0.5, 0.25),
-            new Stage(0.58, 0.5),
-            new Stage(0.66, 1));
+            new Stage(0, first, 0),
+            new Stage(SESSION_STAGE_START, first, first),
+            new Stage(1 - QUARTER_STAGE_LENGTH * bound, 0.25, 0.25),
+            new Stage(1 - HALF_STAGE_LENGTH * bound, 0.5, 0.5),
+            new Stage(1 - FULL_STAGE_LENGTH * bound, 1, 1));
+    completionFraction = 1 - COMPLETION_LENGTH * bound;
   }
 
-  /** Fraction of the duration after which a rollout with share 1 is marked complete. */
-  private static final double COMPLETION_FRACTION = 0.84;
-
   /**
    * Creates an instance without orders.
    *
@@ -112,7 +140,7 @@
           order, nowMs - (long) (startFraction(order.progress()) * order.durationMs()));
     }
     orderState.order = order;
-    if (order.progress().isFinal() || nowMs < orderState.notBeforeMs) {
+    if (order.progress().isFinal() || orderState.isWaiting(order, nowMs)) {
       return;
     }
     RolloutOrder.Progress due = dueProgress(order, orderState, nowMs);
@@ -132,6 +160,7 @@
   private void write(
       RolloutOrder order, RolloutOrder.Progress due, OrderState orderState, long nowMs) {
     orderState.notBeforeMs = nowMs + WRITE_TIMEOUT_MS;
+    orderState.writtenVersion = order.storeVersion();
     CompletableFuture<Long> unused =
         writer
             .write(order, due)
@@ -148,29 +177,27 @@
       return new RolloutOrder.Progress(RolloutOrder.State.ROLLED_BACK, 0);
     }
     double elapsed = (double) (nowMs - orderState.startedMs) / Math.max(1, order.durationMs());
-    double share = order.progress().share();
-    if (elapsed >= COMPLETION_FRACTION && share >= 1) {
+    RolloutOrder.Progress reached = rollouts.reached(order.service());
+    if (reached.isFinal()) {
+      return reached;
+    }
+    if (elapsed >= completionFraction && reached.sessionShare() >= 1) {
       return new RolloutOrder.Progress(RolloutOrder.State.COMPLETE, 1);
     }
-    double scheduledShare =
+    boolean hasEnoughAnswers = rollouts.answeredRequests(order.service()) >= MIN_ANSWERS;
+    Stage due =
         stages.stream()
             .filter(s -> elapsed >= s.startFraction())
-            .mapToDouble(Stage::share)
-            .max()
-            .orElse(0);
-    boolean isFirstStage = share == 0;
-    boolean hasEnoughAnswers = rollouts.answeredRequests(order.service()) >= MIN_ANSWERS;
-    double next =
-        isFirstStage
-            ? stages.get(0).share()
-            : hasEnoughAnswers ? Math.max(share, scheduledShare) : share;
-    return new RolloutOrder.Progress(RolloutOrder.State.IN_PROGRESS, next);
+            .filter(s -> hasEnoughAnswers || s.share() <= stages.get(0).share())
+            .reduce(stages.get(0), (earlier, later) -> later);
+    return reached.latest(
+        new RolloutOrder.Progress(RolloutOrder.State.IN_PROGRESS, due.share(), due.sessionShare()));
   }
 
   /** Returns the earliest fraction of the duration at which this progress is reached. */
   private double startFraction(RolloutOrder.Progress progress) {
     return stages.stream()
-        .filter(s -> s.share() <= progress.share())
+        .filter(s -> s.isReachedBy(progress))
         .mapToDouble(Stage::startFraction)
         .max()
         .orElse(0);
@@ -206,6 +233,12 @@
     private long startedMs;
     private long dueSinceMs = -1;
     private long notBeforeMs;
+    private long writtenVersion;
+
+    /** Returns whether the last write may still take effect on this version of the order. */
+    private boolean isWaiting(RolloutOrder current, long nowMs) {
+      return nowMs < notBeforeMs && current.storeVersion() == writtenVersion;
+    }
 
     private void begin(RolloutOrder newOrder, long startMs) {
       order = newOrder;
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -15,14 +17,16 @@
 import org.currantslip.schema.NodeId;
 import org.currantslip.schema.OutcomeCount;
 import org.currantslip.schema.OutcomeReport;
+import org.currantslip.schema.OutcomeSignal;
 import org.currantslip.schema.VersionHalt;
 
 /**
  * Chooses the version of a service for each request during a rollout, and halts the new version
  * based on evidence from all nodes.
  *
- * <p>Sessions are sticky: a hash of the session key decides whether it belongs to the share of the
- * new version, and the share only grows, so a session changes its version at most once.
+ * <p>Sessions are sticky: a hash of the session decides whether it belongs to the share of the new
+ * version, and the share only grows, so a session changes its version at most once. Requests
+ * without a session have a share of their own, which starts to grow earlier.
  */
 public final class ServiceRollouts {
   private static final long HASH_BUCKETS = 1 << 20;
@@ -38,13 +42,28 @@
 
   private static final double MIN_SMOOTHING_FACTOR = 0.05;
 
-  private record CountKey(String version, String route) {}
+  /** Makes a lost report good within three seconds. */
+  private static final int REPORTS_PER_COMPLETE_REPORT = 10;
+
+  private record Series(String route, String model, OutcomeSignal signal) {}
+
+  private record CountKey(String version, String route, String model, OutcomeSignal signal) {
+    /** Returns the groups of counts that are compared between the versions. */
+    private Set<Series> groups() {
+      return Set.copyOf(
+          List.of(
+              new Series(route, model, signal),
+              new Series(route, "", signal),
+              new Series("", "", signal)));
+    }
+  }
 
   private final NodeId self;
   private final Consumer<VersionHalt> haltListener;
   private final Map<String, Rollout> rollouts = new TreeMap<>();
   private final Map<String, TreeSet<String>> versionsByService = new HashMap<>();
-  private final Map<String, ResponseTimeBaseline> baselinesByRoute = new HashMap<>();
+  private final Map<Series, Baseline> baselines = new HashMap<>();
+  private long reportCount;
 
   private ServiceRollouts(NodeId self, Consumer<VersionHalt> haltListener) {
     this.self = self;
@@ -68,6 +87,7 @@
       boolean isSameOrder = existing != null && existing.order.isSameOrder(order);
       Rollout rollout = isSameOrder && existing != null ? existing : new Rollout();
       rollout.order = order;
+      rollout.reached = rollout.reached.latest(order.progress());
       updated.put(order.service(), rollout);
     }
     rollouts.clear();
@@ -91,13 +111,24 @@
     return rollouts.values().stream().map(r -> r.order).toList();
   }
 
+  /** Returns the latest progress known for a service, which the store may have lost. */
+  RolloutOrder.Progress reached(String service) {
+    return Optional.ofNullable(rollouts.get(service))
+        .map(r -> r.reached)
+        .orElse(RolloutOrder.Progress.ordered());
+  }
+
   /** Returns whether the new version of a service was halted. */
   public boolean isHalted(String service) {
     return Optional.ofNullable(rollouts.get(service)).map(r -> r.halted).orElse(false);
   }
 
-  /** Returns the versions that may serve a request, preferred first; an empty name means any. */
-  public List<String> versionsFor(String service, String key) {
+  /**
+   * Returns the versions that may serve a request, preferred first; an empty name means any.
+   *
+   * @param session session of the request, or empty if it has none
+   */
+  public List<String> versionsFor(String service, String session, String requestId) {
     Rollout rollout = rollouts.get(service);
     if (rollout == null) {
       return ANY_VERSION;
@@ -107,14 +138,16 @@
         versionsByService.getOrDefault(service, new TreeSet<>()).stream()
             .filter(v -> !v.equals(target))
             .toList();
-    RolloutOrder.Progress progress = rollout.order.progress();
+    RolloutOrder.Progress progress = rollout.reached;
     boolean isExcluded = rollout.halted || progress.state() == RolloutOrder.State.ROLLED_BACK;
     if (isExcluded || progress.state() == RolloutOrder.State.ORDERED) {
       return others;
     }
-    boolean isNew =
-        progress.state() == RolloutOrder.State.COMPLETE
-            || hashFraction(target, key) < progress.share();
+    boolean isInShare =
+        session.isEmpty()
+            ? hashFraction(target, requestId) < progress.share()
+            : hashFraction(target, session) < progress.sessionShare();
+    boolean isNew = progress.state() == RolloutOrder.State.COMPLETE || isInShare;
     List<String> preference = new ArrayList<>();
     if (isNew) {
       preference.add(target);
@@ -131,22 +164,37 @@
     return (double) Math.floorMod(hash, HASH_BUCKETS) / HASH_BUCKETS;
   }
 
-  /** Records the outcome of a request. */
+  /** Records an observation on a request. */
   public void onOutcome(String service, String version, String route, OutcomeSample sample) {
     Rollout rollout = rollouts.get(service);
-    boolean isNew = rollout != null && rollout.order.target().equals(version);
-    ResponseTimeBaseline baseline =
-        baselinesByRoute.computeIfAbsent(route, r -> new ResponseTimeBaseline());
-    boolean slow = isNew && baseline.isSlow(sample.responseTimeMs());
-    if (!isNew && sample.responseTimeMs() >= 0) {
-      baseline.add(sample.responseTimeMs());
+    boolean isObserved = rollout != null && !rollout.reached.isFinal();
+    boolean isOld = rollout == null || !rollout.order.target().equals(version);
+    if (sample.signal() == OutcomeSignal.ANSWER && rollout != null && isObserved) {
+      rollout.count(new CountKey(version, route, "", OutcomeSignal.ANSWER), sample.isFailure());
     }
-    if (rollout == null || rollout.order.progress().isFinal()) {
-      return;
+    if (sample.responseTime() >= 0) {
+      OutcomeSignal signal =
+          sample.signal() == OutcomeSignal.ANSWER ? OutcomeSignal.PACE : sample.signal();
+      Series series = new Series(route, sample.model(), signal);
+      Baseline baseline = baselines.computeIfAbsent(series, k -> new Baseline());
+      if (rollout != null && isObserved && baseline.isKnown()) {
+        rollout.count(
+            new CountKey(version, route, sample.model(), signal),
+            baseline.isSlow(sample.responseTime()));
+      }
+      if (isOld) {
+        baseline.add(sample.responseTime());
+      }
+    }
+    if (rollout != null && isObserved) {
+      haltIfWorse(rollout);
     }
-    rollout.localCounts.merge(
-        new CountKey(version, route), Counts.of(sample.isFailure(), slow), Counts::plus);
-    haltIfWorse(rollout);
+  }
+
+  /** Returns whether a first event that has not arrived by now will count as slow. */
+  public boolean isFirstEventSlow(String route, String model, double relativeTime) {
+    Baseline baseline = baselines.get(new Series(route, model, OutcomeSignal.FIRST_EVENT));
+    return baseline != null && baseline.isKnown() && baseline.isSlow(relativeTime);
   }
 
   /** Merges the counts of another node. */
@@ -154,22 +202,20 @@
     if (report.getNode().equals(self)) {
       return;
     }
-    Map<String, Map<CountKey, Counts>> byService = new HashMap<>();
+    Set<Rollout> updated = new HashSet<>();
     for (OutcomeCount c : report.getCountList()) {
-      byService
-          .computeIfAbsent(c.getService(), s -> new HashMap<>())
-          .put(
-              new CountKey(c.getVersion(), c.getRoute()),
-              new Counts(c.getGood(), c.getFailed() + c.getSlow()));
+      Rollout rollout = rollouts.get(c.getService());
+      if (rollout != null && !rollout.reached.isFinal()) {
+        rollout
+            .peerCounts
+            .computeIfAbsent(report.getNode(), n -> new HashMap<>())
+            .put(
+                new CountKey(c.getVersion(), c.getRoute(), c.getModel(), c.getSignal()),
+                new Counts(c.getGood(), c.getFailed() + c.getSlow()));
+        updated.add(rollout);
+      }
     }
-    byService.forEach(
-        (service, counts) -> {
-          Rollout rollout = rollouts.get(service);
-          if (rollout != null && !rollout.order.progress().isFinal()) {
-            rollout.peerCounts.put(report.getNode(), counts);
-            haltIfWorse(rollout);
-          }
-        });
+    updated.forEach(this::haltIfWorse);
   }
 
   /** Applies the halt of a version announced by another node. */
@@ -180,25 +226,43 @@
     }
   }
 
-  /** Returns this node's counts to send to peers; empty if there are none to report. */
+  /**
+   * Returns this node's counts to send to peers, or empty if there are none to report. Most reports
+   * hold only the counts that changed since the previous one; every tenth is complete, because a
+   * report may be lost.
+   */
   public Optional<OutcomeReport> report() {
+    boolean complete = reportCount++ % REPORTS_PER_COMPLETE_REPORT == 0;
     OutcomeReport.Builder report = OutcomeReport.newBuilder().setNode(self);
     rollouts.values().stream()
-        .filter(r -> !r.order.progress().isFinal())
+        .filter(r -> !r.reached.isFinal())
         .forEach(
-            r ->
-                r.localCounts.forEach(
-                    (key, c) ->
-                        report.addCount(
-                            OutcomeCount.newBuilder()
-                                .setService(r.order.service())
-                                .setVersion(key.version())
-                                .setRoute(key.route())
-                                .setGood(c.good())
-                                .setFailed(c.bad()))));
+            r -> {
+              r.localCounts.forEach(
+                  (key, c) -> {
+                    if (complete || r.changed.contains(key)) {
+                      report.addCount(toProto(r.order.service(), key, c));
+                    }
+                  });
+              r.changed.clear();
+            });
     return report.getCountCount() == 0 ? Optional.empty() : Optional.of(report.build());
   }
 
+  private static OutcomeCount toProto(String service, CountKey key, Counts counts) {
+    boolean isAnswer = key.signal() == OutcomeSignal.ANSWER;
+    return OutcomeCount.newBuilder()
+        .setService(service)
+        .setVersion(key.version())
+        .setRoute(key.route())
+        .setModel(key.model())
+        .setSignal(key.signal())
+        .setGood(counts.good())
+        .setFailed(isAnswer ? counts.bad() : 0)
+        .setSlow(isAnswer ? 0 : counts.bad())
+        .build();
+  }
+
   /** Returns the known number of requests answered by the new version of a service. */
   public long answeredRequests(String service) {
     Rollout rollout = rollouts.get(service);
@@ -207,6 +271,7 @@
         : rollout.allCounts().stream()
             .flatMap(m -> m.entrySet().stream())
             .filter(e -> e.getKey().version().equals(rollout.order.target()))
+            .filter(e -> e.getKey().signal() == OutcomeSignal.ANSWER)
             .mapToLong(e -> e.getValue().total())
             .sum();
   }
@@ -216,16 +281,15 @@
       return;
     }
     String target = rollout.order.target();
-    Map<String, Counts> targetCounts = new TreeMap<>();
-    Map<String, Counts> otherCounts = new TreeMap<>();
+    Map<Series, Counts> targetCounts = new HashMap<>();
+    Map<Series, Counts> otherCounts = new HashMap<>();
     rollout.allCounts().stream()
         .flatMap(m -> m.entrySet().stream())
         .forEach(
             e -> {
-              Map<String, Counts> counts =
+              Map<Series, Counts> counts =
                   e.getKey().version().equals(target) ? targetCounts : otherCounts;
-              counts.merge(e.getKey().route(), e.getValue(), Counts::plus);
-              counts.merge("", e.getValue(), Counts::plus);
+              e.getKey().groups().forEach(g -> counts.merge(g, e.getValue(), Counts::plus));
             });
     Optional<String> worse =
         targetCounts.entrySet().stream()
@@ -248,10 +312,17 @@
   /** An order and the evidence collected for it. */
   private static final class Rollout {
     private RolloutOrder order = new RolloutOrder("", "", 0, 0, RolloutOrder.Progress.ordered());
+    private RolloutOrder.Progress reached = RolloutOrder.Progress.ordered();
     private final Map<CountKey, Counts> localCounts = new HashMap<>();
     private final Map<NodeId, Map<CountKey, Counts>> peerCounts = new HashMap<>();
+    private final Set<CountKey> changed = new HashSet<>();
     private boolean halted;
 
+    private void count(CountKey key, boolean bad) {
+      localCounts.merge(key, Counts.of(bad), Counts::plus);
+      changed.add(key);
+    }
+
     private Collection<Map<CountKey, Counts>> allCounts() {
       List<Map<CountKey, Counts>> all = new ArrayList<>(peerCounts.values());
       all.add(localCounts);
@@ -263,8 +334,8 @@
   private record Counts(long good, long bad) {
     private static final Counts NONE = new Counts(0, 0);
 
-    private static Counts of(boolean failed, boolean slow) {
-      return failed || slow ? new Counts(0, 1) : new Counts(1, 0);
+    private static Counts of(boolean bad) {
+      return bad ? new Counts(0, 1) : new Counts(1, 0);
     }
 
     private Counts plus(Counts other) {
@@ -280,18 +351,22 @@
     }
   }
 
-  /** Moving average of the old version's response time on one route. */
-  private static final class ResponseTimeBaseline {
-    private double meanMs;
+  /** Moving average of the old version's response times in one series. */
+  private static final class Baseline {
+    private double mean;
     private int sampleCount;
 
-    private void add(double ms) {
+    private void add(double time) {
       sampleCount++;
-      meanMs += Math.max(MIN_SMOOTHING_FACTOR, 1.0 / sampleCount) * (ms - meanMs);
+      mean += Math.max(MIN_SMOOTHING_FACTOR, 1.0 / sampleCount) * (time - mean);
+    }
+
+    private boolean isKnown() {
+      return sampleCount >= MIN_BASELINE_SAMPLES;
     }
 
-    private boolean isSlow(double ms) {
-      return sampleCount >= MIN_BASELINE_SAMPLES && ms > SLOW_FACTOR * meanMs;
+    private boolean isSlow(double time) {
+      return time > SLOW_FACTOR * mean;
     }
   }
 }
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -244,6 +244,7 @@
     private final long uncached;
     private final double prefillMs;
     private final double backlogMs;
+    private final double expectedFirstTokenMs;
     private boolean prefillPending;
 
     private TrackedUse(EndpointState state, EndpointQuery query, PrefillRateEstimator prefillRate) {
@@ -253,6 +254,12 @@
       uncached = state.promptCache().uncachedTokens(query.engineModel(), query.prompt());
       prefillMs = uncached * prefillRate.msPerToken();
       backlogMs = state.prefillBacklogMs(clock.nowMs(), meanPrefillTime(query).ms());
+      expectedFirstTokenMs = state.waitMs(clock.nowMs()) + backlogMs + prefillMs;
+    }
+
+    @Override
+    public double expectedFirstTokenMs() {
+      return expectedFirstTokenMs;
     }
 
     @Override
--- a/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
+++ b/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
@@ -5,6 +5,11 @@
   /** Called when the request is sent. */
   void onStarted(long expectedTokens);
 
+  /** Returns the time to the first token that was expected at the start; zero if unknown. */
+  default double expectedFirstTokenMs() {
+    return 0;
+  }
+
   /** Called when the first byte of the response arrives, {@code firstByteMs} after the start. */
   void onFirstByte(long firstByteMs);
 
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -21,6 +21,8 @@
 import org.currantslip.schema.NodeRecord;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Three nodes share one stored order; writes are conditional on its version, as in the store. */
 final class RolloutDutyTest {
@@ -37,11 +39,15 @@
 
   @BeforeEach
   void start() {
-    NODES.forEach(this::addNode);
+    restart(0.15);
+  }
+
+  private void restart(double exposureShare) {
+    NODES.forEach(n -> addNode(n, exposureShare));
     NODES.forEach(n -> deliverOrder(n));
   }
 
-  private void addNode(String name) {
+  private void addNode(String name, double exposureShare) {
     NodeId id = NodeId.newBuilder().setName(name).build();
     ServiceRollouts r = ServiceRollouts.create(id, h -> {});
     r.onEndpoints(
@@ -52,7 +58,11 @@
     duties.put(
         name,
         ServiceRolloutController.create(
-            new FixedMembership(id), r, (o, p) -> write(name, o.storeVersion(), p), clock, 0.15));
+            new FixedMembership(id),
+            r,
+            (o, p) -> write(name, o.storeVersion(), p),
+            clock,
+            exposureShare));
   }
 
   private ServiceRollouts rolloutsOf(String name) {
@@ -105,6 +115,32 @@
     assertThat(writtenProgress.stream().map(Progress::share).toList()).isInOrder();
   }
 
+  /** Plays the share that the status grants; a version may show its fault only under full load. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.0975, 0.15, 0.3})
+  void versionThatNeverFailsStaysWithinTheExposureBound(double bound) {
+    restart(bound);
+    double exposed = 0;
+    for (long t = 0; t < 24_000; t += STEP_MS) {
+      answers(1, OutcomeSample.answered(10));
+      run(STEP_MS);
+      exposed += order.progress().share() * STEP_MS / 24_000;
+    }
+    assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
+    assertThat(exposed).isAtMost(0.95 * bound);
+  }
+
+  @Test
+  void noSessionChangesItsVersionInTheFirstHalf() {
+    run(1_000);
+    answers(20, OutcomeSample.answered(10));
+    run(10_900);
+    assertThat(order.progress().share()).isGreaterThan(0.0);
+    assertThat(order.progress().sessionShare()).isEqualTo(0.0);
+    run(1_000);
+    assertThat(order.progress().sessionShare()).isGreaterThan(0.0);
+  }
+
   @Test
   void badVersionIsRolledBackAtOnceAndPermanently() {
     run(1_000);
--- a/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
@@ -42,14 +42,14 @@
 
   @Test
   void anyVersionIsAllowedWithoutAnOrder() {
-    assertThat(rollouts.versionsFor("s", "k")).containsExactly("");
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("");
   }
 
   @Test
   void newVersionGetsNoRequestsBeforeTheFirstStageOrAfterRollback() {
     for (State state : List.of(State.ORDERED, State.ROLLED_BACK)) {
       progress(state, 0);
-      assertThat(rollouts.versionsFor("s", "k")).containsExactly("v1");
+      assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("v1");
     }
   }
 
@@ -68,7 +68,7 @@
   }
 
   private boolean isNew(String key) {
-    return rollouts.versionsFor("s", key).get(0).equals("v2");
+    return rollouts.versionsFor("s", key, "r").get(0).equals("v2");
   }
 
   @Test
@@ -82,7 +82,7 @@
       bad++;
     }
     assertThat(bad).isAtMost(6);
-    assertThat(rollouts.versionsFor("s", "k")).containsExactly("v1");
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("v1");
   }
 
   @Test
@@ -93,6 +93,67 @@
     assertThat(halts).hasSize(1);
   }
 
+  @Test
+  void versionWithSlowFirstEventsIsHaltedBeforeItsStreamsEnd() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 50, OutcomeSample.firstEvent("m", 1.2));
+    outcomes("v2", 4, OutcomeSample.firstEvent("m", 8));
+    assertThat(halts).hasSize(1);
+  }
+
+  @Test
+  void slowAnswersOfBothVersionsHaltNeither() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 50, OutcomeSample.answered(10));
+    for (int i = 0; i < 100; i++) {
+      outcomes("v1", 8, OutcomeSample.answered(10));
+      outcomes("v1", 2, OutcomeSample.answered(200));
+      outcomes("v2", 4, OutcomeSample.answered(10));
+      outcomes("v2", 1, OutcomeSample.answered(200));
+    }
+    assertThat(halts).isEmpty();
+  }
+
+  @Test
+  void paceIsComparedPerModelSize() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 20, OutcomeSample.answered("small", 10));
+    outcomes("v1", 20, OutcomeSample.answered("large", 100));
+    outcomes("v2", 20, OutcomeSample.answered("large", 100));
+    assertThat(halts).isEmpty();
+  }
+
+  @Test
+  void reportHoldsOnlyChangedCounts() {
+    progress(State.IN_PROGRESS, 0.09);
+    outcomes("v1", 20, OutcomeSample.answered(10));
+    assertThat(rollouts.report()).isPresent();
+    assertThat(rollouts.report()).isEmpty();
+    outcomes("v2", 1, OutcomeSample.failed());
+    assertThat(rollouts.report().orElseThrow().getCountList()).hasSize(1);
+  }
+
+  @Test
+  void requestsWithoutSessionMoveBeforeSessions() {
+    rollouts.onOrders(
+        List.of(new RolloutOrder("s", "v2", 24_000, 7, new Progress(State.IN_PROGRESS, 0.5, 0))));
+    List<String> ids = IntStream.range(0, 2_000).mapToObj(i -> "r" + i).toList();
+    long moved =
+        ids.stream().filter(i -> rollouts.versionsFor("s", "", i).get(0).equals("v2")).count();
+    assertThat(moved).isIn(Range.closed(900L, 1_100L));
+    assertThat(ids.stream().noneMatch(this::isNew)).isTrue();
+  }
+
+  @Test
+  void storedProgressThatWentBackIsIgnored() {
+    progress(State.IN_PROGRESS, 0.5);
+    progress(State.IN_PROGRESS, 0.09);
+    assertThat(rollouts.reached("s")).isEqualTo(new Progress(State.IN_PROGRESS, 0.5));
+    progress(State.ROLLED_BACK, 0);
+    progress(State.IN_PROGRESS, 0.09);
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("v1");
+  }
+
   @Test
   void versionThatIsBadOnOneRouteOnlyIsHalted() {
     progress(State.IN_PROGRESS, 0.09);
