--- a/core/src/main/java/org/currantslip/core/common/LogEvent.java
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -41,6 +41,7 @@
   LINES_LEFT_OUT(6004, Level.WARN),
   WATCHER_CHANGED(6005, Level.INFO),
   COPY_MISSED(6006, Level.INFO),
+  STORE_RESTORED(6007, Level.WARN),
   TASK_FAILED(9001, Level.ERROR);
 
   /** Severity of an event. */
--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -236,6 +236,12 @@
     nextHeartbeatMs = 0;
   }
 
+  /** Writes this node's join record again if the store, back from an older copy, has lost it. */
+  public void onStoreRestored() {
+    joinRecord.recheck();
+    unchangedRecords.clear();
+  }
+
   /** Sends the next heartbeats with the next tick, to pass on a change at once. */
   public void advanceHeartbeat() {
     nextHeartbeatMs = 0;
--- a/core/src/main/java/org/currantslip/core/membership/UnchangedRecordTracker.java
+++ b/core/src/main/java/org/currantslip/core/membership/UnchangedRecordTracker.java
@@ -42,6 +42,11 @@
     return nowMs - firstSeenMs >= requiredMs;
   }
 
+  /** Removes all observations, because the store may assign their versions a second time. */
+  void clear() {
+    observations.clear();
+  }
+
   /** Removes the observation of a record whose node is live again. */
   void remove(String name) {
     observations.remove(name);
--- a/core/src/main/java/org/currantslip/core/mirror/ChangeLog.java
+++ b/core/src/main/java/org/currantslip/core/mirror/ChangeLog.java
@@ -26,8 +26,9 @@
     return new ChangeLog();
   }
 
-  /** Sets the revision after which the log is complete. */
+  /** Empties the log and sets the revision after which it is complete. */
   void startAt(long revision) {
+    entries.clear();
     completeAfterRevision = revision;
   }
 
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.mirror;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.MapDifference;
 import com.google.common.collect.Maps;
@@ -11,12 +12,14 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.KindChanges;
 import org.currantslip.core.port.KindObject;
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.KindStore;
 import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorSnapshot;
 import org.jspecify.annotations.Nullable;
 
@@ -28,7 +31,9 @@
  * history may omit changes from a watch.
  *
  * <p>A node that cannot reach the store takes full copies from peers. Copies are ordered by store
- * revision, so a mirror never reverts to an older revision. Confined to the decision thread.
+ * position, so a mirror never reverts to an older one. When the era of the store rises, a list
+ * replaces the copy, since the store may have lost what this node read before. Confined to the
+ * decision thread.
  */
 public final class KindMirror {
   /** Fraction by which retry delays are randomized, so that nodes do not retry in step. */
@@ -40,7 +45,9 @@
   /** A change in the connection to the store. */
   public enum Link {
     LOST,
-    REGAINED
+    REGAINED,
+    /** The store returned from an older copy of its data, possibly without a noticeable outage. */
+    RESTORED
   }
 
   private final String kind;
@@ -52,9 +59,11 @@
   private final ChangeLog changeLog = ChangeLog.create();
   private Runnable changeListener = () -> {};
   private Consumer<Link> linkListener = link -> {};
+  private ToLongFunction<KindObject> contentVersionOf = object -> 0;
   private @Nullable ImmutableMap<String, KindObject> cachedObjects;
-  private long revision;
-  private long changedRevision;
+  private StorePosition position = StorePosition.NONE;
+  private StorePosition changedPosition = StorePosition.NONE;
+  private long contentVersion;
   private boolean listComplete;
   private long currentCall;
   private boolean callInFlight;
@@ -89,6 +98,14 @@
     linkListener = listener;
   }
 
+  /**
+   * Sets the function that reads the version that an object's content carries, independent of the
+   * store. A copy with a lower version of an object is never taken, whatever its position.
+   */
+  public void setContentVersion(ToLongFunction<KindObject> function) {
+    contentVersionOf = function;
+  }
+
   /** Returns the kind of the mirrored objects. */
   public String kind() {
     return kind;
@@ -104,19 +121,24 @@
     return snapshot;
   }
 
-  /** Returns the store revision up to which this copy is complete; zero if nothing was read yet. */
-  public long revision() {
-    return revision;
+  /** Returns the store position up to which this copy is complete. */
+  public StorePosition position() {
+    return position;
+  }
+
+  /** Returns the store position at which the content last changed. */
+  public StorePosition changedPosition() {
+    return changedPosition;
   }
 
-  /** Returns the store revision at which the content last changed. */
-  public long changedRevision() {
-    return changedRevision;
+  /** Returns the highest version that the content itself carries; zero if it carries none. */
+  public long contentVersion() {
+    return contentVersion;
   }
 
   /** Returns whether the last call to the store succeeded. */
   public boolean isConnected() {
-    return consecutiveFailures == 0 && revision > 0;
+    return consecutiveFailures == 0 && !position.equals(StorePosition.NONE);
   }
 
   /** Returns whether a watch waits for changes after this copy, as far as this node knows. */
@@ -145,24 +167,25 @@
     long thisCall = ++currentCall;
     if (listComplete) {
       kindStore
-          .watchKind(kind, revision, options.watchMs())
+          .watchKind(kind, position, options.watchMs())
           .whenComplete((changes, failure) -> onWatched(thisCall, changes, failure));
     } else {
-      listFrom("", new ArrayList<>(), 0, thisCall);
+      listFrom("", new ArrayList<>(), StorePosition.NONE, thisCall);
     }
   }
 
-  private void listFrom(String after, List<KindObject> collected, long atRevision, long thisCall) {
+  private void listFrom(
+      String after, List<KindObject> collected, StorePosition firstPage, long thisCall) {
     kindStore
         .listKind(kind, after)
-        .whenComplete((page, failure) -> onListed(page, failure, collected, atRevision, thisCall));
+        .whenComplete((page, failure) -> onListed(page, failure, collected, firstPage, thisCall));
   }
 
   private void onListed(
       @Nullable KindPage page,
       @Nullable Throwable failure,
       List<KindObject> collected,
-      long atRevision,
+      StorePosition firstPage,
       long thisCall) {
     if (thisCall != currentCall) {
       return;
@@ -172,22 +195,35 @@
       onFailure(failure);
       return;
     }
-    collected.addAll(page.objects());
+    if (page.position().era() < position.era()) {
+      callInFlight = false;
+      onFailure(staleEra(page.position()));
+      return;
+    }
     // The watch starts at the first page, so it repeats changes made while later pages were read.
-    long startRevision = atRevision == 0 ? page.revision() : atRevision;
+    StorePosition start = firstPage.equals(StorePosition.NONE) ? page.position() : firstPage;
+    if (page.position().era() != start.era()) {
+      callInFlight = false;
+      return;
+    }
+    collected.addAll(page.objects());
     if (page.hasMore() && !page.objects().isEmpty()) {
-      listFrom(
-          page.objects().get(page.objects().size() - 1).name(), collected, startRevision, thisCall);
+      listFrom(page.objects().get(page.objects().size() - 1).name(), collected, start, thisCall);
       return;
     }
     callInFlight = false;
     listComplete = true;
     onSuccess();
-    if (startRevision >= revision) {
-      replace(collected, startRevision, startRevision);
+    if (!position.isAfter(start)) {
+      replace(collected, start, start);
     }
   }
 
+  private StoreException staleEra(StorePosition answered) {
+    return StoreException.of(
+        StoreException.Kind.NOT_DONE, "answer of era " + answered.era() + " after " + position);
+  }
+
   private void onWatched(
       long thisCall, @Nullable KindChanges changes, @Nullable Throwable failure) {
     if (thisCall != currentCall) {
@@ -198,7 +234,17 @@
       onFailure(failure);
       return;
     }
+    StorePosition answered = changes.position();
+    if (answered.era() < position.era()) {
+      onFailure(staleEra(answered));
+      return;
+    }
     onSuccess();
+    if (answered.era() > position.era()) {
+      // The changes follow a revision that this era assigned to other changes.
+      listComplete = false;
+      return;
+    }
     if (changes.changes().isEmpty()) {
       // A watch may omit changes without an error; only a list proves that nothing changed.
       listComplete = changes.complete();
@@ -206,10 +252,10 @@
     }
     List<String> changed =
         changes.changes().stream().filter(this::apply).map(c -> c.object().name()).toList();
-    revision = Math.max(revision, changes.revision());
-    changeLog.add(revision, changed);
+    position = Comparators.max(position, answered);
+    changeLog.add(position.revision(), changed);
     if (!changed.isEmpty()) {
-      changedRevision = revision;
+      changedPosition = position;
       nextCallMs = clock.nowMs() + options.settleMs();
       notifyChange();
     }
@@ -221,36 +267,48 @@
       return objects.remove(object.name()) != null;
     }
     KindObject existing = objects.get(object.name());
-    if (existing != null && existing.version() >= object.version()) {
+    if (existing != null && (existing.version() >= object.version() || isNewer(existing, object))) {
       return false;
     }
     objects.put(object.name(), object);
     return true;
   }
 
-  private void replace(List<KindObject> newObjects, long atRevision, long lastChangedRevision) {
+  private boolean isNewer(KindObject existing, KindObject other) {
+    return contentVersionOf.applyAsLong(existing) > contentVersionOf.applyAsLong(other);
+  }
+
+  private void replace(List<KindObject> newObjects, StorePosition at, StorePosition changedAt) {
     TreeMap<String, KindObject> replacement = new TreeMap<>();
     newObjects.forEach(o -> replacement.put(o.name(), o));
+    objects.values().stream()
+        .filter(o -> contentVersionOf.applyAsLong(o) > 0)
+        .forEach(o -> replacement.merge(o.name(), o, (n, e) -> isNewer(e, n) ? e : n));
+    final boolean restored = at.era() > position.era() && !position.equals(StorePosition.NONE);
+    final boolean isFirst = position.equals(StorePosition.NONE);
     MapDifference<String, KindObject> difference = Maps.difference(objects, replacement);
-    final boolean changed = revision == 0 || !difference.areEqual();
-    if (revision == 0) {
-      changeLog.startAt(atRevision);
+    if (isFirst || restored) {
+      changeLog.startAt(at.revision());
     } else {
-      changeLog.add(atRevision, difference.entriesDiffering().keySet());
-      changeLog.add(atRevision, difference.entriesOnlyOnLeft().keySet());
-      changeLog.add(atRevision, difference.entriesOnlyOnRight().keySet());
+      changeLog.add(at.revision(), difference.entriesDiffering().keySet());
+      changeLog.add(at.revision(), difference.entriesOnlyOnLeft().keySet());
+      changeLog.add(at.revision(), difference.entriesOnlyOnRight().keySet());
     }
     objects.clear();
     objects.putAll(replacement);
-    revision = atRevision;
-    if (changed) {
-      changedRevision = lastChangedRevision;
+    position = at;
+    if (restored) {
+      linkListener.accept(Link.RESTORED);
+    }
+    if (isFirst || restored || !difference.areEqual()) {
+      changedPosition = changedAt;
       notifyChange();
     }
   }
 
   private void notifyChange() {
     cachedObjects = null;
+    contentVersion = objects.values().stream().mapToLong(contentVersionOf).max().orElse(0);
     changeListener.run();
   }
 
@@ -290,13 +348,16 @@
   }
 
   /** Returns the changes after a revision, for a peer; empty if the log no longer covers them. */
-  public Optional<KindChanges> changesAfter(long after) {
+  public Optional<KindChanges> changesAfter(StorePosition after) {
+    if (after.era() != position.era()) {
+      return Optional.empty();
+    }
     return changeLog
-        .namesAfter(after)
+        .namesAfter(after.revision())
         .map(
             names -> {
               List<KindChanges.Change> changes = names.stream().map(this::latestChange).toList();
-              return new KindChanges(changes, revision, true);
+              return new KindChanges(changes, position, true);
             });
   }
 
@@ -305,7 +366,7 @@
     return existing != null
         ? new KindChanges.Change(existing, false)
         : new KindChanges.Change(
-            new KindObject(name, revision, ByteString.EMPTY, ByteString.EMPTY), true);
+            new KindObject(name, position.revision(), ByteString.EMPTY, ByteString.EMPTY), true);
   }
 
   /** Returns a snapshot of this copy, for a peer that is behind. */
@@ -313,20 +374,22 @@
     MirrorSnapshot.Builder snapshot =
         MirrorSnapshot.newBuilder()
             .setKind(kind)
-            .setRevision(revision)
-            .setChangedRevision(changedRevision);
+            .setEra(position.era())
+            .setRevision(position.revision())
+            .setChangedRevision(changedPosition.revision());
     objects.values().stream().map(MirrorCodec::objectToProto).forEach(snapshot::addObject);
     return snapshot.build();
   }
 
   /** Replaces this copy by a peer's if that is newer; returns whether it was. */
   public boolean replaceIfNewer(MirrorSnapshot snapshot) {
-    if (snapshot.getRevision() <= revision) {
-      return false;
-    }
+    StorePosition at = new StorePosition(snapshot.getEra(), snapshot.getRevision());
     List<KindObject> newObjects =
         snapshot.getObjectList().stream().map(MirrorCodec::objectFromProto).toList();
-    replace(newObjects, snapshot.getRevision(), snapshot.getChangedRevision());
+    if (!at.isAfter(position)) {
+      return putNewerContent(newObjects);
+    }
+    replace(newObjects, at, new StorePosition(at.era(), snapshot.getChangedRevision()));
     // The current watch did not report what the peer has; it may hang on a dead connection.
     currentCall++;
     callInFlight = false;
@@ -334,6 +397,22 @@
     return true;
   }
 
+  /** Takes the objects with a higher content version than this copy has. */
+  private boolean putNewerContent(List<KindObject> candidates) {
+    List<KindObject> newer =
+        candidates.stream()
+            .filter(o -> contentVersionOf.applyAsLong(o) > 0)
+            .filter(
+                o ->
+                    Optional.ofNullable(objects.get(o.name())).map(e -> isNewer(o, e)).orElse(true))
+            .toList();
+    newer.forEach(o -> objects.put(o.name(), o));
+    if (!newer.isEmpty()) {
+      notifyChange();
+    }
+    return !newer.isEmpty();
+  }
+
   /** Abandons the current call because the store does not answer this node. */
   public void onStoreSilent() {
     if (isConnected()) {
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorCodec.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorCodec.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.currantslip.core.port.KindChanges;
 import org.currantslip.core.port.KindObject;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorChanges;
 import org.currantslip.schema.MirrorObject;
 
@@ -26,7 +27,10 @@
   }
 
   static MirrorChanges changesToProto(KindChanges changes) {
-    MirrorChanges.Builder builder = MirrorChanges.newBuilder().setRevision(changes.revision());
+    MirrorChanges.Builder builder =
+        MirrorChanges.newBuilder()
+            .setEra(changes.position().era())
+            .setRevision(changes.position().revision());
     changes
         .changes()
         .forEach(
@@ -40,6 +44,10 @@
     return builder.build();
   }
 
+  static StorePosition positionOf(MirrorChanges changes) {
+    return new StorePosition(changes.getEra(), changes.getRevision());
+  }
+
   static KindChanges changesFromProto(MirrorChanges changes) {
     Stream<KindChanges.Change> removed =
         changes.getRemovedList().stream()
@@ -49,6 +57,6 @@
         changes.getObjectList().stream()
             .map(o -> new KindChanges.Change(objectFromProto(o), false));
     List<KindChanges.Change> allChanges = Stream.concat(removed, present).toList();
-    return new KindChanges(allChanges, changes.getRevision(), true);
+    return new KindChanges(allChanges, positionOf(changes), true);
   }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.PeerNetwork;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorRequest;
 import org.currantslip.schema.MirrorRevision;
 import org.currantslip.schema.MirrorSnapshot;
@@ -27,8 +28,12 @@
 
   private static final long REQUEST_TIMEOUT_MS = 1_000;
 
-  /** A revision that this node has not reached, with the peer and the time it learned of it. */
-  private record Behind(long revision, String node, long sinceMs) {}
+  /** State of a peer's copy that this node has not reached, and the time it learned of it. */
+  private record Behind(StorePosition changed, long contentVersion, String node, long sinceMs) {
+    private boolean isAheadOf(KindMirror mirror) {
+      return changed.isAfter(mirror.position()) || contentVersion > mirror.contentVersion();
+    }
+  }
 
   private final ImmutableMap<String, KindMirror> mirrors;
   private final PeerNetwork peers;
@@ -74,7 +79,9 @@
             m ->
                 MirrorRevision.newBuilder()
                     .setKind(m.kind())
-                    .setChangedRevision(m.changedRevision())
+                    .setEra(m.changedPosition().era())
+                    .setChangedRevision(m.changedPosition().revision())
+                    .setContentVersion(m.contentVersion())
                     .build())
         .toList();
   }
@@ -86,17 +93,19 @@
 
   private void onRevision(String node, MirrorRevision peerRevision) {
     KindMirror mirror = mirrors.get(peerRevision.getKind());
-    if (mirror == null || peerRevision.getChangedRevision() <= mirror.revision()) {
+    if (mirror == null) {
+      return;
+    }
+    StorePosition changed =
+        new StorePosition(peerRevision.getEra(), peerRevision.getChangedRevision());
+    long contentVersion = peerRevision.getContentVersion();
+    Behind news = new Behind(changed, contentVersion, node, clock.nowMs());
+    if (!news.isAheadOf(mirror)) {
       return;
     }
     // A peer that is as far behind as this node says nothing about the revision awaited here.
     Behind behind =
-        behindByKind.compute(
-            mirror.kind(),
-            (k, b) ->
-                b != null && b.revision() > mirror.revision()
-                    ? b
-                    : new Behind(peerRevision.getChangedRevision(), node, clock.nowMs()));
+        behindByKind.compute(mirror.kind(), (k, b) -> b != null && b.isAheadOf(mirror) ? b : news);
     requestIfDue(mirror, behind);
   }
 
@@ -106,14 +115,13 @@
   }
 
   private Optional<Behind> behind(KindMirror mirror) {
-    return Optional.ofNullable(behindByKind.get(mirror.kind()))
-        .filter(b -> b.revision() > mirror.revision());
+    return Optional.ofNullable(behindByKind.get(mirror.kind())).filter(b -> b.isAheadOf(mirror));
   }
 
   private void requestIfDue(KindMirror mirror, Behind behind) {
     long nowMs = clock.nowMs();
     boolean withinGrace = mirror.isWatching() && nowMs - behind.sinceMs() < WATCH_GRACE_MS;
-    if (mirror.revision() >= behind.revision()
+    if (!behind.isAheadOf(mirror)
         || withinGrace
         || nowMs < requestDeadlineMs.getOrDefault(mirror.kind(), 0L)) {
       return;
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -9,13 +9,14 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorChanges;
 import org.currantslip.schema.MirrorWatch;
 
 /** Answers watches of peers from this node's mirrors while this node watches the store itself. */
 public final class MirrorRelay {
   private record PendingWatch(
-      KindMirror mirror, long afterRevision, long untilMs, Consumer<MirrorChanges> reply) {}
+      KindMirror mirror, StorePosition after, long untilMs, Consumer<MirrorChanges> reply) {}
 
   private final ImmutableMap<String, KindMirror> mirrors;
   private final BooleanSupplier isWatcher;
@@ -48,8 +49,8 @@
                 return;
               }
               long untilMs = clock.nowMs() + watch.getWaitMs();
-              PendingWatch pending =
-                  new PendingWatch(mirror, watch.getAfterRevision(), untilMs, reply);
+              StorePosition after = new StorePosition(watch.getEra(), watch.getAfterRevision());
+              PendingWatch pending = new PendingWatch(mirror, after, untilMs, reply);
               if (isDue(pending)) {
                 answer(pending);
               } else {
@@ -75,13 +76,13 @@
   }
 
   private boolean isDue(PendingWatch pending) {
-    return !canAnswer(pending.mirror())
-        || pending.mirror().changedRevision() > pending.afterRevision()
+    return !canAnswer(pending)
+        || pending.mirror().changedPosition().isAfter(pending.after())
         || clock.nowMs() >= pending.untilMs();
   }
 
   private void answer(PendingWatch pending) {
-    if (!canAnswer(pending.mirror())) {
+    if (!canAnswer(pending)) {
       pending.reply().accept(notWatching());
       return;
     }
@@ -92,11 +93,17 @@
         .accept(
             pending
                 .mirror()
-                .changesAfter(pending.afterRevision())
+                .changesAfter(pending.after())
                 .map(MirrorCodec::changesToProto)
                 .orElse(historyGone));
   }
 
+  /** Returns whether this node can answer; it cannot if it has not reached the peer's era. */
+  private boolean canAnswer(PendingWatch pending) {
+    return canAnswer(pending.mirror())
+        && pending.after().era() <= pending.mirror().position().era();
+  }
+
   private boolean canAnswer(KindMirror mirror) {
     return isWatcher.getAsBoolean() && mirror.isConnected();
   }
@@ -106,7 +113,9 @@
   }
 
   private static MirrorChanges fullCopy(KindMirror mirror) {
-    MirrorChanges.Builder copy = MirrorChanges.newBuilder().setRevision(mirror.revision());
+    StorePosition position = mirror.position();
+    MirrorChanges.Builder copy =
+        MirrorChanges.newBuilder().setEra(position.era()).setRevision(position.revision());
     mirror.objects().values().stream().map(MirrorCodec::objectToProto).forEach(copy::addObject);
     return copy.build();
   }
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -8,6 +8,7 @@
 import org.currantslip.core.port.KindStore;
 import org.currantslip.core.port.PeerNetwork;
 import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorChanges;
 import org.currantslip.schema.MirrorWatch;
 import org.currantslip.schema.PeerFrame;
@@ -40,7 +41,7 @@
     return watcher
         .map(
             name ->
-                askWatcher(name, kind, 0, 0)
+                askWatcher(name, kind, StorePosition.NONE, 0)
                     .thenApply(RelayedFeed::toPage)
                     .exceptionallyCompose(failure -> listKind(kind, startAfter)))
         .orElseGet(() -> store.listKind(kind, startAfter));
@@ -50,18 +51,15 @@
     return new KindPage(
         copy.getObjectList().stream().map(MirrorCodec::objectFromProto).toList(),
         false,
-        copy.getRevision());
+        MirrorCodec.positionOf(copy));
   }
 
   @Override
-  public CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs) {
+  public CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs) {
     return watchers
         .watcher()
-        .map(
-            name ->
-                askWatcher(name, kind, afterRevision, waitMs)
-                    .thenApply(MirrorCodec::changesFromProto))
-        .orElseGet(() -> store.watchKind(kind, afterRevision, waitMs));
+        .map(name -> askWatcher(name, kind, after, waitMs).thenApply(MirrorCodec::changesFromProto))
+        .orElseGet(() -> store.watchKind(kind, after, waitMs));
   }
 
   @Override
@@ -77,11 +75,12 @@
 
   /** Asks a watcher; a failure tells the caller to list again, from another source. */
   private CompletableFuture<MirrorChanges> askWatcher(
-      String watcher, String kind, long afterRevision, long waitMs) {
+      String watcher, String kind, StorePosition after, long waitMs) {
     MirrorWatch.Builder watch =
         MirrorWatch.newBuilder()
             .setKind(kind)
-            .setAfterRevision(afterRevision)
+            .setEra(after.era())
+            .setAfterRevision(after.revision())
             .setWaitMs((int) waitMs);
     PeerFrame frame = PeerFrame.newBuilder().setMirrorWatch(watch).build();
     return peers
--- a/core/src/main/java/org/currantslip/core/port/KindChanges.java
+++ b/core/src/main/java/org/currantslip/core/port/KindChanges.java
@@ -6,11 +6,11 @@
  * Changes to the objects of one kind since a revision.
  *
  * @param changes changes in the order in which they occurred
- * @param revision store revision up to which all changes are included
+ * @param position position of the store up to which all changes are included
  * @param complete whether the list is known to be complete; a store that discards history may omit
  *     changes
  */
-public record KindChanges(List<Change> changes, long revision, boolean complete) {
+public record KindChanges(List<Change> changes, StorePosition position, boolean complete) {
   /**
    * A change to one object.
    *
--- a/core/src/main/java/org/currantslip/core/port/KindPage.java
+++ b/core/src/main/java/org/currantslip/core/port/KindPage.java
@@ -7,6 +7,6 @@
  *
  * @param objects objects ordered by name
  * @param hasMore whether more pages follow
- * @param revision store revision at which the page was read
+ * @param position position of the store at which the page was read
  */
-public record KindPage(List<KindObject> objects, boolean hasMore, long revision) {}
+public record KindPage(List<KindObject> objects, boolean hasMore, StorePosition position) {}
--- a/core/src/main/java/org/currantslip/core/port/KindStore.java
+++ b/core/src/main/java/org/currantslip/core/port/KindStore.java
@@ -14,10 +14,10 @@
   CompletableFuture<KindPage> listKind(String kind, String startAfter);
 
   /**
-   * Waits up to {@code waitMs} for changes after a revision; returns no changes on timeout. Fails
+   * Waits up to {@code waitMs} for changes after a position; returns no changes on timeout. Fails
    * with {@link StoreException.Kind#HISTORY_GONE} if the store has discarded the changes.
    */
-  CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs);
+  CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs);
 
   /** Makes the cheapest possible read and returns the era of the store. */
   CompletableFuture<Long> probe();
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/port/StorePosition.java
@@ -0,0 +1,35 @@
+package org.currantslip.core.port;
+
+import com.google.common.collect.ComparisonChain;
+
+/**
+ * Point in the history of the store.
+ *
+ * <p>A store that returns from an older copy of its data assigns revisions a second time, so that
+ * revisions are comparable within one era only.
+ *
+ * @param era number of times that the store returned from an older copy
+ * @param revision revision within the era
+ */
+public record StorePosition(long era, long revision) implements Comparable<StorePosition> {
+  /** The position of a node that has read nothing yet. */
+  public static final StorePosition NONE = new StorePosition(0, 0);
+
+  /** Returns a position in the first era. */
+  public static StorePosition of(long revision) {
+    return new StorePosition(0, revision);
+  }
+
+  /** Returns whether this position is later than another. */
+  public boolean isAfter(StorePosition other) {
+    return compareTo(other) > 0;
+  }
+
+  @Override
+  public int compareTo(StorePosition other) {
+    return ComparisonChain.start()
+        .compare(era, other.era)
+        .compare(revision, other.revision)
+        .result();
+  }
+}
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -81,7 +81,17 @@
 
   /** Replaces the orders with those currently in the store. */
   public void onOrders(List<RolloutOrder> orders) {
-    Map<String, Rollout> updated = new TreeMap<>();
+    onOrders(orders, false);
+  }
+
+  /**
+   * Replaces the orders with those currently in the store.
+   *
+   * @param mayLack whether the store may have lost orders that will be written again; known orders
+   *     that are missing then stay in force
+   */
+  public void onOrders(List<RolloutOrder> orders, boolean mayLack) {
+    Map<String, Rollout> updated = mayLack ? new TreeMap<>(rollouts) : new TreeMap<>();
     for (RolloutOrder order : orders) {
       Rollout existing = rollouts.get(order.service());
       boolean isSameOrder = existing != null && existing.order.isSameOrder(order);
--- a/core/src/main/java/org/currantslip/core/routing/EndpointRegistry.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointRegistry.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.routing;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,17 +15,30 @@
  * <p>An endpoint whose entry is removed is dropped immediately. Entries that expired during a store
  * outage are kept for a grace period instead, because running endpoints register again shortly
  * after the store recovers.
+ *
+ * <p>A store that returned from an older copy may show an endpoint as ready that had announced its
+ * stop, or one whose entry was removed. Both are believed to be leaving as long as the copy is not
+ * rewritten; a restarted process has another start time.
  */
 public final class EndpointRegistry {
   /** Running endpoints register again within this time after the store has recovered. */
   private static final long REREGISTRATION_MS = 1_800;
 
+  /** Entries of endpoints that no longer write expire within this time. */
+  private static final long RESTORED_ENTRY_MS = 5_000;
+
+  /** Bounds the memory of removed endpoints; several times the size of the largest fleet. */
+  private static final int MAX_REMOVED = 8_192;
+
   private final Clock clock;
   private final long minOutageMs;
   private final Consumer<List<EndpointRecord>> listener;
   private final Map<String, EndpointRecord> entries = new TreeMap<>();
   private final Map<String, EndpointRecord> expired = new HashMap<>();
+  private final Map<String, Long> removedStartMs = new LinkedHashMap<>();
+  private final Map<String, EndpointRecord> withheld = new HashMap<>();
   private long graceUntilMs;
+  private long restoredUntilMs;
 
   private EndpointRegistry(Clock clock, long minOutageMs, Consumer<List<EndpointRecord>> listener) {
     this.clock = clock;
@@ -50,30 +64,68 @@
     }
   }
 
+  /** Starts the grace period because the store returned from an older copy of the entries. */
+  public void onStoreRestored() {
+    graceUntilMs = clock.nowMs() + REREGISTRATION_MS;
+    restoredUntilMs = clock.nowMs() + RESTORED_ENTRY_MS;
+  }
+
   /** Replaces the known entries with the current content of the store. */
   public void onEntries(List<EndpointRecord> current) {
     Map<String, EndpointRecord> currentById = new TreeMap<>();
-    current.forEach(e -> currentById.put(e.getId(), e));
+    withheld.clear();
+    current.forEach(
+        e -> (isRemovedEarlier(e) ? withheld : currentById).put(e.getId(), keepLeaving(e)));
     expired.keySet().removeAll(currentById.keySet());
-    if (clock.nowMs() < graceUntilMs) {
-      entries.forEach(
-          (id, e) -> {
-            if (!currentById.containsKey(id)) {
+    boolean inGrace = clock.nowMs() < graceUntilMs;
+    entries.forEach(
+        (id, e) -> {
+          if (!currentById.containsKey(id)) {
+            if (inGrace) {
               expired.put(id, e);
+            } else {
+              rememberRemoved(e);
             }
-          });
-    }
+          }
+        });
     entries.clear();
     entries.putAll(currentById);
     publish();
   }
 
-  /** Drops expired entries that were not registered again within the grace period. */
+  private boolean isRemovedEarlier(EndpointRecord entry) {
+    Long startMs = removedStartMs.get(entry.getId());
+    return startMs != null && startMs == entry.getStartedMs() && clock.nowMs() < restoredUntilMs;
+  }
+
+  private void rememberRemoved(EndpointRecord entry) {
+    removedStartMs.put(entry.getId(), entry.getStartedMs());
+    if (removedStartMs.size() > MAX_REMOVED) {
+      removedStartMs.remove(removedStartMs.keySet().iterator().next());
+    }
+  }
+
+  /** Returns the entry, marked as leaving if the same process announced its stop before. */
+  private EndpointRecord keepLeaving(EndpointRecord entry) {
+    EndpointRecord known = entries.getOrDefault(entry.getId(), expired.get(entry.getId()));
+    boolean isLeaving =
+        known != null && known.getLeaving() && known.getStartedMs() == entry.getStartedMs();
+    return isLeaving ? entry.toBuilder().setLeaving(true).build() : entry;
+  }
+
+  /** Ends the grace periods: drops entries that are still missing, accepts those still there. */
   public void tick() {
-    if (!expired.isEmpty() && clock.nowMs() >= graceUntilMs) {
+    long nowMs = clock.nowMs();
+    if (!expired.isEmpty() && nowMs >= graceUntilMs) {
+      expired.values().forEach(this::rememberRemoved);
       expired.clear();
       publish();
     }
+    if (!withheld.isEmpty() && nowMs >= restoredUntilMs) {
+      entries.putAll(withheld);
+      withheld.clear();
+      publish();
+    }
   }
 
   private void publish() {
--- a/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
@@ -75,6 +75,18 @@
     }
   }
 
+  @Test
+  void joinRecordThatTheStoreLostIsWrittenAgain() {
+    FakeFleet fleet = settledFleet(6);
+    fleet.store.deleteDirectly("node/n003");
+
+    fleet.memberships().forEach(HeartbeatMembership::onStoreRestored);
+    fleet.run(SETTLE_MS);
+
+    assertThat(fleet.store.listDirectly("node/")).hasSize(6);
+    fleet.memberships().forEach(n -> assertThat(FakeFleet.live(n)).contains("n003"));
+  }
+
   @Test
   void restartsAtTheSameAddressAreSeenAsNewIncarnations() {
     FakeFleet fleet = settledFleet(6);
--- a/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
@@ -9,6 +9,7 @@
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.KindStore;
 import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StorePosition;
 
 /** A store feed that records its calls; tests complete them. */
 final class FakeFeed implements KindStore {
@@ -17,6 +18,9 @@
   final List<CompletableFuture<KindChanges>> watchCalls = new ArrayList<>();
   final List<Long> watchRevisions = new ArrayList<>();
 
+  /** Era of the answers. */
+  long era;
+
   static KindObject object(String name, long version) {
     return new KindObject(name, version, ByteString.copyFromUtf8(name + version), ByteString.EMPTY);
   }
@@ -30,10 +34,10 @@
   }
 
   @Override
-  public CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs) {
+  public CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs) {
     CompletableFuture<KindChanges> call = new CompletableFuture<>();
     watchCalls.add(call);
-    watchRevisions.add(afterRevision);
+    watchRevisions.add(after.revision());
     return call;
   }
 
@@ -48,14 +52,21 @@
     throw new UnsupportedOperationException();
   }
 
+  private StorePosition position(long revision) {
+    return new StorePosition(era, revision);
+  }
+
   void completeList(long revision, KindObject... objects) {
-    listCalls.get(listCalls.size() - 1).complete(new KindPage(List.of(objects), false, revision));
+    listCalls
+        .get(listCalls.size() - 1)
+        .complete(new KindPage(List.of(objects), false, position(revision)));
   }
 
   void completeWatch(long revision, KindObject object, boolean removed) {
     lastWatch()
         .complete(
-            new KindChanges(List.of(new KindChanges.Change(object, removed)), revision, false));
+            new KindChanges(
+                List.of(new KindChanges.Change(object, removed)), position(revision), false));
   }
 
   void failList(StoreException.Kind kind) {
--- a/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
@@ -11,6 +11,7 @@
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.KindStore;
 import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StorePosition;
 
 /** A fake store of one kind of object, shared by many nodes; counts list and watch calls. */
 final class FakeKindStore {
@@ -18,12 +19,13 @@
 
   private record LogEntry(KindChanges.Change change, long revision) {}
 
-  private record Watch(Link link, long after, CompletableFuture<KindChanges> answer) {}
+  private record Watch(Link link, StorePosition after, CompletableFuture<KindChanges> answer) {}
 
   private final FakeEvents events;
   private final TreeMap<String, KindObject> objects = new TreeMap<>();
   private final List<LogEntry> log = new ArrayList<>();
   private final List<Watch> watches = new ArrayList<>();
+  private long era;
   private long revision = 1;
   private int calls;
 
@@ -35,6 +37,10 @@
     return new FakeKindStore(events);
   }
 
+  private StorePosition position() {
+    return new StorePosition(era, revision);
+  }
+
   /** Returns the number of calls made by all nodes. */
   int calls() {
     return calls;
@@ -62,8 +68,11 @@
 
   private void answer(Watch watch) {
     List<KindChanges.Change> since =
-        log.stream().filter(e -> e.revision() > watch.after()).map(LogEntry::change).toList();
-    KindChanges changes = new KindChanges(since, revision, false);
+        log.stream()
+            .filter(e -> e.revision() > watch.after().revision())
+            .map(LogEntry::change)
+            .toList();
+    KindChanges changes = new KindChanges(since, position(), false);
     events.after(LATENCY_MS, () -> watch.link().complete(watch.answer(), changes));
   }
 
@@ -108,19 +117,19 @@
         return CompletableFuture.failedFuture(refusal());
       }
       CompletableFuture<KindPage> answer = new CompletableFuture<>();
-      KindPage page = new KindPage(List.copyOf(objects.values()), false, revision);
+      KindPage page = new KindPage(List.copyOf(objects.values()), false, position());
       events.after(LATENCY_MS, () -> complete(answer, page));
       return answer;
     }
 
     @Override
-    public CompletableFuture<KindChanges> watchKind(String kind, long afterRevision, long waitMs) {
+    public CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs) {
       calls++;
       if (refused) {
         return CompletableFuture.failedFuture(refusal());
       }
-      Watch watch = new Watch(this, afterRevision, new CompletableFuture<>());
-      if (afterRevision < revision) {
+      Watch watch = new Watch(this, after, new CompletableFuture<>());
+      if (position().isAfter(after)) {
         answer(watch);
       } else {
         watches.add(watch);
@@ -131,7 +140,7 @@
 
     private void endWait(Watch watch) {
       if (watches.remove(watch)) {
-        complete(watch.answer(), new KindChanges(List.of(), revision, false));
+        complete(watch.answer(), new KindChanges(List.of(), position(), false));
       }
     }
 
--- a/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import org.currantslip.core.common.ManualClock;
 import org.currantslip.core.port.KindChanges;
+import org.currantslip.core.port.KindObject;
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.StoreException;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.schema.MirrorSnapshot;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -57,8 +59,12 @@
   @Test
   void watchesFromTheFirstPageToSeeChangesBetweenPages() {
     mirror.tick();
-    feed.listCalls.get(0).complete(new KindPage(List.of(FakeFeed.object("a", 3)), true, 10));
-    feed.listCalls.get(1).complete(new KindPage(List.of(FakeFeed.object("b", 11)), false, 15));
+    feed.listCalls
+        .get(0)
+        .complete(new KindPage(List.of(FakeFeed.object("a", 3)), true, StorePosition.of(10)));
+    feed.listCalls
+        .get(1)
+        .complete(new KindPage(List.of(FakeFeed.object("b", 11)), false, StorePosition.of(15)));
     mirror.tick();
     assertThat(feed.listStarts).containsExactly("", "a").inOrder();
     assertThat(mirror.objects().keySet()).containsExactly("a", "b");
@@ -129,18 +135,18 @@
     mirror.tick();
     assertThat(feed.watchRevisions).containsExactly(10L, 41L).inOrder();
     feed.watchCalls.get(0).complete(null);
-    assertThat(mirror.revision()).isEqualTo(41);
+    assertThat(mirror.position().revision()).isEqualTo(41);
   }
 
   @Test
   void listRecoversChangeOmittedByWatch() {
     start();
-    feed.lastWatch().complete(new KindChanges(List.of(), 30, false));
-    assertThat(mirror.revision()).isEqualTo(10);
+    feed.lastWatch().complete(new KindChanges(List.of(), StorePosition.of(30), false));
+    assertThat(mirror.position().revision()).isEqualTo(10);
     mirror.tick();
     feed.completeList(31, FakeFeed.object("a", 25));
     assertThat(mirror.objects().keySet()).containsExactly("a");
-    assertThat(mirror.revision()).isEqualTo(31);
+    assertThat(mirror.position().revision()).isEqualTo(31);
   }
 
   @Test
@@ -163,6 +169,104 @@
     assertThat(mirror.objects().keySet()).containsExactly("a");
   }
 
+  @Test
+  void riseOfTheEraReplacesTheCopyAlthoughRevisionsWentBack() {
+    start();
+    feed.failWatch(StoreException.Kind.HISTORY_GONE);
+    mirror.tick();
+    feed.era = 1;
+    feed.completeList(7, FakeFeed.object("a", 2));
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 2));
+    assertThat(mirror.position()).isEqualTo(new StorePosition(1, 7));
+    assertThat(linkEvents).containsExactly(KindMirror.Link.RESTORED);
+    mirror.tick();
+    feed.completeWatch(9, FakeFeed.object("a", 3), false);
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 3));
+  }
+
+  @Test
+  void watchAnsweredInNewEraIsNotAppliedButListed() {
+    start();
+    feed.era = 1;
+    feed.completeWatch(12, FakeFeed.object("z", 12), false);
+    assertThat(mirror.objects().keySet()).containsExactly("a", "b");
+    mirror.tick();
+    feed.completeList(12, FakeFeed.object("z", 12));
+    assertThat(mirror.objects().keySet()).containsExactly("z");
+  }
+
+  @Test
+  void lateAnswersOfAnOlderEraAreDropped() {
+    feed.era = 2;
+    start();
+    feed.era = 1;
+    feed.completeWatch(90, FakeFeed.object("z", 90), false);
+    advance(400);
+    feed.completeList(95, FakeFeed.object("z", 90));
+    assertThat(mirror.objects().keySet()).containsExactly("a", "b");
+    assertThat(mirror.position()).isEqualTo(new StorePosition(2, 10));
+  }
+
+  @Test
+  void listAcrossTwoErasStartsAgain() {
+    mirror.tick();
+    feed.listCalls
+        .get(0)
+        .complete(new KindPage(List.of(FakeFeed.object("a", 3)), true, StorePosition.of(10)));
+    feed.era = 1;
+    feed.completeList(4, FakeFeed.object("b", 2));
+    assertThat(mirror.objects()).isEmpty();
+    mirror.tick();
+    feed.completeList(4, FakeFeed.object("b", 2));
+    assertThat(mirror.objects().keySet()).containsExactly("b");
+  }
+
+  @Test
+  void peersOfDifferentErasAgreeOnTheNewest() {
+    start();
+    MirrorSnapshot newer =
+        MirrorSnapshot.newBuilder()
+            .setKind("k")
+            .setEra(1)
+            .setRevision(2)
+            .setChangedRevision(2)
+            .build();
+    MirrorSnapshot older =
+        MirrorSnapshot.newBuilder().setKind("k").setRevision(99).setChangedRevision(99).build();
+    assertThat(mirror.replaceIfNewer(newer)).isTrue();
+    assertThat(mirror.replaceIfNewer(older)).isFalse();
+    assertThat(mirror.position()).isEqualTo(new StorePosition(1, 2));
+  }
+
+  @Test
+  void contentVersionsNeverGoBackWithTheEra() {
+    mirror.setContentVersion(o -> o.name().equals("a") ? o.version() : 0);
+    start();
+    feed.failWatch(StoreException.Kind.HISTORY_GONE);
+    mirror.tick();
+    feed.era = 1;
+    feed.completeList(7, FakeFeed.object("a", 2));
+    assertThat(mirror.objects().keySet()).containsExactly("a");
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 3));
+    assertThat(mirror.contentVersion()).isEqualTo(3);
+  }
+
+  @Test
+  void contentThatTheStoreLostIsTakenFromPeer() {
+    mirror.setContentVersion(KindObject::version);
+    feed.era = 1;
+    mirror.tick();
+    feed.completeList(7, FakeFeed.object("a", 2));
+    KindMirror peer = KindMirror.create("k", feed, clock, OPTIONS, 2);
+    peer.setContentVersion(KindObject::version);
+    feed.era = 0;
+    peer.tick();
+    feed.completeList(10, FakeFeed.object("a", 9));
+    assertThat(mirror.replaceIfNewer(peer.snapshot())).isTrue();
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 9));
+    assertThat(mirror.position()).isEqualTo(new StorePosition(1, 7));
+  }
+
   @Test
   void listOlderThanPeerCopyIsIgnored() {
     mirror.tick();
@@ -170,7 +274,7 @@
         MirrorSnapshot.newBuilder().setKind("k").setRevision(40).setChangedRevision(40).build();
     mirror.replaceIfNewer(newer);
     feed.completeList(10, FakeFeed.object("a", 3));
-    assertThat(mirror.revision()).isEqualTo(40);
+    assertThat(mirror.position().revision()).isEqualTo(40);
     assertThat(mirror.objects()).isEmpty();
   }
 }
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -152,6 +152,18 @@
     assertThat(writtenProgress).hasSize(writes);
   }
 
+  @Test
+  void statusThatTheStoreLostIsWrittenAgain() {
+    run(1_000);
+    answers(20, OutcomeSample.failed());
+    run(1_000);
+    order = new RolloutOrder("s", "v2", 24_000, 3, Progress.ordered());
+    run(1_000);
+    assertThat(order.progress().state()).isEqualTo(State.ROLLED_BACK);
+    assertThat(writtenProgress.get(writtenProgress.size() - 1).state())
+        .isEqualTo(State.ROLLED_BACK);
+  }
+
   @Test
   void anotherNodeTakesOverWhenTheActiveNodeStops() {
     run(1_000);
--- a/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
@@ -144,6 +144,17 @@
     assertThat(ids.stream().noneMatch(this::isNew)).isTrue();
   }
 
+  @Test
+  void orderThatTheStoreLostStaysInForce() {
+    progress(State.ROLLED_BACK, 0);
+    rollouts.onOrders(List.of(), true);
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("v1");
+    rollouts.onOrders(List.of(order(State.ORDERED, 0)), true);
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("v1");
+    rollouts.onOrders(List.of(), false);
+    assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("");
+  }
+
   @Test
   void storedProgressThatWentBackIsIgnored() {
     progress(State.IN_PROGRESS, 0.5);
--- a/core/src/test/java/org/currantslip/core/routing/EndpointRegistryTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/EndpointRegistryTest.java
@@ -57,6 +57,59 @@
     assertThat(published).containsExactly("b");
   }
 
+  private static EndpointRecord entry(String id, long startedMs, boolean leaving) {
+    return EndpointRecord.newBuilder()
+        .setId(id)
+        .setStartedMs(startedMs)
+        .setLeaving(leaving)
+        .build();
+  }
+
+  private final List<String> leaving = new ArrayList<>();
+  private final EndpointRegistry states =
+      EndpointRegistry.create(
+          clock,
+          2_400,
+          endpoints -> {
+            leaving.clear();
+            endpoints.stream()
+                .filter(EndpointRecord::getLeaving)
+                .forEach(e -> leaving.add(e.getId()));
+          });
+
+  @Test
+  void restoredStoreDoesNotEmptyThePool() {
+    setEntries("a", "b");
+    registry.onStoreRestored();
+    setEntries();
+    assertThat(published).containsExactly("a", "b");
+    clock.advance(1_000);
+    setEntries("a");
+    clock.advance(1_000);
+    registry.tick();
+    assertThat(published).containsExactly("a");
+  }
+
+  @Test
+  void endpointThatAnnouncedItsStopStaysLeavingInRestoredStore() {
+    states.onEntries(List.of(entry("a", 1, true), entry("b", 1, true)));
+    states.onStoreRestored();
+    states.onEntries(List.of(entry("a", 1, false), entry("b", 2, false)));
+    assertThat(leaving).containsExactly("a");
+  }
+
+  @Test
+  void removedEndpointReturnsFromRestoredStoreOnlyIfItsEntryLasts() {
+    setEntries("a", "b");
+    setEntries("b");
+    registry.onStoreRestored();
+    setEntries("a", "b");
+    assertThat(published).containsExactly("b");
+    clock.advance(5_000);
+    registry.tick();
+    assertThat(published).containsExactly("a", "b");
+  }
+
   @Test
   void shortOutageStartsNoGracePeriod() {
     setEntries("a", "b");
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -159,7 +159,8 @@
             (long) MIN_OUTAGE_REPORTS * settings.getStore().getEndpointReportMs(),
             this::onEndpoints);
     mirrors.connectRegistry(endpointRegistry);
-    mirrors.onRolloutOrders(rollouts::onOrders);
+    mirrors.connectRollouts(rollouts);
+    mirrors.onStoreRestored(membership::onStoreRestored);
     rolloutController =
         ServiceRolloutController.create(
             membership,
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.mirror.KindMirror;
@@ -11,6 +10,7 @@
 import org.currantslip.core.port.KindObject;
 import org.currantslip.core.port.KindStore;
 import org.currantslip.core.rollout.RolloutOrder;
+import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.route.RouteHolder;
 import org.currantslip.core.route.RouteTable;
 import org.currantslip.core.routing.EndpointRegistry;
@@ -26,18 +26,40 @@
  * node.
  */
 final class StoreMirrors {
+  /** Time within which operators write orders again that the store has lost. */
+  private static final long ORDER_REWRITE_MS = 10_000;
+
   private final KindMirror config;
   private final KindMirror endpoints;
   private final KindMirror rollouts;
   private final RouteHolder routes = RouteHolder.create();
+  private final Clock clock;
+  private Runnable ordersReader = () -> {};
+  private Runnable restoreListener = () -> {};
+  private long ordersLackUntilMs;
 
   private StoreMirrors(KindStore kindStore, Clock clock, long seed) {
+    this.clock = clock;
     MirrorOptions options = MirrorOptions.defaults();
     config = KindMirror.create(RouteTableReader.KIND, kindStore, clock, options, seed);
     endpoints = KindMirror.create(EndpointEntryReader.KIND, kindStore, clock, options, seed + 1);
     rollouts = KindMirror.create(RolloutOrderCodec.KIND, kindStore, clock, options, seed + 2);
-    all().forEach(m -> m.setLinkListener(link -> logLinkChange(m, link)));
+    config.setLinkListener(
+        link -> {
+          logLinkChange(config, link);
+          if (link == KindMirror.Link.RESTORED) {
+            restoreListener.run();
+          }
+        });
+    rollouts.setLinkListener(
+        link -> {
+          logLinkChange(rollouts, link);
+          if (link == KindMirror.Link.RESTORED) {
+            ordersLackUntilMs = clock.nowMs() + ORDER_REWRITE_MS;
+          }
+        });
     config.setChangeListener(this::readConfig);
+    config.setContentVersion(object -> RouteTableReader.version(object.spec()));
   }
 
   static StoreMirrors create(KindStore kindStore, Clock clock, long seed) {
@@ -56,6 +78,11 @@
     return config;
   }
 
+  /** Sets the listener that runs when the store has returned from an older copy. */
+  void onStoreRestored(Runnable listener) {
+    restoreListener = listener;
+  }
+
   /** Sets the registry that receives the endpoints and the ends of store outages. */
   void connectRegistry(EndpointRegistry registry) {
     endpoints.setChangeListener(() -> registry.onEntries(readEndpoints()));
@@ -64,25 +91,41 @@
           logLinkChange(endpoints, link);
           if (link == KindMirror.Link.REGAINED) {
             registry.onStoreRegained(endpoints.lastOutageMs());
+          } else if (link == KindMirror.Link.RESTORED) {
+            registry.onStoreRestored();
           }
         });
   }
 
-  /** Sets the listener that receives the rollout orders after each change. */
-  void onRolloutOrders(Consumer<List<RolloutOrder>> listener) {
-    rollouts.setChangeListener(() -> listener.accept(readOrders()));
+  /** Connects the rollouts, which receive the orders after each change. */
+  void connectRollouts(ServiceRollouts serviceRollouts) {
+    ordersReader = () -> serviceRollouts.onOrders(readOrders(), ordersLackUntilMs > 0);
+    rollouts.setChangeListener(ordersReader);
   }
 
   void tick() {
     all().forEach(KindMirror::tick);
+    if (ordersLackUntilMs > 0 && clock.nowMs() >= ordersLackUntilMs) {
+      ordersLackUntilMs = 0;
+      ordersReader.run();
+    }
   }
 
   private static void logLinkChange(KindMirror mirror, KindMirror.Link link) {
-    LogEvent event = link == KindMirror.Link.LOST ? LogEvent.STORE_LOST : LogEvent.STORE_REGAINED;
+    LogEvent event =
+        switch (link) {
+          case LOST -> LogEvent.STORE_LOST;
+          case REGAINED -> LogEvent.STORE_REGAINED;
+          case RESTORED -> LogEvent.STORE_RESTORED;
+        };
     EventLog.write(
         event,
-        "kind=%s revision=%d outage_ms=%d"
-            .formatted(mirror.kind(), mirror.revision(), mirror.lastOutageMs()));
+        "kind=%s era=%d revision=%d outage_ms=%d"
+            .formatted(
+                mirror.kind(),
+                mirror.position().era(),
+                mirror.position().revision(),
+                mirror.lastOutageMs()));
   }
 
   private void readConfig() {
--- a/standin/src/main/java/org/currantslip/standin/object/ObjectApi.java
+++ b/standin/src/main/java/org/currantslip/standin/object/ObjectApi.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Splitter;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
@@ -20,6 +21,7 @@
 public final class ObjectApi implements StandinApp {
   private static final String PREFIX = "/api/objects/";
   private static final String CALLS_PATH = "/calls";
+  private static final String ERA_HEADER = "Store-Era";
   private static final Splitter PATH_SPLITTER = Splitter.on('/');
   private static final int MAX_LIST_ITEMS = 500;
   private static final int MAX_SPEC_BYTES = 2 << 20;
@@ -28,6 +30,7 @@
   private static final int GONE = 410;
 
   private final ObjectTable table = new ObjectTable();
+  private volatile ObjectTable.Copy copy = table.copy();
   private final PendingWatches watches;
   private final RateLimit readLimit;
   private final RateLimit writeLimit;
@@ -47,11 +50,22 @@
     return new ObjectApi(delays, readsPerS, writesPerS);
   }
 
+  /** Copies the current content, for {@link #restoreCopy}. */
+  public void takeCopy() {
+    copy = table.copy();
+  }
+
+  /** Returns to the last copy in a new era: what was written since then is lost. */
+  public void restoreCopy() {
+    table.restore(copy);
+    watches.notifyChanged();
+  }
+
   @Override
   public void handle(Exchange exchange) {
     String path = exchange.path();
     if (path.equals(CALLS_PATH)) {
-      exchange.reply(OK, callCounts());
+      reply(exchange, OK, callCounts());
       return;
     }
     if (!path.startsWith(PREFIX)) {
@@ -100,7 +114,7 @@
           watch(exchange, e -> e.kind().equals(kind) && e.name().equals(name));
         } else {
           checkRate(readLimit, readCalls);
-          exchange.reply(OK, json(table.get(kind, name).orElseThrow(ObjectApi::notFound)));
+          reply(exchange, OK, json(table.get(kind, name).orElseThrow(ObjectApi::notFound)));
         }
       }
       case "PUT" -> {
@@ -125,6 +139,11 @@
     answer(exchange, table.replace(kind, name, body.path("status"), true, revision(body)));
   }
 
+  private void reply(Exchange exchange, int status, JsonNode json) {
+    Map<String, String> headers = Map.of(ERA_HEADER, Long.toString(table.era()));
+    exchange.reply(status, "application/json", headers, Json.bytes(json));
+  }
+
   private static JsonNode body(Exchange exchange) {
     if (exchange.body().length > MAX_SPEC_BYTES) {
       throw RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "the object exceeds the size limit");
@@ -142,7 +161,7 @@
 
   private void answer(Exchange exchange, ObjectTable.Result result) {
     ObjectTable.Entry entry = result.entry().orElseThrow(ObjectApi::notFound);
-    exchange.reply(result.applied() ? OK : CONFLICT, json(entry));
+    reply(exchange, result.applied() ? OK : CONFLICT, json(entry));
     if (result.applied()) {
       watches.notifyChanged();
     }
@@ -157,7 +176,7 @@
     ArrayNode items = answer.putArray("items");
     found.stream().limit(MAX_LIST_ITEMS).forEach(e -> items.add(json(e)));
     answer.put("truncated", found.size() > MAX_LIST_ITEMS).put("current_rev", revision);
-    exchange.reply(OK, answer);
+    reply(exchange, OK, answer);
   }
 
   private void watch(Exchange exchange, Predicate<ObjectTable.Entry> matches) {
@@ -169,13 +188,13 @@
           long revision = table.revision();
           Optional<List<ObjectTable.Event>> changes = table.changesAfter(after, matches);
           if (changes.isEmpty()) {
-            exchange.reply(GONE, Json.object());
+            reply(exchange, GONE, Json.object());
             return true;
           }
           if (changes.get().isEmpty() && !timedOut) {
             return false;
           }
-          exchange.reply(OK, events(changes.get(), revision));
+          reply(exchange, OK, events(changes.get(), revision));
           return true;
         });
   }
--- a/standin/src/main/java/org/currantslip/standin/object/ObjectTable.java
+++ b/standin/src/main/java/org/currantslip/standin/object/ObjectTable.java
@@ -24,6 +24,9 @@
   /** Result of a change; the entry is the current object, or the last state if deleted. */
   record Result(boolean applied, Optional<Entry> entry) {}
 
+  /** The content at one revision, from which the table can be restored. */
+  record Copy(NavigableMap<String, Entry> objects, long revision) {}
+
   private static final int MAX_HISTORY = 50_000;
 
   @GuardedBy("this")
@@ -38,6 +41,9 @@
   @GuardedBy("this")
   private long lastDroppedRevision;
 
+  @GuardedBy("this")
+  private long era;
+
   private static String key(String kind, String name) {
     return kind + "/" + name;
   }
@@ -46,6 +52,23 @@
     return revision;
   }
 
+  synchronized long era() {
+    return era;
+  }
+
+  synchronized Copy copy() {
+    return new Copy(new TreeMap<>(objects), revision);
+  }
+
+  /** Returns to a copy in a new era; revisions after that of the copy are assigned again. */
+  synchronized void restore(Copy copy) {
+    era++;
+    objects.clear();
+    objects.putAll(copy.objects());
+    revision = copy.revision();
+    history.removeIf(e -> e.revision() > copy.revision());
+  }
+
   synchronized Optional<Entry> get(String kind, String name) {
     return Optional.ofNullable(objects.get(key(kind, name)));
   }
@@ -111,7 +134,7 @@
 
   /** Returns the changes after a revision, or empty if the history no longer covers them. */
   synchronized Optional<List<Event>> changesAfter(long after, Predicate<Entry> matches) {
-    if (after < lastDroppedRevision) {
+    if (after < lastDroppedRevision || after > revision) {
       return Optional.empty();
     }
     List<Event> matching = new ArrayList<>();
--- a/standin/src/main/java/org/currantslip/standin/soak/Soak.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/Soak.java
@@ -24,6 +24,11 @@
   private static final int MAX_FAULT_GAP_MS = 1_200;
   private static final int MAX_FAULT_MS = 3_000;
 
+  /** Mean number of fault gaps between two returns of the store from an older copy. */
+  private static final int GAPS_PER_RESTORE = 8;
+
+  private static final int STORE_RESTORE_MS = 300;
+
   /** Maximum time to recover after the last fault; equals recovery_s of the sites. */
   private static final long MAX_RECOVERY_MS = 12_000;
 
@@ -39,18 +44,26 @@
   private static final String LATE_PATH = "/late/";
 
   private final Random random;
+
+  /** A generator of its own keeps the other faults of a seed as they are. */
+  private final Random restores;
+
   private final SoakRecorder recorder = new SoakRecorder();
   private final StandinServer server = StandinServer.start();
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<NodeProcess> nodes = new ArrayList<>();
   private final List<FaultProxy> proxies = new ArrayList<>();
   private final List<Thread> faults = new ArrayList<>();
+  private final ObjectApi objectApi;
   private final int storePort;
+  private final FaultProxy storeProxy;
   private long configVersion = 1;
 
   private Soak(long seed, int nodeCount, Path jar, Path dir) throws Exception {
     random = new Random(seed);
-    storePort = server.add("127.0.0.1", 0, ObjectApi.create(server.delays(), 0, 0), seed);
+    restores = new Random(~seed);
+    objectApi = ObjectApi.create(server.delays(), 0, 0);
+    storePort = server.add("127.0.0.1", 0, objectApi, seed);
     for (int i = 0; i < ENDPOINTS; i++) {
       SoakEndpoint endpoint = SoakEndpoint.create(recorder, server.delays(), seed + i);
       FaultProxy proxy = FaultProxy.to(server.add("127.0.0.1", 0, endpoint, seed));
@@ -60,7 +73,7 @@
     create(CONFIG_KIND, CONFIG_NAME, config(RehearsalPlatform.ONCE_PATH));
     Files.createDirectories(dir);
     // All nodes share one proxy: with different store addresses they do not accept each other.
-    FaultProxy storeProxy = FaultProxy.to(storePort);
+    storeProxy = FaultProxy.to(storePort);
     proxies.add(storeProxy);
     for (int i = 0; i < nodeCount; i++) {
       nodes.add(NodeProcess.start("node-" + i, jar, dir, storeProxy.port()));
@@ -92,7 +105,7 @@
     callStore("POST", kind, object.toString());
   }
 
-  private void replaceConfig(String... oncePaths) throws Exception {
+  private synchronized void replaceConfig(String... oncePaths) throws Exception {
     configVersion++;
     String path = CONFIG_KIND + "/" + CONFIG_NAME;
     JsonNode current = JSON.readTree(callStore("GET", path, ""));
@@ -137,6 +150,9 @@
         case 3 -> replaceConfig(RehearsalPlatform.ONCE_PATH);
         default -> startFault(proxy, () -> injectFault(proxy, mode, forMs));
       }
+      if (restores.nextInt(GAPS_PER_RESTORE) == 0) {
+        startFault(storeProxy, () -> restoreStore(forMs));
+      }
       recordExitedNodes();
     }
     for (Thread fault : faults) {
@@ -144,6 +160,20 @@
     }
   }
 
+  /** Loses what is written to the store for a while; the operator then writes its part again. */
+  private void restoreStore(int forMs) throws Exception {
+    objectApi.takeCopy();
+    Thread.sleep(forMs);
+    synchronized (this) {
+      storeProxy.set(FaultProxy.Mode.RESET);
+      objectApi.restoreCopy();
+      Thread.sleep(STORE_RESTORE_MS);
+      storeProxy.set(FaultProxy.Mode.PASS);
+      Thread.sleep(STORE_RESTORE_MS);
+      replaceConfig(RehearsalPlatform.ONCE_PATH);
+    }
+  }
+
   private static void injectFault(FaultProxy proxy, FaultProxy.Mode mode, int forMs)
       throws InterruptedException {
     proxy.set(mode);
--- a/standin/src/test/java/org/currantslip/standin/contract/ObjectStoreContractTest.java
+++ b/standin/src/test/java/org/currantslip/standin/contract/ObjectStoreContractTest.java
@@ -11,6 +11,7 @@
 import org.currantslip.core.port.ObjectStore;
 import org.currantslip.core.port.StoreException;
 import org.currantslip.core.port.StoreException.Kind;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.core.port.StoredObject;
 import org.currantslip.platform.ObjectsClient;
 import org.currantslip.standin.object.ObjectApi;
@@ -28,6 +29,7 @@
   private static final long LONG_TIMEOUT_MS = 20_000;
 
   private ContractFixture fixture;
+  private ObjectApi api;
   private int port;
   private ObjectStore shortTimeoutStore;
   private ObjectStore store;
@@ -35,7 +37,8 @@
   @BeforeEach
   void start() {
     fixture = new ContractFixture();
-    port = fixture.add(ObjectApi.create(fixture.server.delays(), 0, 0));
+    api = ObjectApi.create(fixture.server.delays(), 0, 0);
+    port = fixture.add(api);
     shortTimeoutStore = client(port, SHORT_TIMEOUT_MS);
     store = client(port, LONG_TIMEOUT_MS);
   }
@@ -97,6 +100,24 @@
     assertThat(names(store.list("p/", "", 10).join())).hasSize(6);
   }
 
+  @Test
+  void storeThatReturnsFromCopyAssignsRevisionsAgainInNewEra() {
+    ObjectsClient client = client(port, LONG_TIMEOUT_MS);
+    store.create("k/a", ONE).join();
+    api.takeCopy();
+    final StorePosition copied = client.listKind("k", "").join().position();
+    final long lost = store.create("k/b", ONE).join();
+    StorePosition after = client.listKind("k", "").join().position();
+    api.restoreCopy();
+    assertThat(client.probe().join()).isEqualTo(1L);
+    assertThat(kind(client.watchKind("k", after, 1))).isEqualTo(Kind.HISTORY_GONE);
+    assertThat(client.listKind("k", "").join().position())
+        .isEqualTo(new StorePosition(1, copied.revision()));
+    assertThat(store.get("k/b").join()).isEmpty();
+    assertThat(store.create("k/c", TWO).join()).isEqualTo(lost);
+    assertThat(client.watchKind("k", after, 1).join().position().era()).isEqualTo(1);
+  }
+
   @Test
   void watchEndsOnChange() {
     CompletableFuture<Optional<StoredObject>> watch = store.watch("k/w", 0, LONG_TIMEOUT_MS);
