Nodes tell each other which prompts they have sent

Parts that another node had read somewhere were read again elsewhere.

Change: a report every 75 ms, if there is news, to the heartbeat targets: pending prefill by endpoint, and the prompts sent since the last report. The expected wait counts it; the parts enter the estimate of what an endpoint has cached, whose limit follows (250 to 450 thousand tokens, as it now holds all nodes' parts).

--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -242,6 +242,11 @@
     unchangedRecords.clear();
   }
 
+  /** Returns the names of the nodes that receive this node's heartbeats. */
+  public Set<String> heartbeatTargets() {
+    return nodeLists().targets();
+  }
+
   /** Sends the next heartbeats with the next tick, to pass on a change at once. */
   public void advanceHeartbeat() {
     nextHeartbeatMs = 0;
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -177,14 +177,20 @@
    * Returns the time that the endpoint needs to prefill the prompts it has received.
    *
    * @param meanPrefillMs mean prefill time of a prompt sent by another node
+   * @param peerPrefillMs prefill time that other nodes have reported as pending
    */
-  double prefillBacklogMs(long nowMs, double meanPrefillMs) {
+  double prefillBacklogMs(long nowMs, double meanPrefillMs, double peerPrefillMs) {
     if (load == null) {
-      return pendingPrefillMs;
+      return pendingPrefillMs + peerPrefillMs;
     }
     double reportWeight = Math.pow(0.5, (nowMs - load.reportedMs()) / REPORTED_QUEUE_HALF_LIFE_MS);
     double otherNodesPrompts = Math.max(0, load.waiting() - pendingPromptsAtReport) * reportWeight;
-    return pendingPrefillMs + otherNodesPrompts * meanPrefillMs;
+    return pendingPrefillMs + Math.max(peerPrefillMs, otherNodesPrompts * meanPrefillMs);
+  }
+
+  /** Returns the prefill time of this node's prompts without a first token yet. */
+  double pendingPrefillMs() {
+    return pendingPrefillMs;
   }
 
   /** Returns how many more requests can start without waiting. */
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -14,6 +14,10 @@
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.PendingPrefill;
+import org.currantslip.schema.PrefillReport;
+import org.currantslip.schema.SentPrompt;
+import org.currantslip.schema.SentPromptPart;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,6 +28,9 @@
  * pools are scanned in full. In large pools two endpoints by prompt prefix and two at random are
  * compared, so that the cost of a decision does not depend on the pool size. All nodes compute the
  * same two endpoints for a prefix, so that few endpoints prefill a shared part.
+ *
+ * <p>Nodes report the prompts they have sent to each other. A prompt of several thousand tokens
+ * keeps an engine busy for longer than a load report takes to show it.
  */
 public final class ExpectedWaitChooser implements EndpointChooser {
   private static final HashFunction AFFINITY_HASH = Hashing.murmur3_128();
@@ -40,6 +47,9 @@
   private static final double DEFAULT_PREFILL_MS_PER_TOKEN = 0.25;
   private static final double CROSS_DOMAIN_PENALTY_MS = 1;
 
+  /** Bounds a report; a node sends fewer prompts between two reports. */
+  private static final int MAX_SENT_PROMPTS = 64;
+
   private record PoolKey(String model, String version, String service) {}
 
   private final Clock clock;
@@ -48,6 +58,8 @@
   private final Map<String, EndpointState> states = new HashMap<>();
   private final Map<PoolKey, PrefillRateEstimator> prefillRates = new HashMap<>();
   private final Map<String, MeanPrefillTime> meanPrefillTimes = new HashMap<>();
+  private final PeerPrefills peerPrefills = PeerPrefills.create();
+  private final List<SentPrompt> sentPrompts = new ArrayList<>();
   private Map<PoolKey, EndpointPool> pools = Map.of();
 
   private ExpectedWaitChooser(Clock clock, String localFailureDomain, long seed) {
@@ -82,11 +94,54 @@
     }
     states.clear();
     states.putAll(newStates);
+    peerPrefills.retain(newStates.keySet());
     Map<PoolKey, EndpointPool> newPools = new HashMap<>();
     members.forEach((key, list) -> newPools.put(key, EndpointPool.of(list)));
     pools = newPools;
   }
 
+  /** Returns the prompts that this node has sent, to be reported to other nodes. */
+  public PrefillReport prefillReport() {
+    PrefillReport.Builder report = PrefillReport.newBuilder().addAllSent(sentPrompts);
+    sentPrompts.clear();
+    states.forEach(
+        (id, state) -> {
+          if (state.pendingPrefillMs() >= 1) {
+            report.addPending(
+                PendingPrefill.newBuilder()
+                    .setEndpoint(id)
+                    .setPrefillMs((int) state.pendingPrefillMs()));
+          }
+        });
+    return report.build();
+  }
+
+  /** Records the prompts that another node has sent. */
+  public void onPrefillReport(String node, PrefillReport report) {
+    peerPrefills.onReport(node, report, clock.nowMs());
+    for (SentPrompt sent : report.getSentList()) {
+      EndpointState state = states.get(sent.getEndpoint());
+      if (state != null) {
+        List<PromptPart> parts =
+            sent.getPartList().stream().map(p -> new PromptPart(p.getId(), p.getTokens())).toList();
+        state.promptCache().add(sent.getModel(), parts);
+      }
+    }
+  }
+
+  private void recordSent(EndpointState state, EndpointQuery query) {
+    if (query.prompt().isEmpty() || sentPrompts.size() >= MAX_SENT_PROMPTS) {
+      return;
+    }
+    SentPrompt.Builder sent =
+        SentPrompt.newBuilder().setEndpoint(state.endpoint().getId()).setModel(query.engineModel());
+    query
+        .prompt()
+        .forEach(
+            p -> sent.addPart(SentPromptPart.newBuilder().setId(p.id()).setTokens(p.tokens())));
+    sentPrompts.add(sent.build());
+  }
+
   @Override
   public void onLoad(EndpointLoad load) {
     EndpointState state = states.get(load.endpointId());
@@ -202,12 +257,17 @@
         query.prompt().isEmpty() ? DEFAULT_PREFILL_MS_PER_TOKEN : prefillRate.msPerToken();
     boolean sameDomain = state.endpoint().getFailureDomain().equals(localFailureDomain);
     return state.waitMs(now)
-        + state.prefillBacklogMs(now, meanPrefillTime(query).ms())
+        + backlogMs(state, query, now)
         + uncachedTokens(state, query, prefixOwner) * perToken
         + state.failureRate(now) * FAILURE_PENALTY_MS
         + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
   }
 
+  private double backlogMs(EndpointState state, EndpointQuery query, long now) {
+    return state.prefillBacklogMs(
+        now, meanPrefillTime(query).ms(), peerPrefills.prefillMs(state.endpoint().getId(), now));
+  }
+
   /** Returns the prompt tokens that an endpoint has to prefill. */
   private static long uncachedTokens(
       EndpointState state, EndpointQuery query, boolean prefixOwner) {
@@ -253,7 +313,7 @@
       this.prefillRate = prefillRate;
       uncached = state.promptCache().uncachedTokens(query.engineModel(), query.prompt());
       prefillMs = uncached * prefillRate.msPerToken();
-      backlogMs = state.prefillBacklogMs(clock.nowMs(), meanPrefillTime(query).ms());
+      backlogMs = backlogMs(state, query, clock.nowMs());
       expectedFirstTokenMs = state.waitMs(clock.nowMs()) + backlogMs + prefillMs;
     }
 
@@ -268,6 +328,7 @@
       state.addPendingPrompts(1, prefillMs);
       meanPrefillTime(query).update(prefillMs);
       state.promptCache().add(query.engineModel(), query.prompt());
+      recordSent(state, query);
       prefillPending = true;
     }
 
--- a/core/src/main/java/org/currantslip/core/routing/PromptPartCache.java
+++ b/core/src/main/java/org/currantslip/core/routing/PromptPartCache.java
@@ -7,7 +7,7 @@
 import org.currantslip.core.route.PromptPart;
 
 /**
- * Estimates which prompt parts an endpoint has cached, from the prompts that this node sent there.
+ * Estimates which prompt parts an endpoint has cached, from the prompts that were sent there.
  *
  * <p>A part counts as cached only if all parts before it are cached. The least recently used parts
  * are evicted first.
@@ -16,8 +16,8 @@
   private static final float LOAD_FACTOR = 0.75f;
   private static final int INITIAL_CAPACITY = 64;
 
-  /** Half of a typical engine's cache; running requests and parts from other nodes use the rest. */
-  private static final long MAX_CACHED_TOKENS = 250_000;
+  /** Most of a typical engine's cache; running requests use the rest. */
+  private static final long MAX_CACHED_TOKENS = 450_000;
 
   private final LinkedHashMap<String, Long> tokensById =
       new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
--- a/core/src/test/java/org/currantslip/core/routing/EndpointSelectionLoadTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/EndpointSelectionLoadTest.java
@@ -16,6 +16,7 @@
 import org.currantslip.core.common.ManualClock;
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.PrefillReport;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -33,6 +34,8 @@
   private static final long END_MS = 45_000;
   private static final long OBJECTIVE_MS = 2_000;
   private static final long DECODE_MS = 400;
+  private static final long REPORT_INTERVAL_MS = 75;
+  private static final long REPORT_DELAY_MS = 2;
 
   /** Long prompts have a few common parts, and many parts that only some requests share. */
   private static final int COMMON_PARTS = 4;
@@ -61,6 +64,12 @@
     default void onRequestFinished(int engine) {}
 
     default void onLoad(EndpointLoad load) {}
+
+    default PrefillReport report() {
+      return PrefillReport.getDefaultInstance();
+    }
+
+    default void onReport(String node, PrefillReport report) {}
   }
 
   private static final class Engine {
@@ -139,6 +148,10 @@
       double arrivedMs = atMs;
       schedule(arrivedMs, () -> send(node, engines, query, arrivedMs, firstTokenTimesMs));
     }
+    for (long t = 0; t < END_MS; t += REPORT_INTERVAL_MS) {
+      long reportMs = t;
+      schedule(t, () -> exchangeReports(nodes, reportMs));
+    }
     long startMs = clock.nowMs();
     while (!events.isEmpty()) {
       Event next = events.remove();
@@ -150,6 +163,17 @@
     return new Result(mean, (double) onTime / firstTokenTimesMs.size());
   }
 
+  private void exchangeReports(List<SelectionPolicy> nodes, long nowMs) {
+    for (int i = 0; i < nodes.size(); i++) {
+      SelectionPolicy sender = nodes.get(i);
+      PrefillReport report = sender.report();
+      String name = "n" + i;
+      schedule(
+          nowMs + REPORT_DELAY_MS,
+          () -> nodes.stream().filter(n -> n != sender).forEach(n -> n.onReport(name, report)));
+    }
+  }
+
   private void send(
       SelectionPolicy node,
       List<Engine> engines,
@@ -185,7 +209,7 @@
         });
   }
 
-  private SelectionPolicy expectedWait(long seed) {
+  private SelectionPolicy expectedWait(long seed, boolean withPeerReports) {
     ExpectedWaitChooser chooser = ExpectedWaitChooser.create(clock, "z", seed);
     chooser.onEndpoints(
         IntStream.range(0, ENGINES)
@@ -214,6 +238,18 @@
       public void onLoad(EndpointLoad load) {
         chooser.onLoad(load);
       }
+
+      @Override
+      public PrefillReport report() {
+        return chooser.prefillReport();
+      }
+
+      @Override
+      public void onReport(String node, PrefillReport report) {
+        if (withPeerReports) {
+          chooser.onPrefillReport(node, report);
+        }
+      }
     };
   }
 
@@ -246,11 +282,21 @@
     };
   }
 
+  /** Without reports a node does not see the prompts that others have just sent. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void reportsOfPeersShortenTheWaitForTheirPrompts(long seed) {
+    Result alone = simulate(() -> expectedWait(seed, false), seed);
+    Result informed = simulate(() -> expectedWait(seed, true), seed);
+    assertWithMessage("alone %s", alone).that(informed.meanMs()).isLessThan(alone.meanMs());
+    assertThat(informed.onTimeRatio()).isAtLeast(alone.onTimeRatio());
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void expectedWaitBeatsSimplerPoliciesOnSharedPrompts(long seed) {
     Map<String, Result> results = new LinkedHashMap<>();
-    results.put("expected wait", simulate(() -> expectedWait(seed), seed));
+    results.put("expected wait", simulate(() -> expectedWait(seed, false), seed));
     results.put("round robin", simulate(EndpointSelectionLoadTest::roundRobin, seed));
     results.put("least in flight", simulate(() -> leastInFlight(ENGINES, seed), seed));
     results.put("two choices", simulate(() -> leastInFlight(2, seed), seed));
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -50,6 +50,7 @@
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.NodeState;
 import org.currantslip.schema.PeerFrame;
+import org.currantslip.schema.PrefillReport;
 import org.currantslip.schema.VersionHalt;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
@@ -69,6 +70,9 @@
   private static final long PUBLISH_INTERVAL_MS = 50;
   private static final long REPORT_INTERVAL_MS = 300;
 
+  /** Short compared with the prefill of a long prompt, which keeps an engine busy. */
+  private static final long PREFILL_REPORT_INTERVAL_MS = 75;
+
   /**
    * Shortest store outage, in report intervals, in which endpoint entries can expire. An entry
    * expires after three intervals, so that a shorter outage expires none.
@@ -103,6 +107,8 @@
   private volatile boolean superseded;
   private long nextPublishMs;
   private long nextReportMs;
+  private long nextPrefillReportMs;
+  private PrefillReport lastPrefillReport = PrefillReport.getDefaultInstance();
   private int endpointCount;
   private long idleTimeoutMs;
   private boolean closed;
@@ -311,6 +317,10 @@
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
       sendOutcomeReport();
     }
+    if (nowMs >= nextPrefillReportMs) {
+      nextPrefillReportMs = nowMs + PREFILL_REPORT_INTERVAL_MS;
+      sendPrefillReport();
+    }
     if (nowMs >= nextPublishMs) {
       nextPublishMs = nowMs + PUBLISH_INTERVAL_MS;
       publish();
@@ -352,6 +362,17 @@
             });
   }
 
+  /** Sends the prompts of this node to its heartbeat targets, unless nothing changed. */
+  private void sendPrefillReport() {
+    PrefillReport report = endpointChooser.prefillReport();
+    if (report.equals(lastPrefillReport)) {
+      return;
+    }
+    lastPrefillReport = report;
+    PeerFrame frame = PeerFrame.newBuilder().setPrefill(report).build();
+    membership.heartbeatTargets().forEach(n -> peerLinks.send(n, frame));
+  }
+
   private void publish() {
     boolean running = plannedStop.phase() == PlannedStop.Phase.RUNNING;
     var routeTable = mirrors.routes().current();
@@ -432,6 +453,7 @@
                 frame.getMirrorWatch(),
                 changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
         case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
+        case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
         case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
         default -> {
           // Replies have reached their requesters already; frame types of newer nodes are ignored.
