An idle node wakes up less often

Change: ticks every 100 ms while no request is active, else 25 ms as before; one IO thread for peers; the scan for slow requests every 500 ms; heartbeats every 600 ms instead of 400, with a suspicion of 1.5 s, so that a dead peer still leaves the directory within 3.1 s; a new configuration advances the heartbeat.

EdgeNodeTest once failed to bind a port that an outgoing connection of another process had taken: free ports of tests are now below the ephemeral range (FreePorts moved to the adapters).

--- a/standin/src/main/java/org/currantslip/standin/demo/FreePorts.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/FreePorts.java
@@ -1,4 +1,4 @@
-package org.currantslip.standin.demo;
+package org.currantslip.adapter.http;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/core/src/main/java/org/currantslip/core/membership/MembershipOptions.java
+++ b/core/src/main/java/org/currantslip/core/membership/MembershipOptions.java
@@ -43,6 +43,12 @@
         "domainTargets, ringTargets and maxGossip must be positive");
   }
 
+  /** Returns these options with another suspicion time. */
+  public MembershipOptions withSuspicionMs(long ms) {
+    return new MembershipOptions(
+        heartbeatMs, silentMs, ms, goneAfterMs, refreshMs, domainTargets, ringTargets, maxGossip);
+  }
+
   /** Returns options with the default fan-out. */
   public static MembershipOptions of(long heartbeatMs, long silentMs) {
     return new MembershipOptions(
--- a/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
+++ b/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
@@ -16,7 +16,9 @@
  * complete body.
  */
 final class SlowRequestGuard extends AbstractLifeCycle implements Connection.Listener {
-  private static final long SCAN_INTERVAL_MS = 100;
+  /** Short compared with the timeouts; each scan wakes an idle node up. */
+  private static final long SCAN_INTERVAL_MS = 500;
+
   private static final long NOT_STARTED = -1;
 
   private enum Phase {
--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.node.log.EventLog;
@@ -22,9 +23,12 @@
   private static final int COMPLETION_CAPACITY = 1 << 14;
   private static final int BATCH_SIZE = 256;
 
-  /** Short compared with all timeouts; a shorter interval wakes up idle nodes more often. */
+  /** Short compared with all timeouts of requests. */
   private static final long TICK_INTERVAL_MS = 25;
 
+  /** Short compared with all timeouts but those of requests; each tick wakes an idle node up. */
+  private static final long IDLE_TICK_INTERVAL_MS = 100;
+
   private static final long RING_FULL_PARK_NS = 50_000;
 
   private final TaskRing requests;
@@ -33,6 +37,7 @@
   private final List<Runnable> tickTasks = new ArrayList<>();
   private final Clock clock;
   private final Thread thread;
+  private BooleanSupplier idle = () -> false;
   private volatile boolean parked;
   private volatile boolean stopped;
 
@@ -58,6 +63,14 @@
     tickTasks.add(tickTask);
   }
 
+  /**
+   * Sets the condition under which ticks are less frequent; call it before the start or on this
+   * thread only.
+   */
+  public void setIdle(BooleanSupplier condition) {
+    idle = condition;
+  }
+
   /** Starts the thread. */
   public void start() {
     thread.start();
@@ -104,17 +117,19 @@
   }
 
   private void run() {
-    long nextTickMs = clock.nowMs();
+    long lastTickMs = clock.nowMs() - TICK_INTERVAL_MS;
     while (!stopped) {
       int taskCount = runOwnTasks();
       taskCount += completions.drain(BATCH_SIZE, this::runSafely);
       taskCount += requests.drain(BATCH_SIZE, this::runSafely);
       long nowMs = clock.nowMs();
+      long nextTickMs =
+          lastTickMs + (idle.getAsBoolean() ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS);
       if (nowMs >= nextTickMs) {
-        nextTickMs = nowMs + TICK_INTERVAL_MS;
+        lastTickMs = nowMs;
         tickTasks.forEach(this::runSafely);
       } else if (taskCount == 0) {
-        park(Math.min(TICK_INTERVAL_MS, nextTickMs - nowMs));
+        park(nextTickMs - nowMs);
       }
     }
   }
--- a/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
+++ b/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
@@ -1,12 +1,11 @@
 package org.currantslip.node.edge;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.currantslip.adapter.http.FreePorts;
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.adapter.settings.SettingsException;
 import org.currantslip.adapter.settings.SettingsLoader;
@@ -34,6 +33,9 @@
   /** Covers several heartbeats and one watch request to the store. */
   private static final long SETTLE_MS = 3_000;
 
+  /** Number of ports in {@link #SETTINGS}. */
+  private static final int SETTINGS_PORTS = 5;
+
   private static final String SETTINGS =
       """
       name = "%s"
@@ -120,20 +122,15 @@
   /** Returns the settings of a node that uses free ports on loopback. */
   static EdgeSettings edgeSettings(String name, RehearsalPlatform platform)
       throws IOException, SettingsException {
+    List<Integer> ports = FreePorts.find(SETTINGS_PORTS);
     return SettingsLoader.loadEdge(
         SETTINGS.formatted(
             name,
-            freePort(),
-            freePort(),
-            freePort(),
-            freePort(),
-            freePort(),
+            ports.get(0),
+            ports.get(1),
+            ports.get(2),
+            ports.get(3),
+            ports.get(4),
             platform.storeAddress()));
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -67,7 +67,7 @@
   /** If the store does not respond in time, the incarnation is taken from the clock. */
   private static final long INCARNATION_TIMEOUT_MS = 800;
 
-  private static final long PUBLISH_INTERVAL_MS = 50;
+  private static final long PUBLISH_INTERVAL_MS = 100;
   private static final long REPORT_INTERVAL_MS = 300;
 
   /** Short compared with the prefill of a long prompt, which keeps an engine busy. */
@@ -157,6 +157,7 @@
                 EventLog.write(LogEvent.COPY_MISSED, "node=%s reason=%s".formatted(node, failure)));
     membership.setMirrorRevisions(mirrorGossip::revisions, mirrorGossip::onRevisions);
     mirrorGossip.setCopyListener(membership::advanceHeartbeat);
+    mirrors.onNewConfig(membership::advanceHeartbeat);
     endpointChooser = ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed);
     rollouts = ServiceRollouts.create(self.getId(), this::onHalt);
     endpointRegistry =
@@ -245,7 +246,11 @@
         LogEvent.NODE_STARTED,
         "node=%s incarnation=%d"
             .formatted(settings.getName(), node.membership.self().getId().getIncarnation()));
-    node.decisions.execute(() -> node.decisions.onTick(node::tick));
+    node.decisions.execute(
+        () -> {
+          node.decisions.setIdle(() -> node.requestEngine.activeCount() == 0);
+          node.decisions.onTick(node::tick);
+        });
     return node;
   }
 
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -12,11 +12,14 @@
 final class EdgeOptions {
   private static final double MS_PER_S = 1_000;
 
+  /** Most of the work of an idle node; changes of the configuration do not wait for it. */
+  private static final long HEARTBEAT_INTERVAL_MS = 600;
+
   /**
-   * With {@link #PEER_TIMEOUT_MS}, a dead peer leaves the directory after about two seconds, well
+   * With {@link #PEER_TIMEOUT_MS}, a dead peer leaves the directory after less than three seconds,
    * within the time for which callers keep directory responses.
    */
-  private static final long HEARTBEAT_INTERVAL_MS = 400;
+  private static final long SUSPICION_MS = 1_500;
 
   private static final long PEER_TIMEOUT_MS = 1_000;
 
@@ -95,7 +98,8 @@
   }
 
   static MembershipOptions membership() {
-    return MembershipOptions.of(HEARTBEAT_INTERVAL_MS, PEER_TIMEOUT_MS);
+    return MembershipOptions.of(HEARTBEAT_INTERVAL_MS, PEER_TIMEOUT_MS)
+        .withSuspicionMs(SUSPICION_MS);
   }
 
   static PlannedStop.Options stop(EdgeSettings settings) {
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -36,6 +36,7 @@
   private final Clock clock;
   private Runnable ordersReader = () -> {};
   private Runnable restoreListener = () -> {};
+  private Runnable configListener = () -> {};
   private long ordersLackUntilMs;
 
   private StoreMirrors(KindStore kindStore, Clock clock, long seed) {
@@ -78,6 +79,11 @@
     return config;
   }
 
+  /** Sets the listener that runs when a new configuration is in force. */
+  void onNewConfig(Runnable listener) {
+    configListener = listener;
+  }
+
   /** Sets the listener that runs when the store has returned from an older copy. */
   void onStoreRestored(Runnable listener) {
     restoreListener = listener;
@@ -139,6 +145,7 @@
                       LogEvent.CONFIG_IN_FORCE,
                       "version=%d routes=%d revision=%d"
                           .formatted(table.version(), table.size(), object.version()));
+                  configListener.run();
                 }
               } catch (UnreadableEntryException e) {
                 logUnreadable(RouteTableReader.KIND, object, e);
--- a/node/src/main/java/org/currantslip/node/peer/PeerTransport.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerTransport.java
@@ -26,7 +26,7 @@
 
 /** Opens and accepts the TCP connections between nodes. */
 final class PeerTransport {
-  private static final int IO_THREADS = 2;
+  private static final int IO_THREADS = 1;
   private static final int LOW_WATER_BYTES = 1 << 20;
   private static final int HIGH_WATER_BYTES = 4 << 20;
   private static final SecureRandom SECURE_RANDOM = new SecureRandom();
--- a/standin/src/main/java/org/currantslip/standin/demo/DemoCommands.java
+++ b/standin/src/main/java/org/currantslip/standin/demo/DemoCommands.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.currantslip.adapter.http.FreePorts;
 import org.currantslip.standin.caller.CallerClient;
 
 /** The subcommand for the parts of the demonstration, which bin/demo runs in turn. */
--- a/standin/src/main/java/org/currantslip/standin/soak/NodeProcess.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/NodeProcess.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.currantslip.standin.demo.FreePorts;
+import org.currantslip.adapter.http.FreePorts;
 
 /** An edge node in a separate process that is restarted after each stop. */
 final class NodeProcess {
