--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -20,6 +20,10 @@
 final class JoinRecord {
   static final String PREFIX = "node/";
   private static final long RETRY_INTERVAL_MS = 1_000;
+
+  /** A node usually starts to serve within this time and then writes its record only once. */
+  private static final long FIRST_WRITE_DELAY_MS = 500;
+
   private static final long ROUND_TIMEOUT_MS = 10_000;
 
   private final ObjectStore store;
@@ -38,6 +42,7 @@
     this.desired = desired;
     this.store = store;
     this.clock = clock;
+    nextRoundMs = clock.nowMs() + FIRST_WRITE_DELAY_MS;
   }
 
   static JoinRecord create(NodeRecord desired, ObjectStore store, Clock clock) {
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -214,6 +214,9 @@
     callInFlight = false;
     listComplete = true;
     onSuccess();
+    if (position.equals(StorePosition.NONE)) {
+      nextCallMs = clock.nowMs() + options.settleMs();
+    }
     if (!position.isAfter(start)) {
       replace(collected, start, start);
     }
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorOptions.java
@@ -18,7 +18,7 @@
   private static final long MAX_RETRY_MS = 400;
 
   /** Small compared with the seconds within which a change must be in force. */
-  private static final long SETTLE_MS = 100;
+  private static final long SETTLE_MS = 200;
 
   /** Returns the timing used in production. */
   public static MirrorOptions defaults() {
--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -4,9 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
 import org.currantslip.schema.NodeRecord;
@@ -14,23 +16,26 @@
 /**
  * Selects the nodes that watch the store, and the watcher that each other node follows.
  *
- * <p>A few nodes of each failure domain, selected by the hash of their names, watch the store, so
- * that the number of store calls does not grow with the fleet. The selection needs no consensus: a
- * node that is asked but does not watch replies so, and the requester turns to another watcher or
- * to the store.
+ * <p>One node of each failure domain, selected by the hash of the names, watches the store, and at
+ * least two in all, so that the number of store calls does not grow with the fleet. The others
+ * follow the watcher of their domain, or that of another domain while theirs does not answer. The
+ * selection needs no consensus: a node that is asked but does not watch replies so, and the
+ * requester turns to another watcher or to the store.
  */
 public final class StoreWatchers {
-  /** Tolerates the loss of one watcher; its followers then use the other. */
-  private static final int WATCHERS_PER_DOMAIN = 2;
+  /** Tolerates the loss of one watcher; its followers then use another. */
+  private static final int MIN_WATCHERS = 2;
 
   /** Long enough for the membership to detect that a watcher is gone. */
   private static final long AVOID_MS = 2_000;
 
+  private record Watcher(String name, String domain) {}
+
   private final Membership membership;
   private final Clock clock;
   private final Map<String, Long> avoidedUntilMs = new HashMap<>();
   private List<NodeRecord> lastLive = List.of();
-  private List<String> watchers = List.of();
+  private List<Watcher> watchers = List.of();
   private Optional<String> followed = Optional.empty();
 
   private StoreWatchers(Membership membership, Clock clock) {
@@ -45,7 +50,7 @@
 
   /** Returns whether this node must watch the store itself. */
   public boolean isWatcher() {
-    return watchers().contains(self());
+    return watchers().stream().anyMatch(w -> w.name().equals(self()));
   }
 
   /** Returns the watcher to ask; empty if this node must use the store itself. */
@@ -56,8 +61,11 @@
     long nowMs = clock.nowMs();
     avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
     return watchers().stream()
-        .filter(name -> !avoidedUntilMs.containsKey(name))
-        .min(Comparator.comparingLong(name -> hash(self(), name)));
+        .filter(w -> !avoidedUntilMs.containsKey(w.name()))
+        .min(
+            Comparator.comparing((Watcher w) -> !w.domain().equals(ownDomain()))
+                .thenComparingLong(w -> hash(self(), w.name())))
+        .map(Watcher::name);
   }
 
   /** Excludes for a while a watcher that did not answer or does not watch. */
@@ -79,17 +87,25 @@
     return membership.self().getId().getName();
   }
 
-  private List<String> watchers() {
+  private String ownDomain() {
+    return membership.self().getFailureDomain();
+  }
+
+  private List<Watcher> watchers() {
     List<NodeRecord> live = membership.live();
     if (live != lastLive) {
       lastLive = live;
-      String domain = membership.self().getFailureDomain();
-      watchers =
+      List<Watcher> ranked =
           live.stream()
-              .filter(n -> n.getFailureDomain().equals(domain))
-              .map(n -> n.getId().getName())
-              .sorted(Comparator.comparingLong(name -> hash(domain, name)))
-              .limit(WATCHERS_PER_DOMAIN)
+              .map(n -> new Watcher(n.getId().getName(), n.getFailureDomain()))
+              .sorted(Comparator.comparingLong(w -> hash(w.domain(), w.name())))
+              .toList();
+      Map<String, Watcher> firstByDomain = new LinkedHashMap<>();
+      ranked.forEach(w -> firstByDomain.putIfAbsent(w.domain(), w));
+      watchers =
+          Stream.concat(firstByDomain.values().stream(), ranked.stream())
+              .distinct()
+              .limit(Math.max(MIN_WATCHERS, firstByDomain.size()))
               .toList();
     }
     return watchers;
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -67,7 +67,7 @@
   /** If the store does not respond in time, the incarnation is taken from the clock. */
   private static final long INCARNATION_TIMEOUT_MS = 800;
 
-  private static final long PUBLISH_INTERVAL_MS = 100;
+  private static final long PUBLISH_INTERVAL_MS = 50;
   private static final long REPORT_INTERVAL_MS = 300;
 
   /** Short compared with the prefill of a long prompt, which keeps an engine busy. */
@@ -248,12 +248,17 @@
             .formatted(settings.getName(), node.membership.self().getId().getIncarnation()));
     node.decisions.execute(
         () -> {
-          node.decisions.setIdle(() -> node.requestEngine.activeCount() == 0);
+          node.decisions.setIdle(node::isIdle);
           node.decisions.onTick(node::tick);
         });
     return node;
   }
 
+  /** A node that starts or stops is not idle, since each step of it waits for a tick. */
+  private boolean isIdle() {
+    return membership.self().getState() == NodeState.SERVING && requestEngine.activeCount() == 0;
+  }
+
   private static String nextRequestId(RequestIds ids) {
     synchronized (ids) {
       return ids.next();
