Large fleets send no prefill reports

Cause: with 95 nodes each of nine reports a second goes to six heartbeat targets, so that a node sends and takes some fifty frames a second and still sees a sixteenth of the prompts.

Change: reports go out only if the targets are at least three tenths of the other nodes (up to about 20 nodes).

--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
@@ -73,6 +74,9 @@
   /** Short compared with the prefill of a long prompt, which keeps an engine busy. */
   private static final long PREFILL_REPORT_INTERVAL_MS = 75;
 
+  /** Share of the other nodes that must be heartbeat targets for prefill reports to be sent. */
+  private static final double MIN_REPORTED_SHARE = 0.3;
+
   /**
    * Shortest store outage, in report intervals, in which endpoint entries can expire. An entry
    * expires after three intervals, so that a shorter outage expires none.
@@ -372,15 +376,22 @@
             });
   }
 
-  /** Sends the prompts of this node to its heartbeat targets, unless nothing changed. */
+  /**
+   * Sends the prompts of this node to its heartbeat targets, unless nothing changed. The targets
+   * are bounded in number; in a large fleet the reports of so few nodes tell less than they cost.
+   */
   private void sendPrefillReport() {
+    Set<String> targets = membership.heartbeatTargets();
+    if (targets.size() < MIN_REPORTED_SHARE * (membership.live().size() - 1)) {
+      return;
+    }
     PrefillReport report = endpointChooser.prefillReport();
     if (report.equals(lastPrefillReport)) {
       return;
     }
     lastPrefillReport = report;
     PeerFrame frame = PeerFrame.newBuilder().setPrefill(report).build();
-    membership.heartbeatTargets().forEach(n -> peerLinks.send(n, frame));
+    targets.forEach(n -> peerLinks.send(n, frame));
   }
 
   private void publish() {
