A node that took a rollout over writes the last stages without a delay

Cause: a candidate waits a second for each node ranked before it, at each stage anew.

Change: the node whose write made the current version of the order goes on at once.

--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
@@ -152,7 +152,9 @@
       orderState.dueSinceMs = nowMs;
     }
     int rank = candidateRank(order.service());
-    if (rank < MAX_CANDIDATES && nowMs - orderState.dueSinceMs >= rank * TAKEOVER_DELAY_MS) {
+    // A node that has taken over does not wait for the nodes ranked before it at each stage again.
+    long delayMs = orderState.isLastWriter(order) ? 0 : rank * TAKEOVER_DELAY_MS;
+    if (rank < MAX_CANDIDATES && nowMs - orderState.dueSinceMs >= delayMs) {
       write(order, due, orderState, nowMs);
     }
   }
@@ -168,6 +170,8 @@
                 (version, failure) -> {
                   if (failure != null) {
                     orderState.notBeforeMs = clock.nowMs() + RETRY_DELAY_MS;
+                  } else {
+                    orderState.resultingVersion = version;
                   }
                 });
   }
@@ -234,6 +238,12 @@
     private long dueSinceMs = -1;
     private long notBeforeMs;
     private long writtenVersion;
+    private long resultingVersion = -1;
+
+    /** Returns whether this version of the order is the result of this node's last write. */
+    private boolean isLastWriter(RolloutOrder current) {
+      return current.storeVersion() == resultingVersion;
+    }
 
     /** Returns whether the last write may still take effect on this version of the order. */
     private boolean isWaiting(RolloutOrder current, long nowMs) {
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -174,6 +174,17 @@
     assertThat(writers.get(1)).isNotEqualTo(writers.get(0));
   }
 
+  @Test
+  void rolloutCompletesInTimeAlthoughTheActiveNodeStops() {
+    restart(0.0975);
+    run(1_000);
+    answers(20, OutcomeSample.answered(10));
+    run(11_500);
+    stoppedNodes.add(writers.get(0));
+    run(11_500);
+    assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
+  }
+
   @Test
   void writeWithStaleStoreVersionIsRejected() {
     run(1_000);
