Logs say how an endpoint framed its response and why a call failed

The incident's logs could not tell a response that ended with its connection from one with a length or chunks, nor whether the last event of a stream was whole, and the text of a call's failure was dropped. REQUEST_ENDED now has framing and last_event_whole, ATTEMPT_FAILED framing and reason; a reason may hold spaces and takes the rest of its line, which before turned a whole line into unparsed text. No decision changes.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -62,6 +62,7 @@
   private long lastEventMs;
   private long firstByteMs = -1;
   private EndpointResponseHead head = EndpointResponseHead.of(0, "", "");
+  private String failureDetail = "";
   private boolean ended;
 
   private Attempt(
@@ -117,6 +118,11 @@
     return head;
   }
 
+  /** Returns the description of the call's failure, or an empty string. */
+  String failureDetail() {
+    return failureDetail;
+  }
+
   List<ByteString> bufferedData() {
     return bufferedData;
   }
@@ -225,6 +231,7 @@
     if (ended) {
       return;
     }
+    failureDetail = detail;
     if (failure == CallFailure.NOT_SENT) {
       tracker.onConnectFailure();
     }
--- a/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
@@ -13,6 +13,7 @@
  * @param notRun whether the endpoint reports that it did not run the request
  * @param authentic whether the response is authenticated as coming from the endpoint
  * @param confidence confidence in the response from 0 to 1, if reported
+ * @param framing how the response marks the end of its body
  * @param load load of the endpoint, or null if not reported
  * @param fields header fields to relay to the caller, in order
  */
@@ -23,6 +24,7 @@
     boolean notRun,
     boolean authentic,
     OptionalDouble confidence,
+    BodyFraming framing,
     @Nullable CurrentLoad load,
     List<HeaderField> fields) {
 
@@ -38,7 +40,15 @@
   /** Returns an authenticated head with the given fields and defaults for all others. */
   public static EndpointResponseHead of(int status, String contentType, String correlation) {
     return new EndpointResponseHead(
-        status, contentType, correlation, false, true, OptionalDouble.empty(), null, List.of());
+        status,
+        contentType,
+        correlation,
+        false,
+        true,
+        OptionalDouble.empty(),
+        BodyFraming.LENGTH,
+        null,
+        List.of());
   }
 
   /** Returns whether the status is 2xx. */
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -457,14 +457,17 @@
             LogEvent.ATTEMPT_FAILED,
             request.requestId(),
             () ->
-                "route=%s endpoint=%s fault=%s status=%d events=%d age_ms=%d"
+                ("route=%s endpoint=%s fault=%s status=%d framing=%s events=%d age_ms=%d"
+                        + " reason=%s")
                     .formatted(
                         route().name(),
                         a.endpoint().getId(),
                         fault,
                         a.status(),
+                        a.head().framing(),
                         eventCount,
-                        a.elapsedMs()));
+                        a.elapsedMs(),
+                        a.failureDetail()));
   }
 
   /**
@@ -592,7 +595,7 @@
             () ->
                 ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
                         + " status=%d sends=%d events=%d queue_ms=%d first_byte_ms=%d total_ms=%d"
-                        + " endpoint=%s")
+                        + " endpoint=%s framing=%s last_event_whole=%s")
                     .formatted(
                         routeName,
                         account.name(),
@@ -607,6 +610,8 @@
                         admittedMs < 0 ? totalMs : admittedMs - startedMs,
                         firstByteMs,
                         totalMs,
-                        attempt == null ? "" : attempt.endpoint().getId()));
+                        attempt == null ? "" : attempt.endpoint().getId(),
+                        attempt == null ? "" : attempt.head().framing(),
+                        lastEvent == null || EventIds.isWhole(lastEvent)));
   }
 }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -153,6 +153,7 @@
         notRun,
         true,
         confidence,
+        BodyFraming.LENGTH,
         null,
         List.of(new HeaderField("Mac", "m")));
   }
@@ -307,7 +308,15 @@
           call.listener()
               .onHead(
                   new EndpointResponseHead(
-                      200, "", "id", false, false, OptionalDouble.empty(), null, List.of()));
+                      200,
+                      "",
+                      "id",
+                      false,
+                      false,
+                      OptionalDouble.empty(),
+                      BodyFraming.LENGTH,
+                      null,
+                      List.of()));
       default -> throw new IllegalArgumentException(fault);
     }
   }
--- a/node/src/main/java/org/currantslip/node/log/JsonLineEncoder.java
+++ b/node/src/main/java/org/currantslip/node/log/JsonLineEncoder.java
@@ -17,7 +17,8 @@
 public final class JsonLineEncoder extends EncoderBase<ILoggingEvent> {
   private static final Pattern EVENT_PATTERN = Pattern.compile("(?s)([0-9]{4}) ([A-Z_]+) ?(.*)");
   private static final Pattern FIELDS_PATTERN =
-      Pattern.compile("[a-z_]+=[^\\s\"]*(?: [a-z_]+=[^\\s\"]*)*");
+      Pattern.compile(
+          "([a-z_]+=[^\\s\"]*(?: [a-z_]+=[^\\s\"]*)*?)(?: reason=(.*))?", Pattern.DOTALL);
   private static final Splitter SPACE_SPLITTER = Splitter.on(' ');
   private static final byte[] NO_BYTES = {};
 
@@ -60,17 +61,24 @@
     }
   }
 
-  /** Adds {@code key=value} pairs as an object of fields, and any other text as the message. */
+  /**
+   * Adds {@code key=value} pairs as an object of fields, and any other text as the message. A last
+   * field named {@code reason} takes the rest of the text.
+   */
   private static void putFields(ObjectNode lineJson, String text) {
-    if (!FIELDS_PATTERN.matcher(text).matches()) {
+    Matcher fieldsMatcher = FIELDS_PATTERN.matcher(text);
+    if (!fieldsMatcher.matches()) {
       lineJson.put("message", text);
       return;
     }
     ObjectNode fields = lineJson.putObject("fields");
-    for (String field : SPACE_SPLITTER.split(text)) {
+    for (String field : SPACE_SPLITTER.split(Strings.nullToEmpty(fieldsMatcher.group(1)))) {
       int equals = field.indexOf('=');
       fields.put(field.substring(0, equals), field.substring(equals + 1));
     }
+    if (fieldsMatcher.group(2) != null) {
+      fields.put("reason", fieldsMatcher.group(2));
+    }
   }
 
   @Override
--- a/node/src/test/java/org/currantslip/node/log/LogEventsTest.java
+++ b/node/src/test/java/org/currantslip/node/log/LogEventsTest.java
@@ -59,6 +59,25 @@
         .doesNotContain("\n");
   }
 
+  @Test
+  void reasonTakesTheRestOfTheLine() throws IOException {
+    LoggingEvent loggingEvent =
+        new LoggingEvent(
+            "",
+            new LoggerContext().getLogger("x"),
+            Level.WARN,
+            "4004 ATTEMPT_FAILED request=9c41 age_ms=3 reason=java.io.EOFException: \"a\" b=c",
+            null,
+            null);
+
+    JsonNode fields =
+        new ObjectMapper().readTree(JsonLineEncoder.create().encode(loggingEvent)).path("fields");
+
+    assertThat(fields.path("request").asText()).isEqualTo("9c41");
+    assertThat(fields.path("age_ms").asText()).isEqualTo("3");
+    assertThat(fields.path("reason").asText()).isEqualTo("java.io.EOFException: \"a\" b=c");
+  }
+
   @Test
   void encodesFieldsAsJsonObject() throws IOException {
     LoggerContext context = new LoggerContext();
