--- a/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
@@ -44,8 +44,8 @@
     bytes.position(bytes.limit());
   }
 
-  /** Returns the bytes after the last complete event. */
-  public ByteString remainder() {
-    return partial;
+  /** Returns whether the bytes so far end before the blank line of their last event. */
+  public boolean isInsideEvent() {
+    return !partial.isEmpty();
   }
 }
--- a/adapters/src/test/java/org/currantslip/adapter/endpoint/EventSplitterTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/endpoint/EventSplitterTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -27,12 +26,14 @@
     assertThat(events)
         .containsExactly("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", ": c\n\n")
         .inOrder();
-    assertThat(splitter.remainder()).isEqualTo(ByteString.copyFromUtf8("id: 3\n"));
+    assertThat(splitter.isInsideEvent()).isTrue();
+    splitter.append(ByteBuffer.wrap(new byte[] {'\n'}));
+    assertThat(events.get(3)).isEqualTo("id: 3\n\n");
   }
 
   @Test
-  void leavesNoRestAfterCompleteEvent() {
+  void isNotInsideEventAfterItsBlankLine() {
     splitter.append(ByteBuffer.wrap("data: a\n\n".getBytes(StandardCharsets.UTF_8)));
-    assertThat(splitter.remainder().isEmpty()).isTrue();
+    assertThat(splitter.isInsideEvent()).isFalse();
   }
 }
--- a/core/src/main/java/org/currantslip/core/request/EventIds.java
+++ b/core/src/main/java/org/currantslip/core/request/EventIds.java
@@ -18,12 +18,6 @@
         .reduce("", (first, last) -> last);
   }
 
-  /** Returns whether an event ends with its blank line. */
-  static boolean isWhole(ByteString event) {
-    String text = event.toStringUtf8();
-    return text.endsWith("\n\n") || text.endsWith("\n\r\n");
-  }
-
   /** Returns whether an event follows another; true if either id is not a number. */
   static boolean isAfter(ByteString event, ByteString before) {
     try {
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -595,7 +595,7 @@
             () ->
                 ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
                         + " status=%d sends=%d events=%d queue_ms=%d first_byte_ms=%d total_ms=%d"
-                        + " endpoint=%s framing=%s last_event_whole=%s")
+                        + " endpoint=%s framing=%s")
                     .formatted(
                         routeName,
                         account.name(),
@@ -611,7 +611,6 @@
                         firstByteMs,
                         totalMs,
                         attempt == null ? "" : attempt.endpoint().getId(),
-                        attempt == null ? "" : attempt.head().framing(),
-                        lastEvent == null || EventIds.isWhole(lastEvent)));
+                        attempt == null ? "" : attempt.head().framing()));
   }
 }
