An empty stream without a declared end has been broken off

The same cause as the cut inside an event: a 2xx stream with neither a length nor chunks whose connection closes before its first event was an empty, complete answer. Only the end of an event shows that such a stream is whole.

--- a/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
@@ -12,6 +12,7 @@
   private final Consumer<ByteString> events;
   private ByteString partial = ByteString.EMPTY;
   private boolean lineEmpty = true;
+  private boolean empty = true;
 
   private EventSplitter(Consumer<ByteString> events) {
     this.events = events;
@@ -25,6 +26,7 @@
   /** Processes the next bytes of the stream. */
   public void append(ByteBuffer bytes) {
     int start = bytes.position();
+    empty &= !bytes.hasRemaining();
     for (int index = start; index < bytes.limit(); index++) {
       byte current = bytes.get(index);
       if (current == '\n') {
@@ -44,6 +46,11 @@
     bytes.position(bytes.limit());
   }
 
+  /** Returns whether no bytes were processed. */
+  public boolean isEmpty() {
+    return empty;
+  }
+
   /** Returns whether the bytes so far end before the blank line of their last event. */
   public boolean isInsideEvent() {
     return !partial.isEmpty();
