A slow stream counts for its version before it ends

Cause: the pace of a stream became a sample only at its end. A slow stream ends late, so when the stages grew the 12 answers that had come were the fast ones, while the slow ones were still open or had been given up by their callers, which counts for nothing. Ruled out: the first event, which is not slow on this version; baselines, which were known on all nodes. The fix: an open stream whose events come too slowly, the next one assumed to come now and over at least eight intervals, counts as slow once, for the old version too. ForwardedFlowTest.versionWithSlowEventsIsHaltedBeforeItsStreamsEnd failed before (0 halts, 1 expected).

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -49,6 +49,9 @@
   /** Fewer events give no meaningful mean interval. */
   private static final int MIN_INTERVAL_EVENTS = 4;
 
+  /** An open stream is judged over this many intervals, so that one pause does not make it slow. */
+  private static final int MIN_OPEN_INTERVALS = 8;
+
   private final EndpointRecord endpoint;
   private final EndpointRequest request;
   private final EngineOptions options;
@@ -59,6 +62,7 @@
   private final List<ByteString> bufferedData = new ArrayList<>();
   private @Nullable EndpointCall call;
   private long bufferedBytes;
+  private int eventCount;
   private long lastEventMs;
   private long firstByteMs = -1;
   private EndpointResponseHead head = EndpointResponseHead.of(0, "", "");
@@ -155,6 +159,16 @@
         : (double) (lastEventMs - startedMs - firstByteMs) / (events - 1);
   }
 
+  /**
+   * Returns the mean time between events that the stream would have if its next event came now, or
+   * -1 if it has no event yet.
+   */
+  double openEventIntervalMs() {
+    return eventCount == 0
+        ? -1
+        : (double) (elapsedMs() - firstByteMs) / Math.max(MIN_OPEN_INTERVALS, eventCount);
+  }
+
   /** Returns whether the first-byte timeout or the idle timeout has expired. */
   boolean hasTimedOut(long nowMs) {
     long timeoutMs = hasResponseHead() ? options.idleTimeoutMs() : options.firstByteTimeoutMs();
@@ -205,6 +219,7 @@
       return;
     }
     lastEventMs = clock.nowMs();
+    eventCount++;
     if (listener.onData(this, data)) {
       return;
     }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -85,6 +85,7 @@
   private int declineCount;
   private int eventCount;
   private boolean firstEventRecorded;
+  private boolean paceRecorded;
   private Ran ran = Ran.NO;
   private @Nullable ByteString lastEvent;
 
@@ -206,6 +207,7 @@
     triedEndpoints.add(endpoint.getId());
     sendCount++;
     firstEventRecorded = false;
+    paceRecorded = false;
     model = modelOf(sizeIndex);
     response.setModelVersion(model, endpoint.getVersion(), false, "");
     Attempt a =
@@ -375,6 +377,19 @@
     }
   }
 
+  /**
+   * Records an open stream as slow once its events come too slowly, since a slow stream ends late
+   * and would be missing among the samples of a rollout.
+   */
+  private void recordPaceIfSlow(Attempt a) {
+    double intervalMs = a.openEventIntervalMs();
+    if (!paceRecorded && ports.rollouts().isPaceSlow(route().name(), model, intervalMs)) {
+      paceRecorded = true;
+      OutcomeSample sample = OutcomeSample.pace(model, intervalMs);
+      ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
+    }
+  }
+
   private void recordFirstByte() {
     if (firstByteMs < 0) {
       firstByteMs = ports.clock().nowMs() - startedMs;
@@ -403,16 +418,18 @@
   /** Adds a sample to the outcome statistics of the endpoint's version. */
   private void recordOutcome(Attempt a, boolean failed) {
     OutcomeSample sample =
-        failed
-            ? OutcomeSample.failed()
-            : OutcomeSample.answered(
-                model,
-                route().kind() == RouteKind.STREAMING
-                    ? a.meanEventIntervalMs(eventCount)
-                    : a.elapsedMs());
+        failed ? OutcomeSample.failed() : OutcomeSample.answered(model, responseTimeMs(a));
     ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
   }
 
+  /** Returns the response time to record, or -1 if there is none or it was recorded before. */
+  private double responseTimeMs(Attempt a) {
+    if (route().kind() != RouteKind.STREAMING) {
+      return a.elapsedMs();
+    }
+    return paceRecorded ? -1 : a.meanEventIntervalMs(eventCount);
+  }
+
   @Override
   public void onFault(Attempt a, Attempt.Fault fault) {
     if (escalating) {
@@ -507,6 +524,9 @@
       if (isFirstEventOverdue(current)) {
         recordFirstEvent(current);
       }
+      if (route().kind() == RouteKind.STREAMING) {
+        recordPaceIfSlow(current);
+      }
       if (hasTimedOut(current, nowMs)) {
         current.failOnTimeout();
       }
--- a/core/src/main/java/org/currantslip/core/rollout/OutcomeSample.java
+++ b/core/src/main/java/org/currantslip/core/rollout/OutcomeSample.java
@@ -30,6 +30,11 @@
     return new OutcomeSample(OutcomeSignal.ANSWER, model, false, responseTimeMs);
   }
 
+  /** Returns a sample for the time per event of a stream that has not ended. */
+  public static OutcomeSample pace(String model, double eventIntervalMs) {
+    return new OutcomeSample(OutcomeSignal.PACE, model, false, eventIntervalMs);
+  }
+
   /** Returns a sample for the first event of a stream, which may still be awaited. */
   public static OutcomeSample firstEvent(String model, double relativeTime) {
     return new OutcomeSample(OutcomeSignal.FIRST_EVENT, model, false, relativeTime);
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -203,8 +203,17 @@
 
   /** Returns whether a first event that has not arrived by now will count as slow. */
   public boolean isFirstEventSlow(String route, String model, double relativeTime) {
-    Baseline baseline = baselines.get(new Series(route, model, OutcomeSignal.FIRST_EVENT));
-    return baseline != null && baseline.isKnown() && baseline.isSlow(relativeTime);
+    return isSlow(new Series(route, model, OutcomeSignal.FIRST_EVENT), relativeTime);
+  }
+
+  /** Returns whether a stream with this mean time between events counts as slow. */
+  public boolean isPaceSlow(String route, String model, double eventIntervalMs) {
+    return isSlow(new Series(route, model, OutcomeSignal.PACE), eventIntervalMs);
+  }
+
+  private boolean isSlow(Series series, double time) {
+    Baseline baseline = baselines.get(series);
+    return baseline != null && baseline.isKnown() && baseline.isSlow(time);
   }
 
   /** Merges the counts of another node. */
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -15,6 +15,8 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.limits.SlotQueue;
+import org.currantslip.core.rollout.RolloutOrder;
+import org.currantslip.core.rollout.RolloutOrder.Progress;
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.route.Account;
 import org.currantslip.core.route.CallerLimits;
@@ -27,6 +29,7 @@
 import org.currantslip.core.routing.ExpectedWaitChooser;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.NodeId;
+import org.currantslip.schema.VersionHalt;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -43,6 +46,9 @@
   private final FakeEndpointClient calls = new FakeEndpointClient();
   private final ExpectedWaitChooser chooser = ExpectedWaitChooser.create(clock, "fd", 1);
   private final List<RequestOutcome> outcomes = new ArrayList<>();
+  private final List<VersionHalt> halts = new ArrayList<>();
+  private final ServiceRollouts rollouts =
+      ServiceRollouts.create(NodeId.getDefaultInstance(), halts::add);
   private final ForwardedResponseSink sink = new ForwardedResponseSink();
   private final RequestEngine engine =
       RequestEngine.forwarding(
@@ -52,7 +58,7 @@
               SlotQueue.create(clock, chooser::freeSlots, 1),
               chooser,
               RetryBudget.create(clock, new RetryBudget.Bound(0.5, 50, 10_000), () -> 1),
-              ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
+              rollouts,
               SizeCascade.create(),
               calls,
               outcomes::add,
@@ -89,6 +95,10 @@
                 route("sized", RouteKind.STREAMING, true, List.of("small", "large"))),
             Map.of("key", new Account("account", OptionalInt.empty())),
             new CallerLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000)));
+    setEndpoints("v1");
+  }
+
+  private void setEndpoints(String version) {
     chooser.onEndpoints(
         IntStream.range(0, 4)
             .mapToObj(
@@ -96,7 +106,7 @@
                     EndpointRecord.newBuilder()
                         .setId("i" + i)
                         .setService("s")
-                        .setVersion("v1")
+                        .setVersion(version)
                         .setSlots(4)
                         .build())
             .toList());
@@ -321,6 +331,32 @@
     }
   }
 
+  @Test
+  void versionWithSlowEventsIsHaltedBeforeItsStreamsEnd() {
+    for (int i = 0; i < 10; i++) {
+      send("stream");
+      head(calls.last(), 200, false);
+      for (int id = 1; id <= 5; id++) {
+        event(calls.last(), id);
+        advance(30);
+      }
+      calls.last().listener().onEnd(EndpointUsage.none());
+    }
+    setEndpoints("v2");
+    rollouts.onOrders(
+        List.of(
+            new RolloutOrder(
+                "s", "v2", 60_000, 1, new Progress(RolloutOrder.State.IN_PROGRESS, 1, 1))));
+    for (int i = 0; i < 6; i++) {
+      send("stream");
+      head(calls.last(), 200, false);
+      event(calls.last(), 1);
+    }
+    IntStream.range(0, 9).forEach(i -> advance(100));
+    assertThat(outcomes).hasSize(10);
+    assertThat(halts).hasSize(1);
+  }
+
   @Test
   void attemptsAreLimitedByTheRoute() {
     send("safe");
