A rollout grows only when its answers rule out a much worse version

The fix: the share grows past its first stages, and the rollout completes, only once the answers of each signal rule out a version of which a third of the good answers turned bad; until then it stays where it is. A version halted late is still rolled back, a completed one cannot be. RolloutDutyTest.versionWithSlowAnswersDoesNotGrowBeforeItIsShownSound failed before (COMPLETE, IN_PROGRESS expected).

--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
@@ -185,14 +185,16 @@
     if (reached.isFinal()) {
       return reached;
     }
-    if (elapsed >= completionFraction && reached.sessionShare() >= 1) {
+    boolean mayGrow =
+        rollouts.answeredRequests(order.service()) >= MIN_ANSWERS
+            && rollouts.isShownSound(order.service());
+    if (elapsed >= completionFraction && reached.sessionShare() >= 1 && mayGrow) {
       return new RolloutOrder.Progress(RolloutOrder.State.COMPLETE, 1);
     }
-    boolean hasEnoughAnswers = rollouts.answeredRequests(order.service()) >= MIN_ANSWERS;
     Stage due =
         stages.stream()
             .filter(s -> elapsed >= s.startFraction())
-            .filter(s -> hasEnoughAnswers || s.share() <= stages.get(0).share())
+            .filter(s -> mayGrow || s.share() <= stages.get(0).share())
             .reduce(stages.get(0), (earlier, later) -> later);
     return reached.latest(
         new RolloutOrder.Progress(RolloutOrder.State.IN_PROGRESS, due.share(), due.sessionShare()));
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -295,21 +295,29 @@
             .sum();
   }
 
+  /**
+   * Returns whether the answers of the new version show, for each signal over all routes, that it
+   * is not much worse than the old one.
+   */
+  public boolean isShownSound(String service) {
+    Rollout rollout = rollouts.get(service);
+    if (rollout == null) {
+      return false;
+    }
+    Map<Series, Counts> targetCounts = rollout.groupedCounts(true);
+    Map<Series, Counts> otherCounts = rollout.groupedCounts(false);
+    return targetCounts.entrySet().stream()
+        .filter(e -> e.getKey().route().isEmpty())
+        .allMatch(e -> e.getValue().isSound(otherCounts.getOrDefault(e.getKey(), Counts.NONE)));
+  }
+
   private void haltIfWorse(Rollout rollout) {
     if (rollout.halted) {
       return;
     }
     String target = rollout.order.target();
-    Map<Series, Counts> targetCounts = new HashMap<>();
-    Map<Series, Counts> otherCounts = new HashMap<>();
-    rollout.allCounts().stream()
-        .flatMap(m -> m.entrySet().stream())
-        .forEach(
-            e -> {
-              Map<Series, Counts> counts =
-                  e.getKey().version().equals(target) ? targetCounts : otherCounts;
-              e.getKey().groups().forEach(g -> counts.merge(g, e.getValue(), Counts::plus));
-            });
+    Map<Series, Counts> targetCounts = rollout.groupedCounts(true);
+    Map<Series, Counts> otherCounts = rollout.groupedCounts(false);
     Optional<String> worse =
         targetCounts.entrySet().stream()
             .filter(
@@ -347,6 +355,17 @@
       all.add(localCounts);
       return all;
     }
+
+    /** Returns the counts of all nodes in groups, of the new version or of all others. */
+    private Map<Series, Counts> groupedCounts(boolean ofTarget) {
+      Map<Series, Counts> grouped = new HashMap<>();
+      allCounts().stream()
+          .flatMap(m -> m.entrySet().stream())
+          .filter(e -> e.getKey().version().equals(order.target()) == ofTarget)
+          .forEach(
+              e -> e.getKey().groups().forEach(g -> grouped.merge(g, e.getValue(), Counts::plus)));
+      return grouped;
+    }
   }
 
   /** Counts of good and bad answers of one version on one route. */
@@ -365,6 +384,10 @@
       return good + bad;
     }
 
+    private boolean isSound(Counts other) {
+      return VersionComparison.isSound(bad, total(), other.bad, other.total());
+    }
+
     private boolean isWorseThan(Counts other) {
       return VersionComparison.isWorse(bad, total(), other.bad, other.total());
     }
--- a/core/src/main/java/org/currantslip/core/rollout/VersionComparison.java
+++ b/core/src/main/java/org/currantslip/core/rollout/VersionComparison.java
@@ -24,6 +24,12 @@
 
   private static final double MAX_BASE_RATE = 0.9;
 
+  /** Fraction of good answers turned bad that must be unlikely before a version is sound. */
+  private static final double EXCLUDED_FRACTION = 0.35;
+
+  /** Likelihood ratio below which the excluded fraction counts as unlikely. */
+  private static final double MAX_EXCLUDED_RATIO = 0.1;
+
   private VersionComparison() {}
 
   /** Returns whether {@code bad} of {@code total} is worse than the old version's rate. */
@@ -31,15 +37,32 @@
     if (bad == 0) {
       return false;
     }
-    double observedRate = (oldBad + TOLERATED_BAD_RATE) / (oldTotal + 1.0);
-    double baseRate = Math.min(MAX_BASE_RATE, TOLERATED_BAD_RATE + BASE_RATE_MARGIN * observedRate);
-    double likelihoodRatio = 0;
+    double baseRate = baseRate(oldBad, oldTotal);
+    double mixtureRatio = 0;
     for (int i = 0; i < ALTERNATIVE_FRACTIONS.length; i++) {
-      double rate = baseRate + (1 - baseRate) * ALTERNATIVE_FRACTIONS[i];
-      double logLikelihoodRatio =
-          bad * Math.log(rate / baseRate) + (total - bad) * Math.log((1 - rate) / (1 - baseRate));
-      likelihoodRatio += ALTERNATIVE_WEIGHTS[i] * Math.exp(logLikelihoodRatio);
+      mixtureRatio +=
+          ALTERNATIVE_WEIGHTS[i] * likelihoodRatio(bad, total, baseRate, ALTERNATIVE_FRACTIONS[i]);
     }
-    return likelihoodRatio >= 1 / FALSE_HALT_PROBABILITY;
+    return mixtureRatio >= 1 / FALSE_HALT_PROBABILITY;
+  }
+
+  /**
+   * Returns whether the answers suffice to rule out a version much worse than the old one. A few
+   * answers that are neither bad enough to halt a version nor good enough leave it open.
+   */
+  static boolean isSound(long bad, long total, long oldBad, long oldTotal) {
+    double baseRate = baseRate(oldBad, oldTotal);
+    return likelihoodRatio(bad, total, baseRate, EXCLUDED_FRACTION) <= MAX_EXCLUDED_RATIO;
+  }
+
+  private static double baseRate(long oldBad, long oldTotal) {
+    double observedRate = (oldBad + TOLERATED_BAD_RATE) / (oldTotal + 1.0);
+    return Math.min(MAX_BASE_RATE, TOLERATED_BAD_RATE + BASE_RATE_MARGIN * observedRate);
+  }
+
+  private static double likelihoodRatio(long bad, long total, double baseRate, double fraction) {
+    double rate = baseRate + (1 - baseRate) * fraction;
+    return Math.exp(
+        bad * Math.log(rate / baseRate) + (total - bad) * Math.log((1 - rate) / (1 - baseRate)));
   }
 }
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -97,10 +97,14 @@
   }
 
   private void answers(int count, OutcomeSample sample) {
+    answers("v2", count, sample);
+  }
+
+  private void answers(String version, int count, OutcomeSample sample) {
     NODES.forEach(
         n ->
             IntStream.range(0, count)
-                .forEach(i -> rolloutsOf(n).onOutcome("s", "v2", "r", sample)));
+                .forEach(i -> rolloutsOf(n).onOutcome("s", version, "r", sample)));
   }
 
   @Test
@@ -141,6 +145,20 @@
     assertThat(order.progress().sessionShare()).isGreaterThan(0.0);
   }
 
+  @Test
+  void versionWithSlowAnswersDoesNotGrowBeforeItIsShownSound() {
+    run(1_000);
+    answers("v1", 100, OutcomeSample.answered(10));
+    answers(12, OutcomeSample.answered(10));
+    answers(4, OutcomeSample.answered(80));
+    run(23_000);
+    assertThat(order.progress().state()).isEqualTo(State.IN_PROGRESS);
+    assertThat(order.progress().share()).isAtMost(0.15);
+    answers(40, OutcomeSample.answered(10));
+    run(1_000);
+    assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
+  }
+
   @Test
   void badVersionIsRolledBackAtOnceAndPermanently() {
     run(1_000);
