More sessions move at half of a rollout, as none moved before

The fix: a share of sessions that exposes as many requests from half of the time on as the share of requests without a session does from the start (0.138 instead of 0.053 at a bound of 0.15); any mix of the two stays within the bound. RolloutDutyTest.versionWithSlowAnswersInSessionsIsRolledBackInTime failed before (not rolled back at the end); versionThatNeverFailsStaysWithinTheExposureBound now also plays 60 and 100 in 100 requests with a session.

--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRolloutController.java
@@ -56,6 +56,9 @@
    */
   private static final double QUARTER_STAGE_LENGTH = 0.8;
 
+  /** Share of the quarter stage, and upper limit of the stages before it. */
+  private static final double QUARTER = 0.25;
+
   private static final double HALF_STAGE_LENGTH = 0.6;
   private static final double FULL_STAGE_LENGTH = 0.4;
 
@@ -100,12 +103,16 @@
     this.writer = writer;
     this.clock = clock;
     double bound = Math.min(MAX_EXPOSURE_SHARE, exposureShare);
-    double first = Math.min(0.25, FIRST_STAGE_FRACTION * bound);
+    double first = Math.min(QUARTER, FIRST_STAGE_FRACTION * bound);
+    double quarterStart = 1 - QUARTER_STAGE_LENGTH * bound;
+    // Sessions start later, so that a larger share of them exposes no more requests.
+    double sessions =
+        Math.min(QUARTER, first * quarterStart / (quarterStart - SESSION_STAGE_START));
     stages =
         List.of(
             new Stage(0, first, 0),
-            new Stage(SESSION_STAGE_START, first, first),
-            new Stage(1 - QUARTER_STAGE_LENGTH * bound, 0.25, 0.25),
+            new Stage(SESSION_STAGE_START, first, sessions),
+            new Stage(quarterStart, QUARTER, QUARTER),
             new Stage(1 - HALF_STAGE_LENGTH * bound, 0.5, 0.5),
             new Stage(1 - FULL_STAGE_LENGTH * bound, 1, 1));
     completionFraction = 1 - COMPLETION_LENGTH * bound;
--- a/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/RolloutDutyTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,12 +23,13 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Three nodes share one stored order; writes are conditional on its version, as in the store. */
 final class RolloutDutyTest {
   private static final List<String> NODES = List.of("a", "b", "c");
   private static final long STEP_MS = 50;
+  private static final double REQUESTS_PER_SECOND = 10;
 
   private final ManualClock clock = ManualClock.startingAt(1_000_000);
   private final Map<String, ServiceRollouts> rollouts = new HashMap<>();
@@ -121,14 +123,21 @@
 
   /** Plays the share that the status grants; a version may show its fault only under full load. */
   @ParameterizedTest
-  @ValueSource(doubles = {0.05, 0.0975, 0.15, 0.3})
-  void versionThatNeverFailsStaysWithinTheExposureBound(double bound) {
+  @CsvSource({
+    "0.05, 0", "0.0975, 0", "0.15, 0", "0.3, 0",
+    "0.05, 0.6", "0.0975, 0.6", "0.15, 0.6", "0.3, 0.6",
+    "0.05, 1", "0.0975, 1", "0.15, 1", "0.3, 1"
+  })
+  void versionThatNeverFailsStaysWithinTheExposureBound(double bound, double sessionFraction) {
     restart(bound);
     double exposed = 0;
     for (long t = 0; t < 24_000; t += STEP_MS) {
       answers(1, OutcomeSample.answered(10));
       run(STEP_MS);
-      exposed += order.progress().share() * STEP_MS / 24_000;
+      Progress progress = order.progress();
+      double share =
+          (1 - sessionFraction) * progress.share() + sessionFraction * progress.sessionShare();
+      exposed += share * STEP_MS / 24_000;
     }
     assertThat(order.progress().state()).isEqualTo(State.COMPLETE);
     assertThat(exposed).isAtMost(0.95 * bound);
@@ -145,6 +154,25 @@
     assertThat(order.progress().sessionShare()).isGreaterThan(0.0);
   }
 
+  /** Every request has a session, half of the answers are slow, each is known a second later. */
+  @Test
+  void versionWithSlowAnswersInSessionsIsRolledBackInTime() {
+    answers("v1", 100, OutcomeSample.answered(10));
+    ArrayDeque<Double> exposures = new ArrayDeque<>();
+    double due = 0;
+    long count = 0;
+    for (long t = 0; t < 24_000; t += STEP_MS) {
+      run(STEP_MS);
+      exposures.add(order.progress().sessionShare() * REQUESTS_PER_SECOND * STEP_MS / 1_000);
+      due += exposures.size() > 1_000 / STEP_MS ? exposures.remove() : 0;
+      for (; due >= 1; due--) {
+        OutcomeSample sample = OutcomeSample.answered(count++ % 2 == 0 ? 10 : 80);
+        NODES.forEach(n -> rolloutsOf(n).onOutcome("s", "v2", "r", sample));
+      }
+    }
+    assertThat(order.progress().state()).isEqualTo(State.ROLLED_BACK);
+  }
+
   @Test
   void versionWithSlowAnswersDoesNotGrowBeforeItIsShownSound() {
     run(1_000);
