A response without a notice and a late one of the previous start restrict nothing

SendRestrictionsTest.responseWithoutNoticeChangesNothingAfterTheTimeHasPassed and lateResponseOfThePreviousStartRestrictsNothing failed before: after a Retry-After had passed each response was logged as a restriction, and a late response of an earlier start replaced what the new one had asked for.

--- a/core/src/main/java/org/currantslip/core/routing/SendRestrictions.java
+++ b/core/src/main/java/org/currantslip/core/routing/SendRestrictions.java
@@ -37,22 +37,31 @@
 
   /** Applies a notice; a shorter time does not replace a longer one. */
   EndpointNotice.Effect add(EndpointRecord endpoint, EndpointNotice notice, long nowMs) {
+    Restriction known = restrictions.get(endpoint.getId());
+    if (known != null && known.startedMs > endpoint.getStartedMs()) {
+      return EndpointNotice.Effect.NONE;
+    }
+    boolean sameInstance = known != null && known.startedMs == endpoint.getStartedMs();
+    Restriction before =
+        sameInstance && known != null
+            ? known
+            : new Restriction(endpoint.getStartedMs(), false, nowMs, nowMs);
     boolean timeReadable = notice.retryAfterS() >= 0;
     double retryAfterMs = timeReadable ? 1_000 * notice.retryAfterS() : 0;
-    Restriction before = restrictions.get(endpoint.getId());
-    boolean sameInstance = before != null && before.startedMs == endpoint.getStartedMs();
-    boolean wasLeaving = sameInstance && before != null && before.leaving;
-    long previousUntilMs = sameInstance && before != null ? before.untilMs : nowMs;
-    long untilMs =
-        Math.max(previousUntilMs, nowMs + (long) Math.min(MAX_RETRY_AFTER_MS, retryAfterMs));
-    boolean changed = (notice.leaving() && !wasLeaving) || untilMs > previousUntilMs;
-    if (changed) {
-      restrictions.put(
-          endpoint.getId(),
-          new Restriction(endpoint.getStartedMs(), wasLeaving || notice.leaving(), untilMs, nowMs));
-      return EndpointNotice.Effect.RESTRICTED;
+    long askedUntilMs = nowMs + (long) Math.min(MAX_RETRY_AFTER_MS, retryAfterMs);
+    boolean isLonger = askedUntilMs > Math.max(nowMs, before.untilMs);
+    boolean isNewlyLeaving = notice.leaving() && !before.leaving;
+    if (!isLonger && !isNewlyLeaving) {
+      return timeReadable ? EndpointNotice.Effect.NONE : EndpointNotice.Effect.UNREADABLE;
     }
-    return timeReadable ? EndpointNotice.Effect.NONE : EndpointNotice.Effect.UNREADABLE;
+    restrictions.put(
+        endpoint.getId(),
+        new Restriction(
+            endpoint.getStartedMs(),
+            before.leaving || notice.leaving(),
+            Math.max(before.untilMs, askedUntilMs),
+            nowMs));
+    return EndpointNotice.Effect.RESTRICTED;
   }
 
   /** Removes old restrictions of endpoints that are not among these. */
--- a/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
@@ -57,6 +57,22 @@
     assertThat(restrictions.permits(endpoint(1), NOW_MS + 3_100)).isTrue();
   }
 
+  @Test
+  void responseWithoutNoticeChangesNothingAfterTheTimeHasPassed() {
+    restrictions.add(endpoint(1), retryAfter(1), NOW_MS);
+    assertThat(restrictions.add(endpoint(1), EndpointNotice.none(), NOW_MS + 2_000))
+        .isEqualTo(Effect.NONE);
+    assertThat(restrictions.permits(endpoint(1), NOW_MS + 2_000)).isTrue();
+  }
+
+  @Test
+  void lateResponseOfThePreviousStartRestrictsNothing() {
+    restrictions.add(endpoint(2), retryAfter(1), NOW_MS);
+    assertThat(restrictions.add(endpoint(1), LEAVING, NOW_MS)).isEqualTo(Effect.NONE);
+    assertThat(restrictions.permits(endpoint(2), NOW_MS)).isFalse();
+    assertThat(restrictions.permits(endpoint(2), NOW_MS + 1_000)).isTrue();
+  }
+
   @Test
   void leavingEndpointGetsNothingUntilItStartsAnew() {
     assertThat(restrictions.add(endpoint(1), LEAVING, NOW_MS)).isEqualTo(Effect.RESTRICTED);
