--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -359,7 +359,6 @@
   void endpointThatLeavesOrWantsNoRequestsGetsNone(
       String routeName, int status, boolean notRun, boolean leaving, double retryAfterS) {
     send(routeName);
-    String told = call(0).endpoint().getId();
     EndpointNotice notice = new EndpointNotice(leaving, retryAfterS);
     call(0).listener().onHead(endpointHead(status, notRun, OptionalDouble.of(0.1), notice));
     call(0).listener().onFailure(CallFailure.TRUNCATED, "");
@@ -367,6 +366,7 @@
       send(routeName);
     }
     assertThat(calls.calls.size()).isEqualTo(1 + 3 * SLOTS);
+    String told = call(0).endpoint().getId();
     assertThat(
             calls.calls.stream()
                 .skip(1)
--- a/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
@@ -83,7 +83,7 @@
   }
 
   @Test
-  void restrictionOutlivesAnEntryThatVanishesForAWhile() {
+  void restrictionOutlivesAnEntryThatVanishesForSomeTime() {
     restrictions.add(endpoint(1), LEAVING, NOW_MS);
     restrictions.retain(Set.of(), NOW_MS + 100_000);
     assertThat(restrictions.permits(endpoint(1), NOW_MS + 100_000)).isFalse();
