Edge nodes log the phases of a stop with the work that is left

Change: NODE_STOP_PHASE as on the product's own nodes, with unanswered and active requests, connections and queued tasks; NODE_STOPPED has the number of requests cut off. No decision changes. Run: EdgeNodeTest, FrontDoorTest, LogEventsTest pass.

--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -137,6 +137,11 @@
     return connector.getLocalPort();
   }
 
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connector.getConnectedEndPoints().size();
+  }
+
   /** Returns the number of requests in flight. */
   public int inFlight() {
     return handler.inFlight();
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -106,6 +106,7 @@
   private final PlannedStop plannedStop;
   private final FrontDoor callerServer;
   private final Server managementServer;
+  private PlannedStop.Phase lastStopPhase = PlannedStop.Phase.RUNNING;
   private volatile EntryView entryView = EntryView.empty();
   private volatile boolean ready;
   private volatile boolean superseded;
@@ -322,6 +323,7 @@
     rolloutController.tick();
     peerLinks.tick();
     plannedStop.tick();
+    logStopPhase();
     if (membership.self().getState() == NodeState.JOINING
         && mirrors.routes().current().version() > 0) {
       membership.serve();
@@ -352,6 +354,23 @@
     }
   }
 
+  /** Logs each phase of a stop with the work that is left when it begins. */
+  private void logStopPhase() {
+    if (plannedStop.phase() == lastStopPhase) {
+      return;
+    }
+    lastStopPhase = plannedStop.phase();
+    EventLog.write(
+        LogEvent.NODE_STOP_PHASE,
+        "phase=%s unanswered=%d active=%d connections=%d queued_tasks=%d"
+            .formatted(
+                lastStopPhase,
+                callerServer.inFlight(),
+                requestEngine.activeCount(),
+                callerServer.connectionCount(),
+                decisions.waiting()));
+  }
+
   private void onWatcherChange(Optional<String> watcher) {
     EventLog.write(LogEvent.WATCHER_CHANGED, "watcher=" + watcher.orElse("store"));
     mirrors.all().forEach(KindMirror::restartList);
@@ -435,6 +454,7 @@
       return;
     }
     closed = true;
+    final int unansweredRequests = callerServer.inFlight();
     callerServer.stop();
     managementServer.stop();
     peerLinks.close();
@@ -442,7 +462,10 @@
     HttpClients.stop(storeClient);
     decisions.stop();
     metrics.close();
-    EventLog.write(LogEvent.NODE_STOPPED, "clean=" + (!superseded && plannedStop.isClean()));
+    EventLog.write(
+        LogEvent.NODE_STOPPED,
+        "clean=%s unanswered=%d"
+            .formatted(!superseded && plannedStop.isClean(), unansweredRequests));
   }
 
   /** Dispatches the frames of peers to the components that handle them. */
