Failing tests: requests that end without an answer

Callers saw connections close without an answer around a planned stop.

- PlannedStopTest.endsDrainingInTimeAlthoughTicksAreLate: 67600 ms instead of 65000 ms, since each phase starts at the late tick that ended the one before.

--- a/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -5,12 +5,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.currantslip.schema.NodeState;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class PlannedStopTest {
   private static final PlannedStop.Options OPTIONS =
       new PlannedStop.Options(5_000, 60_000, 3_000, 3_000);
 
+  private static final long LATE_TICK_MS = 2_600;
+
   private final FakeFleet fleet = FakeFleet.ofSize(3);
   private final HeartbeatMembership node = fleet.membershipOf("n000");
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -57,6 +60,21 @@
     assertThat(fleet.membershipOf("n001").isGone(FakeFleet.id("n000", 1))).isTrue();
   }
 
+  @Test
+  @Tag("known-red")
+  void endsDrainingInTimeAlthoughTicksAreLate() {
+    inFlight.set(1);
+    stop.begin();
+    long startedMs = fleet.events.clock().nowMs();
+    while (stop.phase() != PlannedStop.Phase.FLUSHING) {
+      fleet.run(LATE_TICK_MS);
+      stop.tick();
+    }
+
+    assertThat(fleet.events.clock().nowMs() - startedMs)
+        .isLessThan(OPTIONS.entryMs() + OPTIONS.drainMs() + LATE_TICK_MS);
+  }
+
   @Test
   void endsInBoundedTimeWithoutStoreAndWithHangingRequests() {
     run(3_000);
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -1,17 +1,31 @@
 package org.currantslip.node.edge;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.base.Strings;
+import com.google.common.net.HostAndPort;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.schema.EdgeSettings;
@@ -24,7 +38,10 @@
 /** Tests a complete edge node with callers, a store and an endpoint on loopback. */
 final class EdgeNodeTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int CALLER_COUNT = 8;
+  private static final int WARM_UP_REQUESTS = 100;
 
+  private final ExecutorService executor = Executors.newCachedThreadPool();
   private final HttpClient http = HttpClient.newHttpClient();
   private final org.eclipse.jetty.client.HttpClient callerClient = HttpClients.start("test", 2);
   private RehearsalPlatform platform;
@@ -47,6 +64,7 @@
     assertThat(node.awaitStop()).isTrue();
     platform.close();
     callerClient.stop();
+    executor.shutdownNow();
   }
 
   private static void awaitCondition(BooleanSupplier condition) {
@@ -134,6 +152,82 @@
     assertThat(post("/once/late", "key", "id-5").getHeaders().get("Connection")).isEqualTo("close");
   }
 
+  /** Sends one request over an open connection; returns its status line, empty if it was closed. */
+  private static String exchange(Socket socket, String id) throws IOException {
+    String request =
+        "POST /once/kept HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n"
+            + "X-Currantslip-Request-Id: "
+            + id
+            + "\r\nContent-Length: 4\r\n\r\nbody";
+    socket.getOutputStream().write(request.getBytes(UTF_8));
+    BufferedReader reader =
+        new BufferedReader(new InputStreamReader(socket.getInputStream(), UTF_8));
+    String status = Strings.nullToEmpty(reader.readLine());
+    int length = 0;
+    for (String line = reader.readLine();
+        line != null && !line.isEmpty();
+        line = reader.readLine()) {
+      length = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : length;
+    }
+    reader.skip(length);
+    return status;
+  }
+
+  /** Sends requests over kept connections until the node accepts no connection. */
+  private List<String> answeredIdsUntilStopped(String caller) {
+    List<String> answered = new ArrayList<>();
+    HostAndPort address = HostAndPort.fromString(settings.getListen().getCaller());
+    int count = 0;
+    while (true) {
+      try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+        String id = caller + "-" + count;
+        while (!exchange(socket, id).isEmpty()) {
+          answered.add(id);
+          count++;
+          id = caller + "-" + count;
+        }
+        count++;
+      } catch (ConnectException e) {
+        return answered;
+      } catch (IOException e) {
+        count++;
+      }
+    }
+  }
+
+  @Test
+  void answersRequestsUntilItsConnectionsAreClosed() throws Exception {
+    List<CompletableFuture<List<String>>> callers =
+        IntStream.range(0, CALLER_COUNT)
+            .mapToObj(
+                i ->
+                    CompletableFuture.supplyAsync(() -> answeredIdsUntilStopped("c" + i), executor))
+            .toList();
+    awaitCondition(() -> platform.endpointRequests().size() > WARM_UP_REQUESTS);
+    node.beginStop();
+    assertThat(node.awaitStop()).isTrue();
+    Set<String> answered =
+        callers.stream().flatMap(c -> c.join().stream()).collect(Collectors.toSet());
+
+    assertThat(
+            platform.endpointRequests().stream()
+                .map(fields -> fields.getOrDefault("x-currantslip-request-id", List.of()).get(0))
+                .filter(id -> !answered.contains(id)))
+        .isEmpty();
+  }
+
+  @Test
+  void answersRequestsWhenStoppedBeforeItIsReady() throws Exception {
+    EdgeSettings others = CdsTrainingRun.edgeSettings("edge-2", platform);
+    EdgeNode starting = EdgeNode.start(others);
+    HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
+    try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+      starting.beginStop();
+      assertThat(exchange(socket, "early")).startsWith("HTTP/1.1 ");
+    }
+    assertThat(starting.awaitStop()).isTrue();
+  }
+
   @Test
   void countsRequestsInMetrics() {
     post("/once/x", "key", "id-6");
