Keep all bytes of pipelined requests

While a request was answered, the disconnect monitor read up to 1,024 bytes more and appended them to the connection's buffer. If pipelined bytes had already filled that buffer, the rest was dropped: the next request never became complete, and its caller got no response or one to a request with other bytes.

A connection that already holds pipelined bytes is no longer read ahead; its disconnect shows at the next write. Otherwise the buffer is empty and the bytes fit.

FrontDoorStopTest.answersPipelinedRequestLargerThanReadBuffer failed before (the second request did not start within 20 s) and passes now.

--- a/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
+++ b/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CancellationException;
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -33,10 +34,17 @@
   static DisconnectMonitor start(Connection connection, Runnable onDisconnect) {
     AbstractEndPoint endPoint = (AbstractEndPoint) connection.getEndPoint();
     DisconnectMonitor monitor = new DisconnectMonitor(endPoint, connection, onDisconnect);
-    endPoint.tryFillInterested(monitor);
+    if (!hasPipelinedBytes(connection)) {
+      endPoint.tryFillInterested(monitor);
+    }
     return monitor;
   }
 
+  /** The connection's buffer might not have room for more bytes of the next request. */
+  private static boolean hasPipelinedBytes(Connection connection) {
+    return connection instanceof HttpConnection http && !http.isRequestBufferEmpty();
+  }
+
   /** Stops monitoring; must be called before the last part of the response is written. */
   void stop() {
     synchronized (this) {
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -362,7 +362,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void answersPipelinedRequestLargerThanReadBuffer() throws Exception {
     try (Socket socket = new Socket(HOST, port)) {
       BufferedReader reader = reader(socket);
