Requests of callers that left are completed as closed connections

The exchange is failed with EofException, which Jetty takes for a lost connection; any other exception was logged by it as an error of the handler, once for each caller that left.

--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -10,6 +10,7 @@
 import org.currantslip.core.request.ResponseHead;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
@@ -125,7 +126,7 @@
   /** Closes the connection and releases the request; without that, it stays in flight. */
   private void abort(String reason) {
     response.getRequest().getConnectionMetaData().getConnection().getEndPoint().close();
-    complete(() -> callback.failed(new IllegalStateException(reason)));
+    complete(() -> callback.failed(new EofException(reason)));
   }
 
   private void complete(Runnable completion) {
