End the remaining requests when draining has taken too long

At its limit, draining went on and the connections of all remaining callers were closed without a word: a request that still waited for a slot was cut like one that an endpoint was working on, and callers could not tell both apart.

The engine now ends them. One at an endpoint gets 502 with an unknown execution state and its call is cancelled; a stream breaks off without its last chunk. Waiting requests are ended first, so that none takes a slot that another releases.

--- a/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
+++ b/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
@@ -51,6 +51,9 @@
 
     /** Returns the number of accepted requests that have not ended. */
     int activeRequests();
+
+    /** Ends the active requests: those not begun are refused, the others have failed. */
+    void endRequests();
   }
 
   private final HeartbeatMembership membership;
@@ -132,6 +135,7 @@
       case DRAINING -> {
         if (callers.activeRequests() == 0
             || isTimedOut(clock.nowMs() - requestedMs, options.entryMs() + options.drainMs())) {
+          callers.endRequests();
           pendingStep = flush.get();
           enter(Phase.FLUSHING);
         }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -578,6 +578,18 @@
     }
   }
 
+  @Override
+  void onNodeStop() {
+    if (isIn(Stage.CALLING) && ran == Ran.NO) {
+      ran = Ran.UNKNOWN;
+    }
+    refuse(
+        ran == Ran.NO
+            ? Refusals.nodeLeaving()
+            : RefusalException.of(
+                ResultCode.OUTCOME_UNKNOWN, ran, 0, "the node stopped before the response"));
+  }
+
   /** Cancels the request, except for an unsafe call in progress, which runs to completion. */
   @Override
   void onCallerDisconnected() {
--- a/core/src/main/java/org/currantslip/core/request/GovernedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/GovernedFlow.java
@@ -404,6 +404,14 @@
     }
   }
 
+  /** An at-most-once call whose caller already has its response goes on while the node runs. */
+  @Override
+  void onNodeStop() {
+    if (!isIn(Stage.STORING) && !detached) {
+      onDeadline(ports.clock().nowMs());
+    }
+  }
+
   /** Cancels the request, except for an at-most-once call, which runs to completion. */
   @Override
   void onCallerDisconnected() {
--- a/core/src/main/java/org/currantslip/core/request/Refusals.java
+++ b/core/src/main/java/org/currantslip/core/request/Refusals.java
@@ -9,8 +9,17 @@
 final class Refusals {
   private static final long BASE_RETRY_AFTER_MS = 1_000;
 
+  /** Short, as other nodes can serve the request. */
+  private static final long LEAVING_RETRY_AFTER_MS = 200;
+
   private Refusals() {}
 
+  /** Returns the refusal of a request that was not begun before the node stops. */
+  static RefusalException nodeLeaving() {
+    return RefusalException.notRunRetryable(
+        ResultCode.NODE_LEAVING, LEAVING_RETRY_AFTER_MS, "the node is shutting down");
+  }
+
   /** Unwraps a refusal from a failure; any other failure becomes an internal error. */
   static RefusalException of(Throwable failure) {
     Throwable cause = failure;
--- a/core/src/main/java/org/currantslip/core/request/RequestEngine.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestEngine.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.request;
 
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,6 +12,7 @@
   private final Clock clock;
   private final BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
+  private boolean stopped;
 
   private RequestEngine(
       Clock clock, BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory) {
@@ -36,7 +38,11 @@
   public RequestHandle start(RouterRequest request, CallerSink sink) {
     RequestFlow flow = flowFactory.apply(request, sink);
     flows.add(flow);
-    flow.start();
+    if (stopped) {
+      flow.refuse(Refusals.nodeLeaving());
+    } else {
+      flow.start();
+    }
     return flow::onCallerDisconnected;
   }
 
@@ -47,6 +53,17 @@
     flows.removeIf(RequestFlow::isDone);
   }
 
+  /**
+   * Ends all active requests and refuses later ones. Requests that no endpoint has are ended first,
+   * so that none is sent when another one releases its slot.
+   */
+  public void stop() {
+    stopped = true;
+    List.copyOf(flows).stream()
+        .sorted(Comparator.comparing(flow -> flow.isIn(RequestFlow.Stage.CALLING)))
+        .forEach(RequestFlow::stop);
+  }
+
   /** Returns the number of active requests, including those whose caller already has a response. */
   public int activeCount() {
     flows.removeIf(RequestFlow::isDone);
--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -41,6 +41,9 @@
   /** Called when the caller has disconnected. */
   abstract void onCallerDisconnected();
 
+  /** Ends a request that is not done, since the node cannot wait for it any longer. */
+  abstract void onNodeStop();
+
   /** Applies the deadline and the timeouts to a request that is not done. */
   abstract void onTick(long nowMs);
 
@@ -61,6 +64,12 @@
     }
   }
 
+  final void stop() {
+    if (!isDone()) {
+      onNodeStop();
+    }
+  }
+
   final boolean isDone() {
     return stage == Stage.DONE;
   }
--- a/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -25,6 +25,7 @@
   private final class FakeCallers implements PlannedStop.Callers {
     private boolean leaving;
     private boolean refusing;
+    private boolean ended;
 
     @Override
     public void startLeaving() {
@@ -41,6 +42,11 @@
       assertThat(refusing).isTrue();
       return inFlight.get();
     }
+
+    @Override
+    public void endRequests() {
+      ended = true;
+    }
   }
 
   private void run(long durationMs) {
@@ -70,6 +76,7 @@
     stop.begin();
     run(30_000);
     assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.DRAINING);
+    assertThat(callers.ended).isFalse();
 
     inFlight.set(0);
     run(20);
@@ -107,6 +114,7 @@
 
     assertThat(stop.phase()).isEqualTo(PlannedStop.Phase.DONE);
     assertThat(stop.isClean()).isFalse();
+    assertThat(callers.ended).isTrue();
     assertThat(fleet.membershipOf("n001").isGone(FakeFleet.id("n000", 1))).isFalse();
   }
 }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -278,6 +278,45 @@
     assertThat(calls.calls).isEmpty();
   }
 
+  @Test
+  void refusesRequestsThatAreNotBegunWhenNodeStops() {
+    IntStream.range(0, 4 * SLOTS).forEach(i -> send("safe"));
+    int sent = calls.calls.size();
+    send("safe");
+    engine.stop();
+    send("safe");
+
+    assertThat(sent).isEqualTo(4 * SLOTS);
+    assertThat(calls.calls).hasSize(sent);
+    assertThat(sink.heads().stream().map(ResponseHead::httpStatus).filter(s -> s == 503).toList())
+        .hasSize(2);
+    assertThat(sink.heads().stream().filter(h -> h.httpStatus() == 503).map(ResponseHead::ran))
+        .containsExactly(Ran.NO, Ran.NO);
+    assertThat(engine.activeCount()).isEqualTo(0);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"safe", "unsafe", "stream", "once"})
+  void failsRequestsInProgressWhenNodeStops(String routeName) {
+    send(routeName);
+    engine.stop();
+
+    assertThat(sink.status()).isEqualTo(502);
+    assertThat(calls.cancelled).containsExactly(call(0));
+    assertThat(calls.calls).hasSize(1);
+  }
+
+  @Test
+  void breaksOffStreamInProgressWhenNodeStops() {
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 1);
+    engine.stop();
+
+    assertThat(sink.end().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    assertThat(sink.headCount()).isEqualTo(1);
+  }
+
   /** Checks for each endpoint fault whether the request is retried, and the final status. */
   @ParameterizedTest
   @CsvSource({
--- a/core/src/test/java/org/currantslip/core/request/ForwardedResponseSink.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedResponseSink.java
@@ -29,6 +29,10 @@
     return heads.size();
   }
 
+  List<ResponseHead> heads() {
+    return heads;
+  }
+
   ResponseHead firstHead() {
     return heads.get(0);
   }
--- a/node/src/main/java/org/currantslip/node/caller/CallerTraffic.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerTraffic.java
@@ -32,4 +32,9 @@
   public int activeRequests() {
     return frontDoor.admittedCount() + engine.activeCount();
   }
+
+  @Override
+  public void endRequests() {
+    engine.stop();
+  }
 }
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -8,6 +8,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.Socket;
 import java.net.URI;
@@ -153,9 +154,11 @@
   }
 
   /** Sends one request over an open connection; returns its status line, empty if it was closed. */
-  private static String exchange(Socket socket, String id) throws IOException {
+  private static String exchange(Socket socket, String path, String id) throws IOException {
     String request =
-        "POST /once/kept HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n"
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n"
             + "X-Currantslip-Request-Id: "
             + id
             + "\r\nContent-Length: 4\r\n\r\nbody";
@@ -181,7 +184,7 @@
     while (true) {
       try (Socket socket = new Socket(address.getHost(), address.getPort())) {
         String id = caller + "-" + count;
-        while (!exchange(socket, id).isEmpty()) {
+        while (!exchange(socket, "/once/kept", id).isEmpty()) {
           answered.add(id);
           count++;
           id = caller + "-" + count;
@@ -223,11 +226,36 @@
     HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
     try (Socket socket = new Socket(address.getHost(), address.getPort())) {
       starting.beginStop();
-      assertThat(exchange(socket, "early")).startsWith("HTTP/1.1 ");
+      assertThat(exchange(socket, "/once/early", "early")).startsWith("HTTP/1.1 ");
     }
     assertThat(starting.awaitStop()).isTrue();
   }
 
+  @Test
+  void answersRequestThatOutlastsItsStop() throws Exception {
+    EdgeSettings others = CdsTrainingRun.edgeSettings("edge-2", platform);
+    EdgeNode stopping = EdgeNode.start(others);
+    awaitCondition(() -> status(others.getListen().getReadiness(), "/api/readiness") == 200);
+    HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
+    try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+      CompletableFuture<String> status =
+          CompletableFuture.supplyAsync(
+              () -> {
+                try {
+                  return exchange(socket, RehearsalPlatform.PENDING_PATH, "pending");
+                } catch (IOException e) {
+                  throw new UncheckedIOException(e);
+                }
+              },
+              executor);
+      awaitCondition(() -> !platform.endpointRequests().isEmpty());
+      stopping.beginStop();
+
+      assertThat(stopping.awaitStop()).isFalse();
+      assertThat(status.join()).startsWith("HTTP/1.1 502 ");
+    }
+  }
+
   @Test
   void countsRequestsInMetrics() {
     post("/once/x", "key", "id-6");
