--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -173,7 +173,7 @@
     }
   }
 
-  private static byte[] head(int bodyBytes) {
+  private static byte[] requestHead(int bodyBytes) {
     return ("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
             + TOKEN
             + "\r\nContent-Length: "
@@ -183,7 +183,7 @@
   }
 
   private static void send(Socket socket, String body) throws IOException {
-    socket.getOutputStream().write(head(body.length()));
+    socket.getOutputStream().write(requestHead(body.length()));
     socket.getOutputStream().write(body.getBytes(UTF_8));
   }
 
@@ -236,7 +236,7 @@
   @Test
   void answersAllRequestsReadFromKeptConnections() throws Exception {
     requests = FrontDoorStopTest::respond;
-    List<CompletableFuture<Void>> callers =
+    final List<CompletableFuture<Void>> callers =
         IntStream.range(0, CALLER_COUNT)
             .mapToObj(i -> CompletableFuture.runAsync(this::sendUntilStopped, executor))
             .toList();
@@ -261,7 +261,7 @@
     try (Socket socket = new Socket(HOST, port)) {
       send(socket, BODY);
       read.await();
-      CompletableFuture<Void> stopped = stopServer();
+      final CompletableFuture<Void> stopped = stopServer();
       stopping.countDown();
 
       assertThat(readResponse(reader(socket))).contains("Currantslip-Code: 3008");
@@ -276,7 +276,7 @@
     try (Socket socket = new Socket(HOST, port)) {
       send(socket, BODY);
       CallerSink sink = startedRequests.take().sink();
-      CompletableFuture<Void> stopped = stopServer();
+      final CompletableFuture<Void> stopped = stopServer();
       sink.head(head(ResultCode.OK, false));
       sink.data(ByteString.copyFromUtf8("late"));
       sink.finish(head(ResultCode.OK, false));
@@ -292,9 +292,9 @@
   @Test
   void refusesRequestWhoseBodyArrivesWhileServerStops() throws Exception {
     try (Socket socket = new Socket(HOST, port)) {
-      socket.getOutputStream().write(head(BODY.length()));
+      socket.getOutputStream().write(requestHead(BODY.length()));
       awaitCondition(() -> server.inFlight() == 1);
-      CompletableFuture<Void> stopped = stopServer();
+      final CompletableFuture<Void> stopped = stopServer();
       socket.getOutputStream().write(BODY.getBytes(UTF_8));
 
       assertThat(readResponse(reader(socket)))
@@ -312,7 +312,7 @@
       BufferedReader reader = reader(socket);
       send(socket, BODY);
       assertThat(readResponse(reader)).contains("HTTP/1.1 200 OK");
-      CompletableFuture<Void> stopped = stopServer();
+      final CompletableFuture<Void> stopped = stopServer();
 
       assertThat(reader.read()).isEqualTo(-1);
       socket.close();
@@ -338,7 +338,7 @@
     server.refuseRequests();
     byte[] part = new byte[1 << 14];
     try (Socket socket = new Socket(HOST, port)) {
-      socket.getOutputStream().write(head(MAX_BODY_BYTES));
+      socket.getOutputStream().write(requestHead(MAX_BODY_BYTES));
       awaitCondition(() -> requestsRead.get() == 1 && server.inFlight() == 0);
       for (int sent = 0; sent < MAX_BODY_BYTES; sent += part.length) {
         socket.getOutputStream().write(part);
@@ -353,10 +353,10 @@
   @Test
   void answersPipelinedRequestLargerThanReadBuffer() throws Exception {
     try (Socket socket = new Socket(HOST, port)) {
-      BufferedReader reader = reader(socket);
+      final BufferedReader reader = reader(socket);
       String large = BODY.replace("hi", Strings.repeat("h", 20_000));
-      byte[] firstHead = head(BODY.length());
-      byte[] secondHead = head(large.length());
+      byte[] firstHead = requestHead(BODY.length());
+      byte[] secondHead = requestHead(large.length());
       byte[] all = new byte[firstHead.length + BODY.length() + secondHead.length + large.length()];
       System.arraycopy(firstHead, 0, all, 0, firstHead.length);
       System.arraycopy(BODY.getBytes(UTF_8), 0, all, firstHead.length, BODY.length());
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -200,7 +200,7 @@
 
   @Test
   void answersRequestsUntilItsConnectionsAreClosed() throws Exception {
-    List<CompletableFuture<List<String>>> callers =
+    final List<CompletableFuture<List<String>>> callers =
         IntStream.range(0, CALLER_COUNT)
             .mapToObj(
                 i ->
