--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -238,7 +238,7 @@
     awaitCondition(() -> status(others.getListen().getReadiness(), "/api/readiness") == 200);
     HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
     try (Socket socket = new Socket(address.getHost(), address.getPort())) {
-      CompletableFuture<String> status =
+      final CompletableFuture<String> status =
           CompletableFuture.supplyAsync(
               () -> {
                 try {
