Core of the quarantine of prompt parts that crash endpoints

Requests with one poisonous part crash endpoint after endpoint, since each node sees only its own share of the crashes and repeats the request. The new package keeps, per service and part, the crashes since the last success at two judging nodes, announces verdicts to all nodes and lets a single trial through from time to time.

Not wired into the request flow yet; compiled, not tested.

--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
@@ -0,0 +1,139 @@
+package org.currantslip.core.quarantine;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.currantslip.core.common.Clock;
+import org.currantslip.schema.PartVerdict;
+
+/** The verdicts on parts that this node knows. */
+final class PartVerdicts {
+  private static final int MAX_VERDICTS = 512;
+
+  /** Time from a verdict to the first trial, and from each failed trial to the next one. */
+  private static final long[] TRIAL_DELAY_MS = {20_000, 300_000, 3_600_000, 86_400_000};
+
+  private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
+  private static final long MAX_LIFTED_MS = 3_600_000;
+
+  /** Bound on the error of ages, which do not include the time of the message on its way. */
+  private static final long AGE_ERROR_MS = 1_000;
+
+  private final Clock clock;
+  private final Map<PartKey, Verdict> verdicts = RecentMap.ofSize(MAX_VERDICTS);
+
+  private PartVerdicts(Clock clock) {
+    this.clock = clock;
+  }
+
+  static PartVerdicts create(Clock clock) {
+    return new PartVerdicts(clock);
+  }
+
+  boolean isQuarantined(PartKey key) {
+    return find(key).filter(Verdict::quarantined).isPresent();
+  }
+
+  /** Returns the time until the next trial of a quarantined part; zero if it is due. */
+  long untilTrialMs(PartKey key) {
+    return find(key)
+        .filter(Verdict::quarantined)
+        .map(v -> Math.max(0, v.trialMs() - clock.nowMs()))
+        .orElse(0L);
+  }
+
+  /** Returns the time at which the newest verdict on the part was reached, if there is one. */
+  Optional<Long> reachedMs(PartKey key) {
+    return find(key).map(Verdict::reachedMs);
+  }
+
+  /** Quarantines a part. */
+  PartVerdict quarantine(PartKey key) {
+    return put(key, new Verdict(true, clock.nowMs(), 0));
+  }
+
+  /** Records a trial, which counts as failed unless the verdict is lifted. */
+  PartVerdict startTrial(PartKey key) {
+    int failedTrials = find(key).map(Verdict::failedTrials).orElse(0);
+    return put(key, new Verdict(true, clock.nowMs(), failedTrials + 1));
+  }
+
+  /** Ends the quarantine of a part. */
+  PartVerdict lift(PartKey key) {
+    return put(key, new Verdict(false, clock.nowMs(), 0));
+  }
+
+  /** Returns the current verdict as a message. */
+  Optional<PartVerdict> message(PartKey key) {
+    return find(key).map(v -> v.toMessage(key, clock.nowMs()));
+  }
+
+  /** Adds a verdict of another node; returns whether it is in force and changes something. */
+  boolean merge(PartVerdict message) {
+    PartKey key = new PartKey(message.getService(), message.getPart());
+    Verdict received =
+        new Verdict(
+            message.getQuarantined(),
+            clock.nowMs() - message.getAgeMs(),
+            message.getFailedTrials());
+    Verdict known = find(key).orElse(null);
+    if (known != null && !received.supersedes(known)) {
+      return false;
+    }
+    verdicts.put(key, received);
+    return true;
+  }
+
+  /** Returns all verdicts as messages. */
+  Stream<PartVerdict> messages() {
+    long nowMs = clock.nowMs();
+    return verdicts.entrySet().stream().map(e -> e.getValue().toMessage(e.getKey(), nowMs));
+  }
+
+  /** Removes verdicts that are out of date. */
+  void expire() {
+    long nowMs = clock.nowMs();
+    verdicts.values().removeIf(v -> v.isExpired(nowMs));
+  }
+
+  private PartVerdict put(PartKey key, Verdict verdict) {
+    verdicts.put(key, verdict);
+    return verdict.toMessage(key, clock.nowMs());
+  }
+
+  private Optional<Verdict> find(PartKey key) {
+    return Optional.ofNullable(verdicts.get(key));
+  }
+
+  private record Verdict(boolean quarantined, long reachedMs, int failedTrials) {
+    private long trialMs() {
+      return reachedMs + TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+    }
+
+    private boolean supersedes(Verdict known) {
+      if (quarantined && known.quarantined) {
+        return failedTrials > known.failedTrials;
+      }
+      if (quarantined != known.quarantined) {
+        return quarantined
+            ? reachedMs > known.reachedMs + AGE_ERROR_MS
+            : reachedMs + AGE_ERROR_MS > known.reachedMs;
+      }
+      return false;
+    }
+
+    private boolean isExpired(long nowMs) {
+      return nowMs - reachedMs >= (quarantined ? MAX_QUARANTINE_MS : MAX_LIFTED_MS);
+    }
+
+    private PartVerdict toMessage(PartKey key, long nowMs) {
+      return PartVerdict.newBuilder()
+          .setService(key.service())
+          .setPart(key.part())
+          .setQuarantined(quarantined)
+          .setAgeMs(Math.max(0, nowMs - reachedMs))
+          .setFailedTrials(failedTrials)
+          .build();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -0,0 +1,364 @@
+package org.currantslip.core.quarantine;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.currantslip.core.common.Clock;
+import org.currantslip.core.route.PromptPart;
+import org.currantslip.schema.EndpointCrash;
+import org.currantslip.schema.PartSuccess;
+import org.currantslip.schema.PartVerdict;
+import org.currantslip.schema.QuarantineUpdate;
+import org.currantslip.schema.SuspectPart;
+
+/**
+ * Finds prompt parts under which endpoints crash, and keeps requests with such a part from being
+ * sent to further endpoints.
+ *
+ * <p>Each node reports the crashes it sees to the judges of the suspected parts. A judge that finds
+ * that a part makes endpoints crash announces this to all nodes. The first judge lets a single
+ * request through from time to time, and its success ends the quarantine.
+ *
+ * <p>Not thread-safe; confined to the decision thread.
+ */
+public final class PromptQuarantine {
+  private static final int MAX_SUCCESSES = 16_384;
+  private static final int MAX_REPORTED = 4_096;
+  private static final int MAX_SUSPECTS = 256;
+
+  /** Crashes under a part after which a request with it is not repeated. */
+  private static final int MAX_CRASHES_TO_REPEAT = 2;
+
+  /** Endpoints that one request may see crash. */
+  private static final int MAX_CRASHES_PER_REQUEST = 2;
+
+  private static final long MIN_RETRY_AFTER_MS = 1_000;
+  private static final long MIN_SUCCESS_INTERVAL_MS = 300;
+
+  private final Clock clock;
+  private final QuarantinePeers peers;
+  private final CrashDetector detector;
+  private final PartEvidence ownEvidence = PartEvidence.create();
+  private final PartEvidence judgedEvidence = PartEvidence.create();
+  private final PartVerdicts verdicts;
+  private final Map<PartKey, Long> successMs = RecentMap.ofSize(MAX_SUCCESSES);
+  private final Map<PartKey, Long> reportedMs = RecentMap.ofSize(MAX_REPORTED);
+  private final Map<PartKey, Long> successSentMs = RecentMap.ofSize(MAX_REPORTED);
+  private final Resends<Crash> crashResends;
+  private final Resends<PartKey> successResends;
+  private final Resends<PartKey> verdictResends;
+  private Consumer<PartVerdict> verdictListener = verdict -> {};
+
+  private PromptQuarantine(Clock clock, QuarantinePeers peers) {
+    this.clock = clock;
+    this.peers = peers;
+    detector = CrashDetector.create(clock);
+    verdicts = PartVerdicts.create(clock);
+    crashResends = Resends.create(clock);
+    successResends = Resends.create(clock);
+    verdictResends = Resends.create(clock);
+  }
+
+  /** Creates a quarantine without any evidence. */
+  public static PromptQuarantine create(Clock clock, QuarantinePeers peers) {
+    return new PromptQuarantine(clock, peers);
+  }
+
+  /** Sets the listener for the verdicts that this node reaches or lifts. */
+  public void setVerdictListener(Consumer<PartVerdict> listener) {
+    verdictListener = listener;
+  }
+
+  /**
+   * Returns whether a request may be sent now. To be asked before each sending, right before {@link
+   * #onSent}.
+   */
+  public Admission check(String service, List<PromptPart> prompt) {
+    List<PartKey> quarantined =
+        PartKey.sharedParts(service, prompt).filter(verdicts::isQuarantined).toList();
+    if (quarantined.isEmpty()) {
+      return Admission.send();
+    }
+    long untilTrialMs = quarantined.stream().mapToLong(verdicts::untilTrialMs).max().orElse(0);
+    return untilTrialMs == 0 && quarantined.stream().allMatch(this::runsTrials)
+        ? Admission.sendAsTrial()
+        : Admission.refuse(Math.max(MIN_RETRY_AFTER_MS, untilTrialMs));
+  }
+
+  private boolean runsTrials(PartKey key) {
+    List<String> judges = peers.judges(key.service(), key.part());
+    return !judges.isEmpty() && judges.get(0).equals(peers.self());
+  }
+
+  /** Records that a request is sent to an endpoint. */
+  public PromptCall onSent(String service, List<PromptPart> prompt, EndpointInstance endpoint) {
+    List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
+    PromptCall call = PromptCall.of(endpoint, parts, clock.nowMs());
+    detector.onSent(call);
+    parts.stream()
+        .filter(verdicts::isQuarantined)
+        .filter(key -> verdicts.untilTrialMs(key) == 0)
+        .forEach(key -> announce(key, verdicts.startTrial(key)));
+    return call;
+  }
+
+  /**
+   * Records progress beyond the first event of a response: each further event, or its complete and
+   * successful end.
+   */
+  public void onProgress(PromptCall call) {
+    detector.onProgress(call);
+    if (!call.progressed()) {
+      call.markProgressed();
+      call.parts().forEach(this::onSuccess);
+    }
+  }
+
+  private void onSuccess(PartKey key) {
+    long nowMs = clock.nowMs();
+    successMs.put(key, nowMs);
+    ownEvidence.addSuccess(key, nowMs);
+    boolean awaited = reportedMs.remove(key) != null || verdicts.isQuarantined(key);
+    if (awaited && isSuccessDue(key, nowMs)) {
+      successSentMs.put(key, nowMs);
+      sendSuccess(key);
+      successResends.add(key);
+    }
+  }
+
+  private boolean isSuccessDue(PartKey key, long nowMs) {
+    Long sentMs = successSentMs.get(key);
+    return sentMs == null || nowMs - sentMs >= MIN_SUCCESS_INTERVAL_MS;
+  }
+
+  /**
+   * Records that the connection of a call broke before its response was complete, for no known
+   * reason.
+   */
+  public void onBroken(PromptCall call) {
+    detector.onBroken(call);
+  }
+
+  /**
+   * Records any other end of a call that says nothing about its prompt, such as a response, a
+   * refusal, or a connection that broke because the endpoint left as planned.
+   */
+  public void onEnded(PromptCall call) {
+    detector.onEnded(call);
+  }
+
+  /** Records that the router gave up a call, on which the endpoint may still be at work. */
+  public void onAbandoned(PromptCall call) {
+    detector.onAbandoned(call);
+  }
+
+  /**
+   * Returns whether a request may be sent again after a call of it broke without progress.
+   *
+   * @param crashes number of calls of this request that broke without progress
+   */
+  public boolean mayRepeat(String service, List<PromptPart> prompt, int crashes) {
+    Predicate<PartKey> suspected =
+        key -> verdicts.isQuarantined(key) || ownEvidence.crashes(key) >= MAX_CRASHES_TO_REPEAT;
+    return crashes < MAX_CRASHES_PER_REQUEST
+        && PartKey.sharedParts(service, prompt).noneMatch(suspected);
+  }
+
+  /** Handles a message of another node. */
+  public void onUpdate(String fromNode, QuarantineUpdate update) {
+    long nowMs = clock.nowMs();
+    update
+        .getSuccessList()
+        .forEach(s -> judgeSuccess(new PartKey(s.getService(), s.getPart()), nowMs - s.getAgeMs()));
+    update.getCrashList().forEach(crash -> judgeCrash(crash, nowMs));
+    update.getVerdictList().forEach(verdict -> onVerdict(fromNode, verdict));
+  }
+
+  private void judgeCrash(EndpointCrash crash, long nowMs) {
+    EndpointInstance endpoint =
+        new EndpointInstance(crash.getEndpoint(), crash.getEndpointStartedMs());
+    crash
+        .getPartList()
+        .forEach(
+            part -> {
+              PartKey key = new PartKey(crash.getService(), part.getId());
+              judgedEvidence.addCrash(
+                  key, endpoint, nowMs - crash.getAgeMs(), nowMs - part.getSentAgeMs());
+              judge(key);
+            });
+  }
+
+  private void judge(PartKey key) {
+    Long ownSuccessMs = successMs.get(key);
+    if (ownSuccessMs != null) {
+      judgedEvidence.addSuccess(key, ownSuccessMs);
+    }
+    if (!verdicts.isQuarantined(key) && judgedEvidence.isConvicted(key)) {
+      announce(key, verdicts.quarantine(key));
+    }
+  }
+
+  private void judgeSuccess(PartKey key, long succeededMs) {
+    boolean convicted = judgedEvidence.isConvicted(key);
+    judgedEvidence.addSuccess(key, succeededMs);
+    boolean cleared = convicted && !judgedEvidence.isConvicted(key);
+    boolean laterThanVerdict =
+        verdicts.reachedMs(key).filter(reachedMs -> succeededMs > reachedMs).isPresent();
+    if (verdicts.isQuarantined(key) && (cleared || laterThanVerdict)) {
+      announce(key, verdicts.lift(key));
+    }
+  }
+
+  private void onVerdict(String fromNode, PartVerdict verdict) {
+    PartKey key = new PartKey(verdict.getService(), verdict.getPart());
+    if (verdicts.merge(verdict)) {
+      if (!verdict.getQuarantined()) {
+        clear(key);
+      } else if (successMs.containsKey(key)) {
+        sendSuccess(key);
+        successResends.add(key);
+      }
+    } else if (verdict.getQuarantined() && !verdicts.isQuarantined(key)) {
+      verdicts
+          .message(key)
+          .ifPresent(lifted -> peers.send(fromNode, update().addVerdict(lifted).build()));
+    }
+  }
+
+  private void clear(PartKey key) {
+    verdicts
+        .reachedMs(key)
+        .ifPresent(
+            liftedMs -> {
+              judgedEvidence.addSuccess(key, liftedMs);
+              ownEvidence.addSuccess(key, liftedMs);
+            });
+  }
+
+  /** Returns the verdicts for a node to which the link was opened. */
+  public QuarantineUpdate snapshot() {
+    return update().addAllVerdict(verdicts.messages().toList()).build();
+  }
+
+  /** Reports crashes and sends messages again. To be called every few hundredths of a second. */
+  public void tick() {
+    detector.poll().forEach(this::report);
+    crashResends.poll().forEach(this::sendCrash);
+    successResends.poll().forEach(this::sendSuccess);
+    verdictResends
+        .poll()
+        .forEach(
+            key ->
+                verdicts
+                    .message(key)
+                    .ifPresent(v -> peers.sendToAll(update().addVerdict(v).build())));
+    verdicts.expire();
+  }
+
+  private void report(Crash crash) {
+    Crash reported = crash.keep(suspectsToReport(crash));
+    reported
+        .suspects()
+        .forEach(
+            (key, sentMs) -> {
+              ownEvidence.addCrash(key, crash.endpoint(), crash.crashedMs(), sentMs);
+              reportedMs.put(key, clock.nowMs());
+            });
+    sendCrash(reported);
+    crashResends.add(reported);
+  }
+
+  /**
+   * Returns the parts to report. Those that were never answered come first; the others are left out
+   * if a quarantined part explains the crash.
+   */
+  private List<PartKey> suspectsToReport(Crash crash) {
+    boolean explained = crash.suspects().keySet().stream().anyMatch(verdicts::isQuarantined);
+    return crash.suspects().keySet().stream()
+        .filter(key -> !explained || !successMs.containsKey(key))
+        .sorted(Comparator.comparing(successMs::containsKey))
+        .limit(MAX_SUSPECTS)
+        .toList();
+  }
+
+  private void sendCrash(Crash crash) {
+    long nowMs = clock.nowMs();
+    Map<String, QuarantineUpdate.Builder> updates = new HashMap<>();
+    crash
+        .suspects()
+        .forEach(
+            (key, sentMs) ->
+                peers
+                    .judges(key.service(), key.part())
+                    .forEach(
+                        judge ->
+                            addSuspect(
+                                updates.computeIfAbsent(judge, j -> update()), crash, key, nowMs)));
+    updates.forEach((judge, update) -> sendToJudge(judge, update.build()));
+  }
+
+  private void addSuspect(QuarantineUpdate.Builder update, Crash crash, PartKey key, long nowMs) {
+    EndpointCrash.Builder message = crashBuilder(update, crash, key.service(), nowMs);
+    message.addPart(
+        SuspectPart.newBuilder()
+            .setId(key.part())
+            .setSentAgeMs(Math.max(0, nowMs - crash.sentMs(key))));
+    addSuccess(update, key, nowMs);
+  }
+
+  private static EndpointCrash.Builder crashBuilder(
+      QuarantineUpdate.Builder update, Crash crash, String service, long nowMs) {
+    return update.getCrashBuilderList().stream()
+        .filter(c -> c.getService().equals(service))
+        .findFirst()
+        .orElseGet(
+            () ->
+                update
+                    .addCrashBuilder()
+                    .setService(service)
+                    .setEndpoint(crash.endpoint().id())
+                    .setEndpointStartedMs(crash.endpoint().startedMs())
+                    .setAgeMs(Math.max(0, nowMs - crash.crashedMs())));
+  }
+
+  private void sendSuccess(PartKey key) {
+    QuarantineUpdate.Builder update = update();
+    addSuccess(update, key, clock.nowMs());
+    peers.judges(key.service(), key.part()).forEach(judge -> sendToJudge(judge, update.build()));
+  }
+
+  private void addSuccess(QuarantineUpdate.Builder update, PartKey key, long nowMs) {
+    Long succeededMs = successMs.get(key);
+    if (succeededMs != null) {
+      update.addSuccess(
+          PartSuccess.newBuilder()
+              .setService(key.service())
+              .setPart(key.part())
+              .setAgeMs(Math.max(0, nowMs - succeededMs)));
+    }
+  }
+
+  private void sendToJudge(String judge, QuarantineUpdate update) {
+    if (judge.equals(peers.self())) {
+      onUpdate(judge, update);
+    } else {
+      peers.send(judge, update);
+    }
+  }
+
+  private void announce(PartKey key, PartVerdict verdict) {
+    if (!verdict.getQuarantined()) {
+      clear(key);
+    }
+    peers.sendToAll(update().addVerdict(verdict).build());
+    verdictResends.add(key);
+    verdictListener.accept(verdict);
+  }
+
+  private static QuarantineUpdate.Builder update() {
+    return QuarantineUpdate.newBuilder();
+  }
+}
