Trials of quarantined parts on any node, and crashes explained by a verdict

A trial that only the first judge may run never comes for a part that is seldom asked for there. The set of nodes that may run it doubles every 5 s.

A part that was answered before is not convicted of crashes under which a part without any success was convicted, since small pools that crash all the time give sound parts no success.

--- a/core/src/main/java/org/currantslip/core/quarantine/RendezvousJudges.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/NodeRanking.java
@@ -6,18 +6,15 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** Selects the nodes that judge a part by rendezvous hashing. */
-public final class RendezvousJudges {
-  private static final int JUDGES = 2;
+/** Ranks nodes for a part by rendezvous hashing. */
+public final class NodeRanking {
+  private NodeRanking() {}
 
-  private RendezvousJudges() {}
-
-  /** Returns the judges of a part among these nodes, the one that runs trials first. */
-  public static List<String> select(String service, String part, Collection<String> nodes) {
+  /** Returns these nodes in the order of a part. */
+  public static List<String> rank(String service, String part, Collection<String> nodes) {
     return nodes.stream()
         .map(node -> new Ranked(node, score(service, part, node)))
         .sorted(Comparator.comparingLong(Ranked::score).thenComparing(Ranked::node))
-        .limit(JUDGES)
         .map(Ranked::node)
         .toList();
   }
--- a/core/src/main/java/org/currantslip/core/quarantine/PartEvidence.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartEvidence.java
@@ -9,11 +9,13 @@
  * Counts the crashes of endpoints under each part since its last success.
  *
  * <p>Endpoints that crash at the same moment may have a common cause, so their crashes count once,
- * unless there are many of them or the part was sent again after the crash before.
+ * unless there are many of them or the part was sent again after the crash before. A part that was
+ * answered before is not convicted of crashes that the conviction of another part explains.
  */
 final class PartEvidence {
   private static final int MAX_PARTS = 4_096;
   private static final int MAX_CRASHES = 16;
+  private static final int MAX_EXPLAINED = 1_024;
 
   /** Crashes at distinct times after which a part is convicted. */
   private static final int SERIAL_CRASHES = 3;
@@ -29,9 +31,11 @@
   /** Minimum time between two crashes of an endpoint whose start is not known exactly. */
   private static final long RESTART_MS = 3_000;
 
+  private static final long MAX_AGE_MS = 86_400_000;
   private static final long NEVER = Long.MIN_VALUE;
 
   private final Map<PartKey, Streak> streaks = RecentMap.ofSize(MAX_PARTS);
+  private final Map<EndpointInstance, Long> explainedMs = RecentMap.ofSize(MAX_EXPLAINED);
 
   private PartEvidence() {}
 
@@ -41,7 +45,17 @@
 
   /** Records that an endpoint crashed while it had a request with this part. */
   void addCrash(PartKey key, EndpointInstance endpoint, long crashedMs, long sentMs) {
-    streaks.computeIfAbsent(key, k -> new Streak()).add(endpoint, crashedMs, sentMs);
+    streaks.computeIfAbsent(key, k -> new Streak()).add(new Sighting(endpoint, crashedMs, sentMs));
+  }
+
+  /** Records that a convicted part is the cause of a crash. */
+  void addExplained(EndpointInstance endpoint, long crashedMs) {
+    explainedMs.put(endpoint, crashedMs);
+  }
+
+  private boolean isExplained(Sighting sighting) {
+    Long crashedMs = explainedMs.get(sighting.endpoint());
+    return crashedMs != null && Math.abs(crashedMs - sighting.crashedMs()) < RESTART_MS;
   }
 
   /** Records that a request with this part was answered. */
@@ -52,15 +66,46 @@
   /** Returns whether the part makes endpoints crash. */
   boolean isConvicted(PartKey key) {
     Streak streak = streaks.get(key);
-    return streak != null && streak.isConvicted();
+    if (streak == null) {
+      return false;
+    }
+    return streak.lastSuccessMs == NEVER
+        ? streak.sightings.size() >= CRASHES || serialCrashes(streak.sightings) >= SERIAL_CRASHES
+        : serialCrashes(streak.sightings.stream().filter(s -> !isExplained(s)).toList())
+            >= SERIAL_CRASHES_AFTER_SUCCESS;
+  }
+
+  /** Counts the crashes that cannot have a common cause other than the part. */
+  private static int serialCrashes(List<Sighting> sightings) {
+    int count = 0;
+    long lastCountedMs = NEVER;
+    for (Sighting s : sightings) {
+      if (count == 0
+          || s.crashedMs() - lastCountedMs >= DISTINCT_MS
+          || s.sentMs() > lastCountedMs) {
+        count++;
+        lastCountedMs = s.crashedMs();
+      }
+    }
+    return count;
   }
 
   /** Returns the number of endpoints that crashed under the part since its last success. */
-  int crashes(PartKey key) {
+  int crashCount(PartKey key) {
     Streak streak = streaks.get(key);
     return streak == null ? 0 : streak.sightings.size();
   }
 
+  /** Returns the crashes that a convicted part explains. */
+  List<Crash> explainedCrashes(PartKey key) {
+    Streak streak = streaks.get(key);
+    return streak == null || streak.lastSuccessMs != NEVER
+        ? List.of()
+        : streak.sightings.stream()
+            .map(s -> new Crash(s.endpoint(), s.crashedMs(), Map.of()))
+            .toList();
+  }
+
   private record Sighting(EndpointInstance endpoint, long crashedMs, long sentMs) {
     private boolean isSameCrash(Sighting other) {
       return endpoint.equals(other.endpoint) && Math.abs(crashedMs - other.crashedMs) < RESTART_MS;
@@ -72,16 +117,16 @@
     }
   }
 
-  /** Crashes under one part since its last success. */
+  /** Crashes under one part since its last success, in order of time. */
   private static final class Streak {
     private final List<Sighting> sightings = new ArrayList<>();
     private long lastSuccessMs = NEVER;
 
-    private void add(EndpointInstance endpoint, long crashedMs, long sentMs) {
-      if (crashedMs <= lastSuccessMs) {
+    private void add(Sighting added) {
+      if (added.crashedMs() <= lastSuccessMs) {
         return;
       }
-      Sighting added = new Sighting(endpoint, crashedMs, sentMs);
+      sightings.removeIf(s -> added.crashedMs() - s.crashedMs() >= MAX_AGE_MS);
       for (int i = 0; i < sightings.size(); i++) {
         if (sightings.get(i).isSameCrash(added)) {
           sightings.set(i, sightings.get(i).merge(added));
@@ -90,6 +135,7 @@
       }
       if (sightings.size() < MAX_CRASHES) {
         sightings.add(added);
+        sightings.sort(Comparator.comparingLong(Sighting::crashedMs));
       }
     }
 
@@ -97,27 +143,5 @@
       lastSuccessMs = Math.max(lastSuccessMs, succeededMs);
       sightings.removeIf(s -> s.crashedMs() <= succeededMs);
     }
-
-    private boolean isConvicted() {
-      int serialCrashes = serialCrashes();
-      return lastSuccessMs == NEVER
-          ? serialCrashes >= SERIAL_CRASHES || sightings.size() >= CRASHES
-          : serialCrashes >= SERIAL_CRASHES_AFTER_SUCCESS;
-    }
-
-    private int serialCrashes() {
-      sightings.sort(Comparator.comparingLong(Sighting::crashedMs));
-      int count = 0;
-      long lastCountedMs = NEVER;
-      for (Sighting s : sightings) {
-        if (count == 0
-            || s.crashedMs() - lastCountedMs >= DISTINCT_MS
-            || s.sentMs() > lastCountedMs) {
-          count++;
-          lastCountedMs = s.crashedMs();
-        }
-      }
-      return count;
-    }
   }
 }
--- a/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.quarantine;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -10,8 +11,11 @@
 final class PartVerdicts {
   private static final int MAX_VERDICTS = 512;
 
-  /** Time from a verdict to the first trial, and from each failed trial to the next one. */
-  private static final long[] TRIAL_DELAY_MS = {20_000, 300_000, 3_600_000, 86_400_000};
+  /**
+   * Time from a verdict to the first trial, and from each failed trial to the next one. Up to half
+   * of it is added, so that the trials of parts with the same crashes do not coincide.
+   */
+  private static final long[] TRIAL_DELAY_MS = {10_000, 15_000, 600_000, 86_400_000};
 
   private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
   private static final long MAX_LIFTED_MS = 3_600_000;
@@ -34,12 +38,9 @@
     return find(key).filter(Verdict::quarantined).isPresent();
   }
 
-  /** Returns the time until the next trial of a quarantined part; zero if it is due. */
+  /** Returns the time until the next trial of a quarantined part; negative once it is due. */
   long untilTrialMs(PartKey key) {
-    return find(key)
-        .filter(Verdict::quarantined)
-        .map(v -> Math.max(0, v.trialMs() - clock.nowMs()))
-        .orElse(0L);
+    return find(key).map(v -> v.trialMs(key) - clock.nowMs()).orElse(0L);
   }
 
   /** Returns the time at which the newest verdict on the part was reached, if there is one. */
@@ -47,6 +48,14 @@
     return find(key).map(Verdict::reachedMs);
   }
 
+  /** Returns the quarantined parts. */
+  List<PartKey> quarantined() {
+    return verdicts.entrySet().stream()
+        .filter(e -> e.getValue().quarantined())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Quarantines a part. */
   PartVerdict quarantine(PartKey key) {
     return put(key, new Verdict(true, clock.nowMs(), 0));
@@ -106,8 +115,9 @@
   }
 
   private record Verdict(boolean quarantined, long reachedMs, int failedTrials) {
-    private long trialMs() {
-      return reachedMs + TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+    private long trialMs(PartKey key) {
+      long delayMs = TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+      return reachedMs + delayMs + Math.floorMod(key.part().hashCode(), delayMs / 2);
     }
 
     private boolean supersedes(Verdict known) {
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -19,8 +19,8 @@
  * sent to further endpoints.
  *
  * <p>Each node reports the crashes it sees to the judges of the suspected parts. A judge that finds
- * that a part makes endpoints crash announces this to all nodes. The first judge lets a single
- * request through from time to time, and its success ends the quarantine.
+ * that a part makes endpoints crash announces this to all nodes. From time to time a single request
+ * is let through, and its success ends the quarantine.
  *
  * <p>Not thread-safe; confined to the decision thread.
  */
@@ -29,6 +29,13 @@
   private static final int MAX_REPORTED = 4_096;
   private static final int MAX_SUSPECTS = 256;
 
+  private static final int JUDGES = 2;
+
+  /** Time after which a trial that is due may run on twice as many nodes. */
+  private static final long TRIAL_DOUBLING_MS = 5_000;
+
+  private static final long MAX_TRIAL_DOUBLINGS = 30;
+
   /** Crashes under a part after which a request with it is not repeated. */
   private static final int MAX_CRASHES_TO_REPEAT = 2;
 
@@ -83,14 +90,25 @@
       return Admission.send();
     }
     long untilTrialMs = quarantined.stream().mapToLong(verdicts::untilTrialMs).max().orElse(0);
-    return untilTrialMs == 0 && quarantined.stream().allMatch(this::runsTrials)
+    return untilTrialMs <= 0 && quarantined.size() == 1 && mayRunTrial(quarantined.get(0))
         ? Admission.sendAsTrial()
         : Admission.refuse(Math.max(MIN_RETRY_AFTER_MS, untilTrialMs));
   }
 
-  private boolean runsTrials(PartKey key) {
-    List<String> judges = peers.judges(key.service(), key.part());
-    return !judges.isEmpty() && judges.get(0).equals(peers.self());
+  /**
+   * Returns whether a trial that is due may run on this node: on the first judge, and on more and
+   * more nodes if none of these gets a request with the part.
+   */
+  private boolean mayRunTrial(PartKey key) {
+    long overdueMs = -verdicts.untilTrialMs(key);
+    long doublings = Math.min(MAX_TRIAL_DOUBLINGS, overdueMs / TRIAL_DOUBLING_MS);
+    return peers.rankedNodes(key.service(), key.part()).stream()
+        .limit(1L << doublings)
+        .anyMatch(peers.self()::equals);
+  }
+
+  private List<String> judges(PartKey key) {
+    return peers.rankedNodes(key.service(), key.part()).stream().limit(JUDGES).toList();
   }
 
   /** Records that a request is sent to an endpoint. */
@@ -100,7 +118,7 @@
     detector.onSent(call);
     parts.stream()
         .filter(verdicts::isQuarantined)
-        .filter(key -> verdicts.untilTrialMs(key) == 0)
+        .filter(key -> verdicts.untilTrialMs(key) <= 0)
         .forEach(key -> announce(key, verdicts.startTrial(key)));
     return call;
   }
@@ -162,7 +180,7 @@
    */
   public boolean mayRepeat(String service, List<PromptPart> prompt, int crashes) {
     Predicate<PartKey> suspected =
-        key -> verdicts.isQuarantined(key) || ownEvidence.crashes(key) >= MAX_CRASHES_TO_REPEAT;
+        key -> verdicts.isQuarantined(key) || ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
     return crashes < MAX_CRASHES_PER_REQUEST
         && PartKey.sharedParts(service, prompt).noneMatch(suspected);
   }
@@ -173,10 +191,31 @@
     update
         .getSuccessList()
         .forEach(s -> judgeSuccess(new PartKey(s.getService(), s.getPart()), nowMs - s.getAgeMs()));
-    update.getCrashList().forEach(crash -> judgeCrash(crash, nowMs));
+    update.getCrashList().stream()
+        .filter(crash -> crash.getPartCount() > 0)
+        .forEach(crash -> judgeCrash(crash, nowMs));
+    onExplained(
+        update.getCrashList().stream().filter(crash -> crash.getPartCount() == 0).toList(), nowMs);
     update.getVerdictList().forEach(verdict -> onVerdict(fromNode, verdict));
   }
 
+  /** Lifts the verdicts of this node that do not hold since other parts explain the crashes. */
+  private void onExplained(List<EndpointCrash> crashes, long nowMs) {
+    if (crashes.isEmpty()) {
+      return;
+    }
+    List<PartKey> convicted =
+        verdicts.quarantined().stream().filter(judgedEvidence::isConvicted).toList();
+    crashes.forEach(
+        c ->
+            judgedEvidence.addExplained(
+                new EndpointInstance(c.getEndpoint(), c.getEndpointStartedMs()),
+                nowMs - c.getAgeMs()));
+    convicted.stream()
+        .filter(key -> !judgedEvidence.isConvicted(key))
+        .forEach(key -> announce(key, verdicts.lift(key)));
+  }
+
   private void judgeCrash(EndpointCrash crash, long nowMs) {
     EndpointInstance endpoint =
         new EndpointInstance(crash.getEndpoint(), crash.getEndpointStartedMs());
@@ -248,13 +287,7 @@
     detector.poll().forEach(this::report);
     crashResends.poll().forEach(this::sendCrash);
     successResends.poll().forEach(this::sendSuccess);
-    verdictResends
-        .poll()
-        .forEach(
-            key ->
-                verdicts
-                    .message(key)
-                    .ifPresent(v -> peers.sendToAll(update().addVerdict(v).build())));
+    verdictResends.poll().forEach(key -> verdicts.message(key).ifPresent(this::sendVerdict));
     verdicts.expire();
   }
 
@@ -291,8 +324,7 @@
         .suspects()
         .forEach(
             (key, sentMs) ->
-                peers
-                    .judges(key.service(), key.part())
+                judges(key)
                     .forEach(
                         judge ->
                             addSuspect(
@@ -301,33 +333,30 @@
   }
 
   private void addSuspect(QuarantineUpdate.Builder update, Crash crash, PartKey key, long nowMs) {
-    EndpointCrash.Builder message = crashBuilder(update, crash, key.service(), nowMs);
-    message.addPart(
-        SuspectPart.newBuilder()
-            .setId(key.part())
-            .setSentAgeMs(Math.max(0, nowMs - crash.sentMs(key))));
+    update.getCrashBuilderList().stream()
+        .filter(c -> c.getService().equals(key.service()))
+        .findFirst()
+        .orElseGet(() -> update.addCrashBuilder().mergeFrom(message(crash, key.service(), nowMs)))
+        .addPart(
+            SuspectPart.newBuilder()
+                .setId(key.part())
+                .setSentAgeMs(Math.max(0, nowMs - crash.sentMs(key))));
     addSuccess(update, key, nowMs);
   }
 
-  private static EndpointCrash.Builder crashBuilder(
-      QuarantineUpdate.Builder update, Crash crash, String service, long nowMs) {
-    return update.getCrashBuilderList().stream()
-        .filter(c -> c.getService().equals(service))
-        .findFirst()
-        .orElseGet(
-            () ->
-                update
-                    .addCrashBuilder()
-                    .setService(service)
-                    .setEndpoint(crash.endpoint().id())
-                    .setEndpointStartedMs(crash.endpoint().startedMs())
-                    .setAgeMs(Math.max(0, nowMs - crash.crashedMs())));
+  private static EndpointCrash message(Crash crash, String service, long nowMs) {
+    return EndpointCrash.newBuilder()
+        .setService(service)
+        .setEndpoint(crash.endpoint().id())
+        .setEndpointStartedMs(crash.endpoint().startedMs())
+        .setAgeMs(Math.max(0, nowMs - crash.crashedMs()))
+        .build();
   }
 
   private void sendSuccess(PartKey key) {
     QuarantineUpdate.Builder update = update();
     addSuccess(update, key, clock.nowMs());
-    peers.judges(key.service(), key.part()).forEach(judge -> sendToJudge(judge, update.build()));
+    judges(key).forEach(judge -> sendToJudge(judge, update.build()));
   }
 
   private void addSuccess(QuarantineUpdate.Builder update, PartKey key, long nowMs) {
@@ -353,11 +382,25 @@
     if (!verdict.getQuarantined()) {
       clear(key);
     }
-    peers.sendToAll(update().addVerdict(verdict).build());
+    sendVerdict(verdict);
     verdictResends.add(key);
     verdictListener.accept(verdict);
   }
 
+  /** Sends a verdict, with the crashes that it explains, to all other nodes. */
+  private void sendVerdict(PartVerdict verdict) {
+    PartKey key = new PartKey(verdict.getService(), verdict.getPart());
+    long nowMs = clock.nowMs();
+    List<EndpointCrash> explained =
+        verdict.getQuarantined()
+            ? judgedEvidence.explainedCrashes(key).stream()
+                .map(crash -> message(crash, key.service(), nowMs))
+                .toList()
+            : List.of();
+    peers.sendToAll(update().addVerdict(verdict).addAllCrash(explained).build());
+    onExplained(explained, nowMs);
+  }
+
   private static QuarantineUpdate.Builder update() {
     return QuarantineUpdate.newBuilder();
   }
--- a/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
@@ -9,10 +9,10 @@
   String self();
 
   /**
-   * Returns the names of the live nodes that judge a part, the one that runs trials first. This
-   * node may be among them.
+   * Returns the names of all live nodes that serve requests, which may include this one, in the
+   * order of {@link NodeRanking}. The first ones judge the part.
    */
-  List<String> judges(String service, String part);
+  List<String> rankedNodes(String service, String part);
 
   /** Sends an update to one other node. */
   void send(String node, QuarantineUpdate update);
