--- a/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
@@ -15,8 +15,9 @@
    * Time from a verdict to the first trial, and from each failed trial to the next one. Up to half
    * of it is added, so that the trials of parts with the same crashes do not coincide.
    */
-  private static final long[] TRIAL_DELAY_MS = {10_000, 15_000, 600_000, 86_400_000};
+  private static final long[] TRIAL_DELAY_MS = {15_000, 30_000, 600_000, 86_400_000};
 
+  private static final long MAX_DOUBLINGS = 30;
   private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
   private static final long MAX_LIFTED_MS = 3_600_000;
 
@@ -43,6 +44,14 @@
     return find(key).map(v -> v.trialMs(key) - clock.nowMs()).orElse(0L);
   }
 
+  /**
+   * Returns how many nodes may run a trial: none before it is due, then one, and twice as many
+   * after each further delay in which none of these got a request with the part.
+   */
+  long trialNodes(PartKey key) {
+    return find(key).map(v -> v.trialNodes(key, clock.nowMs())).orElse(0L);
+  }
+
   /** Returns the time at which the newest verdict on the part was reached, if there is one. */
   Optional<Long> reachedMs(PartKey key) {
     return find(key).map(Verdict::reachedMs);
@@ -115,11 +124,20 @@
   }
 
   private record Verdict(boolean quarantined, long reachedMs, int failedTrials) {
+    private long trialDelayMs() {
+      return TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+    }
+
     private long trialMs(PartKey key) {
-      long delayMs = TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+      long delayMs = trialDelayMs();
       return reachedMs + delayMs + Math.floorMod(key.part().hashCode(), delayMs / 2);
     }
 
+    private long trialNodes(PartKey key, long nowMs) {
+      long overdueMs = nowMs - trialMs(key);
+      return overdueMs < 0 ? 0 : 1L << Math.min(MAX_DOUBLINGS, overdueMs / trialDelayMs());
+    }
+
     private boolean supersedes(Verdict known) {
       if (quarantined && known.quarantined) {
         return failedTrials > known.failedTrials;
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -31,11 +31,6 @@
 
   private static final int JUDGES = 2;
 
-  /** Time after which a trial that is due may run on twice as many nodes. */
-  private static final long TRIAL_DOUBLING_MS = 5_000;
-
-  private static final long MAX_TRIAL_DOUBLINGS = 30;
-
   /** Crashes under a part after which a request with it is not repeated. */
   private static final int MAX_CRASHES_TO_REPEAT = 2;
 
@@ -90,21 +85,17 @@
       return Admission.send();
     }
     long untilTrialMs = quarantined.stream().mapToLong(verdicts::untilTrialMs).max().orElse(0);
-    return untilTrialMs <= 0 && quarantined.size() == 1 && mayRunTrial(quarantined.get(0))
+    return quarantined.size() == 1 && mayRunTrial(quarantined.get(0))
         ? Admission.sendAsTrial()
         : Admission.refuse(Math.max(MIN_RETRY_AFTER_MS, untilTrialMs));
   }
 
-  /**
-   * Returns whether a trial that is due may run on this node: on the first judge, and on more and
-   * more nodes if none of these gets a request with the part.
-   */
   private boolean mayRunTrial(PartKey key) {
-    long overdueMs = -verdicts.untilTrialMs(key);
-    long doublings = Math.min(MAX_TRIAL_DOUBLINGS, overdueMs / TRIAL_DOUBLING_MS);
-    return peers.rankedNodes(key.service(), key.part()).stream()
-        .limit(1L << doublings)
-        .anyMatch(peers.self()::equals);
+    long trialNodes = verdicts.trialNodes(key);
+    return trialNodes > 0
+        && peers.rankedNodes(key.service(), key.part()).stream()
+            .limit(trialNodes)
+            .anyMatch(peers.self()::equals);
   }
 
   private List<String> judges(PartKey key) {
@@ -193,7 +184,7 @@
         .forEach(s -> judgeSuccess(new PartKey(s.getService(), s.getPart()), nowMs - s.getAgeMs()));
     update.getCrashList().stream()
         .filter(crash -> crash.getPartCount() > 0)
-        .forEach(crash -> judgeCrash(crash, nowMs));
+        .forEach(crash -> judgeCrash(fromNode, crash, nowMs));
     onExplained(
         update.getCrashList().stream().filter(crash -> crash.getPartCount() == 0).toList(), nowMs);
     update.getVerdictList().forEach(verdict -> onVerdict(fromNode, verdict));
@@ -216,7 +207,7 @@
         .forEach(key -> announce(key, verdicts.lift(key)));
   }
 
-  private void judgeCrash(EndpointCrash crash, long nowMs) {
+  private void judgeCrash(String fromNode, EndpointCrash crash, long nowMs) {
     EndpointInstance endpoint =
         new EndpointInstance(crash.getEndpoint(), crash.getEndpointStartedMs());
     crash
@@ -226,7 +217,11 @@
               PartKey key = new PartKey(crash.getService(), part.getId());
               judgedEvidence.addCrash(
                   key, endpoint, nowMs - crash.getAgeMs(), nowMs - part.getSentAgeMs());
-              judge(key);
+              if (verdicts.isQuarantined(key)) {
+                sendVerdictTo(fromNode, key);
+              } else {
+                judge(key);
+              }
             });
   }
 
@@ -235,7 +230,7 @@
     if (ownSuccessMs != null) {
       judgedEvidence.addSuccess(key, ownSuccessMs);
     }
-    if (!verdicts.isQuarantined(key) && judgedEvidence.isConvicted(key)) {
+    if (judgedEvidence.isConvicted(key)) {
       announce(key, verdicts.quarantine(key));
     }
   }
@@ -251,6 +246,7 @@
     }
   }
 
+  /** Merges a verdict; a judge passes on what it did not know. */
   private void onVerdict(String fromNode, PartVerdict verdict) {
     PartKey key = new PartKey(verdict.getService(), verdict.getPart());
     if (verdicts.merge(verdict)) {
@@ -260,10 +256,18 @@
         sendSuccess(key);
         successResends.add(key);
       }
+      if (judges(key).contains(peers.self())) {
+        verdicts.message(key).ifPresent(this::sendVerdict);
+        verdictResends.add(key);
+      }
     } else if (verdict.getQuarantined() && !verdicts.isQuarantined(key)) {
-      verdicts
-          .message(key)
-          .ifPresent(lifted -> peers.send(fromNode, update().addVerdict(lifted).build()));
+      sendVerdictTo(fromNode, key);
+    }
+  }
+
+  private void sendVerdictTo(String node, PartKey key) {
+    if (!node.equals(peers.self())) {
+      verdicts.message(key).ifPresent(v -> peers.send(node, update().addVerdict(v).build()));
     }
   }
 
