--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -28,7 +28,6 @@
   private static final int MAX_SUCCESSES = 16_384;
   private static final int MAX_REPORTED = 4_096;
   private static final int MAX_SUSPECTS = 256;
-
   private static final int JUDGES = 2;
 
   /** Crashes under a part after which a request with it is not repeated. */
@@ -102,7 +101,10 @@
     return peers.rankedNodes(key.service(), key.part()).stream().limit(JUDGES).toList();
   }
 
-  /** Records that a request is sent to an endpoint. */
+  /**
+   * Records that a request is sent to an endpoint. The call is to be ended by {@link #onBroken},
+   * {@link #onEnded} or {@link #onAbandoned}.
+   */
   public PromptCall onSent(String service, List<PromptPart> prompt, EndpointInstance endpoint) {
     List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
     PromptCall call = PromptCall.of(endpoint, parts, clock.nowMs());
@@ -129,7 +131,6 @@
   private void onSuccess(PartKey key) {
     long nowMs = clock.nowMs();
     successMs.put(key, nowMs);
-    ownEvidence.addSuccess(key, nowMs);
     boolean awaited = reportedMs.remove(key) != null || verdicts.isQuarantined(key);
     if (awaited && isSuccessDue(key, nowMs)) {
       successSentMs.put(key, nowMs);
@@ -171,9 +172,9 @@
    */
   public boolean mayRepeat(String service, List<PromptPart> prompt, int crashes) {
     Predicate<PartKey> suspected =
-        key -> verdicts.isQuarantined(key) || ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
+        key -> !successMs.containsKey(key) && ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
     return crashes < MAX_CRASHES_PER_REQUEST
-        && PartKey.sharedParts(service, prompt).noneMatch(suspected);
+        && PartKey.sharedParts(service, prompt).noneMatch(suspected.or(verdicts::isQuarantined));
   }
 
   /** Handles a message of another node. */
