--- a/core/src/main/java/org/currantslip/core/quarantine/PartEvidence.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartEvidence.java
@@ -90,6 +90,14 @@
     return count;
   }
 
+  /** Returns the time of the first crash under the part since its last success. */
+  long firstCrashMs(PartKey key) {
+    Streak streak = streaks.get(key);
+    return streak == null || streak.sightings.isEmpty()
+        ? Long.MAX_VALUE
+        : streak.sightings.get(0).crashedMs();
+  }
+
   /** Returns the number of endpoints that crashed under the part since its last success. */
   int crashCount(PartKey key) {
     Streak streak = streaks.get(key);
--- a/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
@@ -15,7 +15,7 @@
    * Time from a verdict to the first trial, and from each failed trial to the next one. Up to half
    * of it is added, so that the trials of parts with the same crashes do not coincide.
    */
-  private static final long[] TRIAL_DELAY_MS = {15_000, 30_000, 600_000, 86_400_000};
+  private static final long[] TRIAL_DELAY_MS = {10_000, 15_000, 600_000, 86_400_000};
 
   private static final long MAX_DOUBLINGS = 30;
   private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptCall.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptCall.java
@@ -8,6 +8,7 @@
   private final List<PartKey> parts;
   private final long sentMs;
   private boolean progressed;
+  private boolean trial;
 
   private PromptCall(EndpointInstance endpoint, List<PartKey> parts, long sentMs) {
     this.endpoint = endpoint;
@@ -40,4 +41,13 @@
   void markProgressed() {
     progressed = true;
   }
+
+  /** Returns whether this call is the trial of a quarantined part. */
+  boolean isTrial() {
+    return trial;
+  }
+
+  void markTrial() {
+    trial = true;
+  }
 }
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -2,8 +2,11 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.currantslip.core.common.Clock;
@@ -28,6 +31,7 @@
   private static final int MAX_SUCCESSES = 16_384;
   private static final int MAX_REPORTED = 4_096;
   private static final int MAX_SUSPECTS = 256;
+  private static final int MAX_SERVICES = 256;
   private static final int JUDGES = 2;
 
   /** Crashes under a part after which a request with it is not repeated. */
@@ -36,6 +40,12 @@
   /** Endpoints that one request may see crash. */
   private static final int MAX_CRASHES_PER_REQUEST = 2;
 
+  /** Time for which a node must have seen answers of a service to have seen most of its parts. */
+  private static final long WARM_UP_MS = 5_000;
+
+  /** Time from the first crash under a part within which a success of it is awaited. */
+  private static final long MAX_AWAITED_MS = 1_500;
+
   private static final long MIN_RETRY_AFTER_MS = 1_000;
   private static final long MIN_SUCCESS_INTERVAL_MS = 300;
 
@@ -48,6 +58,14 @@
   private final Map<PartKey, Long> successMs = RecentMap.ofSize(MAX_SUCCESSES);
   private final Map<PartKey, Long> reportedMs = RecentMap.ofSize(MAX_REPORTED);
   private final Map<PartKey, Long> successSentMs = RecentMap.ofSize(MAX_REPORTED);
+  private final Map<String, Long> firstSuccessMs = RecentMap.ofSize(MAX_SERVICES);
+
+  /** Parts of trials that this node started, but that did not reach an endpoint. */
+  private final Set<PartKey> unusedTrials = new HashSet<>();
+
+  /** Parts whose verdict waits for successes of other requests. */
+  private final Set<PartKey> undecided = new LinkedHashSet<>();
+
   private final Resends<Crash> crashResends;
   private final Resends<PartKey> successResends;
   private final Resends<PartKey> verdictResends;
@@ -90,6 +108,9 @@
   }
 
   private boolean mayRunTrial(PartKey key) {
+    if (unusedTrials.contains(key) && verdicts.untilTrialMs(key) > 0) {
+      return true;
+    }
     long trialNodes = verdicts.trialNodes(key);
     return trialNodes > 0
         && peers.rankedNodes(key.service(), key.part()).stream()
@@ -103,19 +124,26 @@
 
   /**
    * Records that a request is sent to an endpoint. The call is to be ended by {@link #onBroken},
-   * {@link #onEnded} or {@link #onAbandoned}.
+   * {@link #onEnded}, {@link #onNotSent} or {@link #onAbandoned}.
    */
   public PromptCall onSent(String service, List<PromptPart> prompt, EndpointInstance endpoint) {
     List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
     PromptCall call = PromptCall.of(endpoint, parts, clock.nowMs());
     detector.onSent(call);
-    parts.stream()
-        .filter(verdicts::isQuarantined)
-        .filter(key -> verdicts.untilTrialMs(key) <= 0)
-        .forEach(key -> announce(key, verdicts.startTrial(key)));
+    parts.stream().filter(verdicts::isQuarantined).forEach(key -> startTrial(key, call));
     return call;
   }
 
+  private void startTrial(PartKey key, PromptCall call) {
+    boolean unused = unusedTrials.remove(key);
+    if (verdicts.untilTrialMs(key) <= 0) {
+      call.markTrial();
+      announce(key, verdicts.startTrial(key));
+    } else if (unused) {
+      call.markTrial();
+    }
+  }
+
   /**
    * Records progress beyond the first event of a response: each further event, or its complete and
    * successful end.
@@ -131,6 +159,7 @@
   private void onSuccess(PartKey key) {
     long nowMs = clock.nowMs();
     successMs.put(key, nowMs);
+    firstSuccessMs.putIfAbsent(key.service(), nowMs);
     boolean awaited = reportedMs.remove(key) != null || verdicts.isQuarantined(key);
     if (awaited && isSuccessDue(key, nowMs)) {
       successSentMs.put(key, nowMs);
@@ -160,6 +189,14 @@
     detector.onEnded(call);
   }
 
+  /** Records that a call never reached its endpoint, since no connection was established. */
+  public void onNotSent(PromptCall call) {
+    detector.onEnded(call);
+    if (call.isTrial()) {
+      call.parts().stream().filter(verdicts::isQuarantined).forEach(unusedTrials::add);
+    }
+  }
+
   /** Records that the router gave up a call, on which the endpoint may still be at work. */
   public void onAbandoned(PromptCall call) {
     detector.onAbandoned(call);
@@ -218,10 +255,9 @@
               PartKey key = new PartKey(crash.getService(), part.getId());
               judgedEvidence.addCrash(
                   key, endpoint, nowMs - crash.getAgeMs(), nowMs - part.getSentAgeMs());
+              judge(key);
               if (verdicts.isQuarantined(key)) {
                 sendVerdictTo(fromNode, key);
-              } else {
-                judge(key);
               }
             });
   }
@@ -231,11 +267,28 @@
     if (ownSuccessMs != null) {
       judgedEvidence.addSuccess(key, ownSuccessMs);
     }
-    if (judgedEvidence.isConvicted(key)) {
+    boolean convicted = !verdicts.isQuarantined(key) && judgedEvidence.isConvicted(key);
+    if (convicted && isSuccessAwaited(key)) {
+      undecided.add(key);
+      return;
+    }
+    undecided.remove(key);
+    if (convicted) {
       announce(key, verdicts.quarantine(key));
     }
   }
 
+  /**
+   * Returns whether the lack of a success says little yet, since this node has not seen answers of
+   * the service for long.
+   */
+  private boolean isSuccessAwaited(PartKey key) {
+    long nowMs = clock.nowMs();
+    Long firstMs = firstSuccessMs.get(key.service());
+    boolean warm = firstMs != null && nowMs - firstMs >= WARM_UP_MS;
+    return !warm && nowMs - judgedEvidence.firstCrashMs(key) < MAX_AWAITED_MS;
+  }
+
   private void judgeSuccess(PartKey key, long succeededMs) {
     boolean convicted = judgedEvidence.isConvicted(key);
     judgedEvidence.addSuccess(key, succeededMs);
@@ -294,6 +347,8 @@
     successResends.poll().forEach(this::sendSuccess);
     verdictResends.poll().forEach(key -> verdicts.message(key).ifPresent(this::sendVerdict));
     verdicts.expire();
+    unusedTrials.removeIf(key -> !verdicts.isQuarantined(key));
+    List.copyOf(undecided).forEach(this::judge);
   }
 
   private void report(Crash crash) {
