--- a/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
@@ -15,8 +15,9 @@
    * Time from a verdict to the first trial, and from each failed trial to the next one. Up to half
    * of it is added, so that the trials of parts with the same crashes do not coincide.
    */
-  private static final long[] TRIAL_DELAY_MS = {10_000, 15_000, 600_000, 86_400_000};
+  private static final long[] TRIAL_DELAY_MS = {5_000, 15_000, 600_000, 86_400_000};
 
+  private static final long MIN_DOUBLING_MS = 10_000;
   private static final long MAX_DOUBLINGS = 30;
   private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
   private static final long MAX_LIFTED_MS = 3_600_000;
@@ -46,12 +47,17 @@
 
   /**
    * Returns how many nodes may run a trial: none before it is due, then one, and twice as many
-   * after each further delay in which none of these got a request with the part.
+   * after each further time in which none of these got a request with the part.
    */
   long trialNodes(PartKey key) {
     return find(key).map(v -> v.trialNodes(key, clock.nowMs())).orElse(0L);
   }
 
+  /** Returns whether a trial was due so long ago that nodes may get no request that suits it. */
+  boolean isTrialLate(PartKey key) {
+    return find(key).filter(v -> clock.nowMs() - v.trialMs(key) >= v.trialDelayMs()).isPresent();
+  }
+
   /** Returns the time at which the newest verdict on the part was reached, if there is one. */
   Optional<Long> reachedMs(PartKey key) {
     return find(key).map(Verdict::reachedMs);
@@ -135,7 +141,8 @@
 
     private long trialNodes(PartKey key, long nowMs) {
       long overdueMs = nowMs - trialMs(key);
-      return overdueMs < 0 ? 0 : 1L << Math.min(MAX_DOUBLINGS, overdueMs / trialDelayMs());
+      long doublings = overdueMs / Math.max(MIN_DOUBLING_MS, trialDelayMs());
+      return overdueMs < 0 ? 0 : 1L << Math.min(MAX_DOUBLINGS, doublings);
     }
 
     private boolean supersedes(Verdict known) {
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -102,11 +102,24 @@
       return Admission.send();
     }
     long untilTrialMs = quarantined.stream().mapToLong(verdicts::untilTrialMs).max().orElse(0);
-    return quarantined.size() == 1 && mayRunTrial(quarantined.get(0))
+    return mayRunTrial(quarantined)
         ? Admission.sendAsTrial()
         : Admission.refuse(Math.max(MIN_RETRY_AFTER_MS, untilTrialMs));
   }
 
+  /**
+   * Returns whether a request with these parts may be sent as a trial of them. A request with
+   * several of them may fail because of another one, so it waits for those with a single one.
+   */
+  private boolean mayRunTrial(List<PartKey> quarantined) {
+    return quarantined.stream()
+            .allMatch(key -> quarantined.size() == 1 || verdicts.isTrialLate(key))
+        && quarantined.stream()
+            .min(Comparator.comparing(PartKey::part))
+            .filter(this::mayRunTrial)
+            .isPresent();
+  }
+
   private boolean mayRunTrial(PartKey key) {
     if (unusedTrials.contains(key) && verdicts.untilTrialMs(key) > 0) {
       return true;
