A response without end is bounded in memory while it is received

An endpoint in trouble may send a body without end. ATTEMPT_FAILED names the limit in `reason`, which was empty for TOO_LARGE.

--- a/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
@@ -51,6 +51,11 @@
     return empty;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  public int partialBytes() {
+    return partial.size();
+  }
+
   /** Returns whether the bytes so far end before the blank line of their last event. */
   public boolean isInsideEvent() {
     return !partial.isEmpty();
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -56,6 +56,9 @@
   /** An open stream is judged over this many intervals, so that one pause does not make it slow. */
   private static final int MIN_OPEN_INTERVALS = 8;
 
+  /** Memory of a buffered unit besides its bytes; an endpoint may send units of one byte. */
+  private static final int UNIT_OVERHEAD_BYTES = 64;
+
   private final EndpointRecord endpoint;
   private final EndpointRequest request;
   private final EngineOptions options;
@@ -230,8 +233,9 @@
     if (listener.onData(this, data)) {
       return;
     }
-    bufferedBytes += data.size();
+    bufferedBytes += data.size() + UNIT_OVERHEAD_BYTES;
     if (bufferedBytes > options.maxBufferedBytes()) {
+      failureDetail = "response exceeds %d bytes".formatted(options.maxBufferedBytes());
       fail(Fault.TOO_LARGE);
     } else {
       bufferedData.add(data);
