Bytes without end that are neither head nor content fail the connection

By default the HTTP client bounds neither the size of a head nor what frames a body: an endless status line, field, list of fields or of trailers, endless blank lines, interim responses, digits of a chunk's size and chunk extensions were read until the deadline of the request or the timeout of the call to the store.

Heads and trailers are now limited to 64 KiB. Besides, a connection of a forwarded call or of a buffered exchange fails once it has received 128 KiB that are neither the final head nor content; each piece of content excuses 64 bytes of framing.

--- a/adapters/src/main/java/org/currantslip/adapter/http/BufferedExchange.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/BufferedExchange.java
@@ -33,13 +33,24 @@
     request
         .followRedirects(false)
         .timeout(timeoutMs, TimeUnit.MILLISECONDS)
-        .onRequestBegin(r -> exchange.sent = true)
+        .onRequestBegin(exchange::onBegin)
         .send(exchange);
     return exchange.future;
   }
 
+  private void onBegin(Request request) {
+    sent = true;
+    ReceiveLimit.restart(request);
+  }
+
+  @Override
+  public void onHeaders(Response response) {
+    ReceiveLimit.restart(response.getRequest());
+  }
+
   @Override
   public void onContent(Response response, ByteBuffer content) {
+    ReceiveLimit.onContent(response.getRequest(), content.remaining());
     if (body.size() + content.remaining() > maxBytes) {
       CompletableFuture<Boolean> unused =
           response.abort(ExchangeException.of(true, "response exceeds " + maxBytes + " bytes"));
--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -13,6 +13,7 @@
   private static final long DESTINATION_IDLE_TIMEOUT_MS = 30_000;
   private static final int MAX_CONNECTIONS_PER_DESTINATION = 256;
   private static final int MAX_QUEUED_PER_DESTINATION = 1024;
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 << 10;
   private static final int MIN_THREADS = 4;
 
   private HttpClients() {}
@@ -62,6 +63,7 @@
     client.setConnectTimeout(connectTimeoutMs);
     client.setIdleTimeout(IDLE_TIMEOUT_MS);
     client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT_MS);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
     try {
