Interim responses that the HTTP client does not know are skipped

The client skips the first 100 and each 102 and 103. An exchange with a second 100 or an unknown interim response never completed: its status was taken for that of the response (ANSWER_CROSSED), and abort left the connection open. With an endpoint that sends them without end, the connection was still open 4 s after the request had failed.

--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -1,7 +1,11 @@
 package org.currantslip.adapter.http;
 
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -48,6 +52,17 @@
     protected void doStart() {}
   }
 
+  /**
+   * Skips each interim response. The client's own handlers skip neither an unknown one nor a second
+   * 100, and such an exchange would never complete.
+   */
+  private static final class InterimHandler extends EarlyHintsProtocolHandler {
+    @Override
+    public boolean accept(Request request, Response response) {
+      return HttpStatus.isInterim(response.getStatus());
+    }
+  }
+
   private static HttpClient open(
       String name, int threads, long connectTimeoutMs, ClientConnector connector) {
     QueuedThreadPool threadPool = new QueuedThreadPool(Math.max(threads, MIN_THREADS), MIN_THREADS);
@@ -72,6 +87,7 @@
       throw new IllegalStateException("HTTP client " + name + " failed to start", e);
     }
     client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().put(new InterimHandler());
     return client;
   }
 
