--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -1,7 +1,11 @@
 package org.currantslip.adapter.http;
 
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -13,6 +17,7 @@
   private static final long DESTINATION_IDLE_TIMEOUT_MS = 30_000;
   private static final int MAX_CONNECTIONS_PER_DESTINATION = 256;
   private static final int MAX_QUEUED_PER_DESTINATION = 1024;
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 << 10;
   private static final int MIN_THREADS = 4;
 
   private HttpClients() {}
@@ -47,6 +52,17 @@
     protected void doStart() {}
   }
 
+  /**
+   * Skips each interim response. The client's own handlers skip neither an unknown one nor a second
+   * 100, and such an exchange would never complete.
+   */
+  private static final class InterimHandler extends EarlyHintsProtocolHandler {
+    @Override
+    public boolean accept(Request request, Response response) {
+      return HttpStatus.isInterim(response.getStatus());
+    }
+  }
+
   private static HttpClient open(
       String name, int threads, long connectTimeoutMs, ClientConnector connector) {
     QueuedThreadPool threadPool = new QueuedThreadPool(Math.max(threads, MIN_THREADS), MIN_THREADS);
@@ -62,6 +78,7 @@
     client.setConnectTimeout(connectTimeoutMs);
     client.setIdleTimeout(IDLE_TIMEOUT_MS);
     client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT_MS);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
     try {
@@ -70,6 +87,7 @@
       throw new IllegalStateException("HTTP client " + name + " failed to start", e);
     }
     client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().put(new InterimHandler());
     return client;
   }
 
