Answer the requests of a node that is superseded

A node that learned of a newer process with its name closed all connections at once; requests in progress ended without a response.

It now refuses new requests and ends the ones in progress like a planned stop at its limit, with a refusal or 502, before the connections are closed in order.

EdgeNodeTest.answersRequestInProgressWhenItIsSuperseded failed before (connection closed without a response) and passes now.

--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -107,6 +107,7 @@
   private final PromptQuarantine quarantine;
   private final SlotQueue requestQueue;
   private final RequestEngine requestEngine;
+  private final CallerTraffic callerTraffic;
   private final PlannedStop plannedStop;
   private final FrontDoor callerServer;
   private final Server managementServer;
@@ -233,11 +234,12 @@
             },
             () -> nextRequestId(ids),
             () -> entryView);
+    callerTraffic = CallerTraffic.create(callerServer, requestEngine);
     plannedStop =
         PlannedStop.create(
             membership,
             clock,
-            CallerTraffic.create(callerServer, requestEngine),
+            callerTraffic,
             () -> CompletableFuture.completedFuture(null),
             EdgeOptions.stop(settings));
     managementServer =
@@ -352,14 +354,7 @@
       nextPublishMs = nowMs + PUBLISH_INTERVAL_MS;
       publish();
     }
-    membership
-        .supersededBy()
-        .ifPresent(
-            other -> {
-              superseded = true;
-              EventLog.write(
-                  LogEvent.NODE_SUPERSEDED, "incarnation=" + other.getId().getIncarnation());
-            });
+    membership.supersededBy().ifPresent(this::onSuperseded);
     if (superseded || plannedStop.phase() == PlannedStop.Phase.DONE) {
       stopped.countDown();
     }
@@ -382,6 +377,15 @@
                 decisions.waiting()));
   }
 
+  private void onSuperseded(NodeRecord other) {
+    if (!superseded) {
+      superseded = true;
+      callerTraffic.refuseRequests();
+      callerTraffic.endRequests();
+      EventLog.write(LogEvent.NODE_SUPERSEDED, "incarnation=" + other.getId().getIncarnation());
+    }
+  }
+
   private void onWatcherChange(Optional<String> watcher) {
     EventLog.write(LogEvent.WATCHER_CHANGED, "watcher=" + watcher.orElse("store"));
     mirrors.all().forEach(KindMirror::restartList);
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -51,6 +51,7 @@
   private final CoreComponents core;
   private final NodePolls polls;
   private final NodePublisher publisher;
+  private final CallerTraffic callerTraffic;
   private final PlannedStop plannedStop;
   private final FrontDoor frontDoor;
   private final Server adminServer;
@@ -117,13 +118,9 @@
             },
             () -> nextRequestId(requestIds),
             this::entryView);
+    callerTraffic = CallerTraffic.create(frontDoor, core.engine());
     plannedStop =
-        PlannedStop.create(
-            membership,
-            clock,
-            CallerTraffic.create(frontDoor, core.engine()),
-            core::flush,
-            stopOptions(settings));
+        PlannedStop.create(membership, clock, callerTraffic, core::flush, stopOptions(settings));
     publisher =
         NodePublisher.create(
             core,
@@ -248,6 +245,8 @@
   private void onSuperseded(NodeRecord other) {
     if (!superseded) {
       superseded = true;
+      callerTraffic.refuseRequests();
+      callerTraffic.endRequests();
       EventLog.write(
           LogEvent.NODE_SUPERSEDED,
           "incarnation=" + other.getId().getIncarnation() + " state=" + other.getState());
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -231,24 +231,34 @@
     assertThat(starting.awaitStop()).isTrue();
   }
 
+  /** Sends a request that its endpoint does not answer; returns the status line to come. */
+  private CompletableFuture<String> sendPendingRequest(Socket socket) {
+    CompletableFuture<String> status =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try {
+                return exchange(socket, RehearsalPlatform.PENDING_PATH, "pending");
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            },
+            executor);
+    awaitCondition(() -> !platform.endpointRequests().isEmpty());
+    return status;
+  }
+
+  private Socket openWhenReady(EdgeSettings other) throws IOException {
+    awaitCondition(() -> status(other.getListen().getReadiness(), "/api/readiness") == 200);
+    HostAndPort address = HostAndPort.fromString(other.getListen().getCaller());
+    return new Socket(address.getHost(), address.getPort());
+  }
+
   @Test
   void answersRequestThatOutlastsItsStop() throws Exception {
-    EdgeSettings others = CdsTrainingRun.edgeSettings("edge-2", platform);
-    EdgeNode stopping = EdgeNode.start(others);
-    awaitCondition(() -> status(others.getListen().getReadiness(), "/api/readiness") == 200);
-    HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
-    try (Socket socket = new Socket(address.getHost(), address.getPort())) {
-      final CompletableFuture<String> status =
-          CompletableFuture.supplyAsync(
-              () -> {
-                try {
-                  return exchange(socket, RehearsalPlatform.PENDING_PATH, "pending");
-                } catch (IOException e) {
-                  throw new UncheckedIOException(e);
-                }
-              },
-              executor);
-      awaitCondition(() -> !platform.endpointRequests().isEmpty());
+    EdgeSettings other = CdsTrainingRun.edgeSettings("edge-2", platform);
+    EdgeNode stopping = EdgeNode.start(other);
+    try (Socket socket = openWhenReady(other)) {
+      CompletableFuture<String> status = sendPendingRequest(socket);
       stopping.beginStop();
 
       assertThat(stopping.awaitStop()).isFalse();
@@ -256,6 +266,21 @@
     }
   }
 
+  @Test
+  void answersRequestInProgressWhenItIsSuperseded() throws Exception {
+    EdgeSettings other = CdsTrainingRun.edgeSettings("edge-2", platform);
+    EdgeNode superseded = EdgeNode.start(other);
+    try (Socket socket = openWhenReady(other)) {
+      CompletableFuture<String> status = sendPendingRequest(socket);
+      EdgeNode successor = EdgeNode.start(CdsTrainingRun.edgeSettings("edge-2", platform));
+
+      assertThat(superseded.awaitStop()).isFalse();
+      assertThat(status.join()).startsWith("HTTP/1.1 502 ");
+      successor.beginStop();
+      assertThat(successor.awaitStop()).isTrue();
+    }
+  }
+
   @Test
   void countsRequestsInMetrics() {
     post("/once/x", "key", "id-6");
