Prompt parts that crash endpoints are kept from further ones

What callers saw: requests with one part in their prompts crashed endpoint after endpoint, at any node, and sound requests failed with them. Each broken call was repeated at the next endpoint, up to the attempts of its route, and no node knew of the crashes that the others saw.

PromptGuard connects each forwarded request to the quarantine: it asks before admission, while the request is queued, and right before each send (first, repeated, resumed, to a larger model), and reports sends, progress and broken calls. A call that breaks because its endpoint left as planned accuses nobody. A refused request that has not run gets 503 and PROMPT_QUARANTINED with Retry-After; one that an endpoint may have begun ends with 502. A trial is sent once and not repeated. Nothing is stored.

Why it works: a part is judged on the crashes of the whole fleet, by part and not by account, route or prefix, so that sound requests that share those go on.

Existing tests are unchanged but for the wiring.

--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.PromptPart;
@@ -51,7 +50,7 @@
   private final Resends<Crash> crashResends;
   private final Resends<PartKey> successResends;
   private final Resends<PartKey> verdictResends;
-  private Consumer<PartVerdict> verdictListener = verdict -> {};
+  private QuarantineListener listener = QuarantineListener.none();
 
   private PromptQuarantine(Clock clock, QuarantinePeers peers) {
     this.clock = clock;
@@ -68,9 +67,9 @@
     return new PromptQuarantine(clock, peers);
   }
 
-  /** Sets the listener for the verdicts that this node reaches or lifts. */
-  public void setVerdictListener(Consumer<PartVerdict> listener) {
-    verdictListener = listener;
+  /** Sets the listener for the findings of this node. */
+  public void setListener(QuarantineListener listener) {
+    this.listener = listener;
   }
 
   /**
@@ -166,15 +165,18 @@
   }
 
   /**
-   * Returns whether a request may be sent again after a call of it broke without progress.
+   * Returns whether a request may be sent again after a call of it broke without progress. One
+   * without shared parts always may.
    *
    * @param crashes number of calls of this request that broke without progress
    */
   public boolean mayRepeat(String service, List<PromptPart> prompt, int crashes) {
+    List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
     Predicate<PartKey> suspected =
         key -> !successMs.containsKey(key) && ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
-    return crashes < MAX_CRASHES_PER_REQUEST
-        && PartKey.sharedParts(service, prompt).noneMatch(suspected.or(verdicts::isQuarantined));
+    return parts.isEmpty()
+        || (crashes < MAX_CRASHES_PER_REQUEST
+            && parts.stream().noneMatch(suspected.or(verdicts::isQuarantined)));
   }
 
   /** Handles a message of another node. */
@@ -282,6 +284,19 @@
             });
   }
 
+  /** Returns the verdicts by which the parts of a prompt are quarantined. */
+  public List<PartVerdict> verdicts(String service, List<PromptPart> prompt) {
+    return PartKey.sharedParts(service, prompt)
+        .filter(verdicts::isQuarantined)
+        .flatMap(key -> verdicts.message(key).stream())
+        .toList();
+  }
+
+  /** Returns the number of quarantined parts. */
+  public int quarantinedCount() {
+    return verdicts.quarantined().size();
+  }
+
   /** Returns the verdicts for a node to which the link was opened. */
   public QuarantineUpdate snapshot() {
     return update().addAllVerdict(verdicts.messages().toList()).build();
@@ -307,6 +322,7 @@
             });
     sendCrash(reported);
     crashResends.add(reported);
+    reportedByService(reported).forEach(listener::onCrash);
   }
 
   /**
@@ -358,6 +374,14 @@
         .build();
   }
 
+  /** Returns a report for each service that was called at the endpoint; usually one. */
+  private List<EndpointCrash> reportedByService(Crash crash) {
+    QuarantineUpdate.Builder all = update();
+    long nowMs = clock.nowMs();
+    crash.suspects().forEach((key, sentMs) -> addSuspect(all, crash, key, nowMs));
+    return all.getCrashList();
+  }
+
   private void sendSuccess(PartKey key) {
     QuarantineUpdate.Builder update = update();
     addSuccess(update, key, clock.nowMs());
@@ -389,21 +413,25 @@
     }
     sendVerdict(verdict);
     verdictResends.add(key);
-    verdictListener.accept(verdict);
+    listener.onVerdict(verdict, evidence(key));
   }
 
   /** Sends a verdict, with the crashes that it explains, to all other nodes. */
   private void sendVerdict(PartVerdict verdict) {
-    PartKey key = new PartKey(verdict.getService(), verdict.getPart());
-    long nowMs = clock.nowMs();
     List<EndpointCrash> explained =
         verdict.getQuarantined()
-            ? judgedEvidence.explainedCrashes(key).stream()
-                .map(crash -> message(crash, key.service(), nowMs))
-                .toList()
+            ? evidence(new PartKey(verdict.getService(), verdict.getPart()))
             : List.of();
     peers.sendToAll(update().addVerdict(verdict).addAllCrash(explained).build());
-    onExplained(explained, nowMs);
+    onExplained(explained, clock.nowMs());
+  }
+
+  /** Returns the crashes that a part explains. */
+  private List<EndpointCrash> evidence(PartKey key) {
+    long nowMs = clock.nowMs();
+    return judgedEvidence.explainedCrashes(key).stream()
+        .map(crash -> message(crash, key.service(), nowMs))
+        .toList();
   }
 
   private static QuarantineUpdate.Builder update() {
--- a/core/src/main/java/org/currantslip/core/request/ForwardPorts.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardPorts.java
@@ -5,6 +5,7 @@
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.limits.SlotQueue;
+import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.route.RouteSource;
 import org.currantslip.core.routing.EndpointChooser;
@@ -19,6 +20,7 @@
  * @param retryBudget retry budget
  * @param rollouts version selection and outcome statistics per version
  * @param sizeCascade model size selection
+ * @param quarantine quarantine of prompt parts under which endpoints crash
  * @param endpointClient client for calls to endpoints
  * @param outcomes receives the outcome of each request
  * @param trace receives routing decisions for diagnostics
@@ -31,6 +33,7 @@
     RetryBudget retryBudget,
     ServiceRollouts rollouts,
     SizeCascade sizeCascade,
+    PromptQuarantine quarantine,
     EndpointClient endpointClient,
     Consumer<RequestOutcome> outcomes,
     RequestTrace trace) {}
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -69,6 +69,7 @@
   private @Nullable Route route;
   private Account account = Account.anonymous();
   private String service = "";
+  private PromptGuard promptGuard;
   private long deadlineMs;
   private long admittedMs = -1;
   private long firstByteMs = -1;
@@ -98,6 +99,7 @@
     response = CallerResponse.create(request, sink);
     startedMs = ports.clock().nowMs();
     deadlineMs = request.deadlineMs();
+    promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
   }
 
   static ForwardedFlow create(ForwardPorts ports, RouterRequest request, CallerSink sink) {
@@ -140,6 +142,13 @@
     if (timeLeftMs() <= 0) {
       throw RefusalException.notRun(ResultCode.DEADLINE_PASSED, "the deadline has passed");
     }
+    promptGuard =
+        PromptGuard.create(
+            ports.quarantine(), ports.trace(), request.requestId(), service, forwarded.prompt());
+    Optional<RefusalException> quarantined = promptGuard.refusal(ran);
+    if (quarantined.isPresent()) {
+      throw quarantined.get();
+    }
   }
 
   private Account authenticate() {
@@ -181,6 +190,11 @@
 
   private void choose() {
     enter(Stage.CHOOSING);
+    Optional<RefusalException> quarantined = promptGuard.refusal(ran);
+    if (quarantined.isPresent()) {
+      refuse(quarantined.get());
+      return;
+    }
     for (String version :
         ports.rollouts().versionsFor(service, request.session(), request.requestId())) {
       EndpointQuery query = query(version);
@@ -235,6 +249,7 @@
                         sendCount,
                         table.version(),
                         timeLeftMs()));
+    promptGuard.onSent(endpoint);
     a.start(ports.endpointClient(), request.promptTokens() + request.maxTokens());
   }
 
@@ -332,7 +347,7 @@
     }
     SizeCascade.Answer currentAnswer = new SizeCascade.Answer(sizeIndex, head.confidence());
     OptionalInt next = ports.sizeCascade().nextSize(matchedRoute, currentAnswer);
-    if (next.isEmpty()) {
+    if (next.isEmpty() || !promptGuard.mayRepeat()) {
       return false;
     }
     EndpointQuery query =
@@ -372,6 +387,7 @@
       return false;
     }
     recordFirstEvent(a);
+    promptGuard.onEvent();
     if (lastEvent != null && !EventIds.isAfter(data, lastEvent)) {
       return true;
     }
@@ -417,6 +433,7 @@
   public void onResponse(Attempt a, EndpointUsage usage) {
     ran = Ran.YES;
     boolean success = a.head().isSuccess();
+    promptGuard.onResponse(success);
     recordOutcome(a, HttpStatus.isEndpointFault(a.status()));
     if (!response.isStarted()) {
       recordFirstByte();
@@ -451,6 +468,7 @@
   public void onFault(Attempt a, Attempt.Fault fault) {
     if (escalating) {
       escalating = false;
+      promptGuard.onAbandoned();
       runCount++;
       ran = Ran.UNKNOWN;
       sizeIndex = nextSizeIndex;
@@ -460,6 +478,7 @@
       return;
     }
     traceFault(a, fault);
+    boolean promptAllows = promptGuard.onFault(fault, hasLeft(a));
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
     if (notRun) {
       declineCount++;
@@ -474,7 +493,8 @@
     }
     boolean retry =
         retryPaid
-            || (mayRetry(!notRun)
+            || (promptAllows
+                && mayRetry(!notRun)
                 && (fault == Attempt.Fault.NOT_SENT || ports.retryBudget().trySpend(service)));
     retryPaid = false;
     if (retry) {
@@ -484,6 +504,16 @@
     }
   }
 
+  /** Returns whether the endpoint of an attempt has announced its stop or was removed. */
+  private boolean hasLeft(Attempt a) {
+    return a.head().notice().leaving()
+        || ports
+            .chooser()
+            .endpoint(a.endpoint().getId())
+            .map(EndpointRecord::getLeaving)
+            .orElse(true);
+  }
+
   private void traceFault(Attempt a, Attempt.Fault fault) {
     ports
         .trace()
@@ -536,6 +566,8 @@
   void onTick(long nowMs) {
     if (nowMs >= deadlineMs) {
       onDeadline();
+    } else if (isIn(Stage.ADMITTING)) {
+      promptGuard.refusal(ran).ifPresent(this::refuse);
     } else if (isIn(Stage.CALLING) && attempt != null) {
       Attempt current = attempt;
       if (isFirstEventOverdue(current)) {
@@ -605,6 +637,7 @@
   }
 
   private void end(ResultCode code) {
+    promptGuard.onAbandoned();
     close(0);
     long totalMs = ports.clock().nowMs() - startedMs;
     String routeName = route == null ? "" : route.name();
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -58,6 +58,11 @@
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
+  /** Returns the endpoint with this id, if it is known. */
+  default Optional<EndpointRecord> endpoint(String endpointId) {
+    return endpoints().stream().filter(e -> e.getId().equals(endpointId)).findFirst();
+  }
+
   /** Returns the last load report of an endpoint. */
   Optional<EndpointLoad> load(String endpointId);
 }
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -413,6 +413,11 @@
     return states.values().stream().map(EndpointState::endpoint).toList();
   }
 
+  @Override
+  public Optional<EndpointRecord> endpoint(String endpointId) {
+    return Optional.ofNullable(states.get(endpointId)).map(EndpointState::endpoint);
+  }
+
   @Override
   public Optional<EndpointLoad> load(String endpointId) {
     return Optional.ofNullable(states.get(endpointId)).map(EndpointState::load);
--- a/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
@@ -26,11 +26,9 @@
   static final String SERVICE = "generate";
   static final String VERSION = "v1";
   static final int EVENTS = 8;
-  private static final int SLOTS = 8;
   private static final long NETWORK_LATENCY_MS = 1;
   private static final long PREFILL_MS = 60;
   private static final long EVENT_INTERVAL_MS = 25;
-  private static final long RESTART_MS = 2_500;
 
   /** A request that reached an endpoint. */
   record Arrival(String requestId, long atMs) {}
@@ -38,6 +36,7 @@
   final List<Arrival> arrivals = new ArrayList<>();
   final List<Long> crashTimesMs = new ArrayList<>();
   private final FakeEvents events;
+  private final ForwardingFleet.Setup setup;
   private final Predicate<String> crashes;
   private final Runnable onChange;
   private final List<Endpoint> endpoints;
@@ -48,11 +47,16 @@
    * @param crashes returns whether the request with this id crashes an endpoint
    * @param onChange called when an endpoint has restarted
    */
-  CrashingEndpoints(FakeEvents events, int size, Predicate<String> crashes, Runnable onChange) {
+  CrashingEndpoints(
+      FakeEvents events,
+      ForwardingFleet.Setup setup,
+      Predicate<String> crashes,
+      Runnable onChange) {
     this.events = events;
+    this.setup = setup;
     this.crashes = crashes;
     this.onChange = onChange;
-    endpoints = IntStream.range(0, size).mapToObj(Endpoint::new).toList();
+    endpoints = IntStream.range(0, setup.endpoints()).mapToObj(Endpoint::new).toList();
   }
 
   List<EndpointRecord> records() {
@@ -97,7 +101,7 @@
           .setService(SERVICE)
           .setVersion(VERSION)
           .setFailureDomain("fd")
-          .setSlots(SLOTS)
+          .setSlots(setup.slots())
           .setStartedMs(startedMs)
           .build();
     }
@@ -147,7 +151,7 @@
       List<Call> broken = List.copyOf(calls);
       calls.clear();
       broken.forEach(c -> c.fail(c.headSent ? CallFailure.TRUNCATED : CallFailure.BROKEN));
-      events.after(RESTART_MS, this::restart);
+      events.after(setup.restartMs(), this::restart);
     }
 
     private void restart() {
--- a/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
@@ -249,7 +249,7 @@
 
     private Node(String name) {
       this.name = name;
-      quarantine.setVerdictListener(this::onVerdict);
+      quarantine.setListener((verdict, evidence) -> onVerdict(verdict));
     }
 
     private void onVerdict(PartVerdict verdict) {
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -15,6 +15,8 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.limits.SlotQueue;
+import org.currantslip.core.quarantine.PromptQuarantine;
+import org.currantslip.core.quarantine.QuarantineListener;
 import org.currantslip.core.rollout.RolloutOrder;
 import org.currantslip.core.rollout.RolloutOrder.Progress;
 import org.currantslip.core.rollout.ServiceRollouts;
@@ -28,8 +30,11 @@
 import org.currantslip.core.route.WeightedService;
 import org.currantslip.core.routing.EndpointNotice;
 import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.schema.EndpointCrash;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.NodeId;
+import org.currantslip.schema.PartVerdict;
+import org.currantslip.schema.QuarantineUpdate;
 import org.currantslip.schema.VersionHalt;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -51,6 +56,7 @@
   private final List<VersionHalt> halts = new ArrayList<>();
   private final ServiceRollouts rollouts =
       ServiceRollouts.create(NodeId.getDefaultInstance(), halts::add);
+  private final PromptQuarantine quarantine = PromptQuarantine.create(clock, new SingleNode());
   private final SlotQueue queue = SlotQueue.create(clock, chooser::freeSlots, 1);
   private final ForwardedResponseSink sink = new ForwardedResponseSink();
   private final RequestEngine engine =
@@ -63,6 +69,7 @@
               RetryBudget.create(clock, new RetryBudget.Bound(0.5, 50, 10_000), () -> 1),
               rollouts,
               SizeCascade.create(),
+              quarantine,
               calls,
               outcomes::add,
               (event, id, fields) -> assertThat(fields.get()).isNotEmpty()));
@@ -124,6 +131,11 @@
   }
 
   private RequestHandle send(String routeName, String key, long timeLeftMs, String body) {
+    return send(routeName, key, timeLeftMs, body, List.of("p"));
+  }
+
+  private RequestHandle send(
+      String routeName, String key, long timeLeftMs, String body, List<String> parts) {
     return engine.start(
         new RouterRequest(
             "id",
@@ -145,10 +157,19 @@
             100,
             50,
             0,
-            new ForwardedRequest("host", key, List.of(), List.of(new PromptPart("p", 100)), "")),
+            new ForwardedRequest(
+                "host",
+                key,
+                List.of(),
+                parts.stream().map(part -> new PromptPart(part, 100)).toList(),
+                "")),
         sink);
   }
 
+  private RequestHandle sendPrompt(String routeName, String... parts) {
+    return send(routeName, "key", 60_000, "body", List.of(parts));
+  }
+
   private FakeEndpointClient.Call call(int i) {
     return calls.calls.get(i);
   }
@@ -241,6 +262,7 @@
                 RetryBudget.create(clock, new RetryBudget.Bound(1, 1, 1_000), () -> 1),
                 ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
                 SizeCascade.create(),
+                quarantine,
                 calls,
                 o -> {},
                 (event, id, fields) -> {}));
@@ -532,4 +554,173 @@
     assertThat(sink.text()).isEqualTo("id: 1\ndata: x\n\n");
     assertThat(calls.calls).hasSize(1);
   }
+
+  private void quarantine(String part) {
+    quarantine.onUpdate(
+        "peer",
+        QuarantineUpdate.newBuilder()
+            .addVerdict(PartVerdict.newBuilder().setService("s").setPart(part).setQuarantined(true))
+            .build());
+  }
+
+  private void assertRefusedAsNotRun() {
+    assertThat(sink.status()).isEqualTo(503);
+    assertThat(sink.end().code()).isEqualTo(ResultCode.PROMPT_QUARANTINED);
+    assertThat(sink.end().ran()).isEqualTo(Ran.NO);
+    assertThat(sink.end().retryAfterMs()).isGreaterThan(0);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"safe", "stream"})
+  void promptUnderWhichTwoEndpointsBrokeIsNotCarriedToThird(String routeName) {
+    sendPrompt(routeName, "system", "bad", "own");
+    call(0).listener().onFailure(CallFailure.BROKEN, "");
+    call(1).listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(calls.calls).hasSize(2);
+    assertThat(sink.status()).isEqualTo(502);
+    assertThat(outcomes.get(0).ran()).isEqualTo(Ran.UNKNOWN);
+  }
+
+  @Test
+  void promptSuspectedInOtherRequestsIsNotRepeated() {
+    for (int i = 0; i < 2; i++) {
+      sendPrompt("unsafe", "system", "bad", "own" + i);
+      calls.last().listener().onFailure(CallFailure.BROKEN, "");
+      for (int ms = 0; ms < 600; ms += 20) {
+        advance(20);
+        quarantine.tick();
+      }
+    }
+    sendPrompt("safe", "other", "bad", "own");
+    calls.last().listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(calls.calls).hasSize(3);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"safe", "unsafe", "stream", "once", "sized"})
+  void promptWithQuarantinedPartIsRefusedAtOnceAsNotRun(String routeName) {
+    quarantine("bad");
+    sendPrompt(routeName, "system", "bad", "own");
+    assertThat(calls.calls).isEmpty();
+    assertRefusedAsNotRun();
+  }
+
+  @Test
+  void soundPromptWithTheSameFirstPartIsSent() {
+    quarantine("bad");
+    sendPrompt("stream", "system", "good", "own");
+    assertThat(calls.calls).hasSize(1);
+  }
+
+  @Test
+  void queuedPromptIsRefusedAtOnceWhenItsPartIsQuarantined() {
+    IntStream.range(0, 4 * SLOTS).forEach(i -> send("unsafe"));
+    sendPrompt("stream", "system", "bad", "own");
+    quarantine("bad");
+    engine.tick();
+    assertThat(calls.calls).hasSize(4 * SLOTS);
+    assertRefusedAsNotRun();
+  }
+
+  @Test
+  void queuedPromptIsNotSentOnceItsPartIsQuarantined() {
+    IntStream.range(0, 4 * SLOTS).forEach(i -> send("unsafe"));
+    sendPrompt("stream", "system", "bad", "own");
+    quarantine("bad");
+    respond(call(0), 200);
+    assertThat(queue.queuedCount()).isEqualTo(0);
+    assertThat(calls.calls).hasSize(4 * SLOTS);
+    assertThat(outcomes.get(outcomes.size() - 1).code()).isEqualTo(ResultCode.OK);
+    assertThat(outcomes.get(0).code()).isEqualTo(ResultCode.PROMPT_QUARANTINED);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"NOT_SENT, 503", "NOT_RUN, 503", "BROKEN, 502", "STATUS_500, 502"})
+  void promptIsNotSentAgainOnceItsPartIsQuarantined(String fault, int status) {
+    sendPrompt("stream", "system", "bad", "own");
+    quarantine("bad");
+    fail(call(0), fault);
+    assertThat(calls.calls).hasSize(1);
+    assertThat(sink.status()).isEqualTo(status);
+    assertThat(outcomes.get(0).ran() == Ran.NO).isEqualTo(status == 503);
+  }
+
+  @Test
+  void brokenStreamIsNotResumedOnceItsPartIsQuarantined() {
+    sendPrompt("stream", "system", "bad", "own");
+    head(call(0), 200, false);
+    event(call(0), 1);
+    quarantine("bad");
+    call(0).listener().onFailure(CallFailure.TRUNCATED, "");
+    assertThat(calls.calls).hasSize(1);
+    assertThat(sink.end().code()).isNotEqualTo(ResultCode.OK);
+    assertThat(sink.end().ran()).isEqualTo(Ran.YES);
+  }
+
+  @Test
+  void quarantinedPromptIsNotSentToLargerModel() {
+    sendPrompt("sized", "system", "bad", "own");
+    quarantine("bad");
+    call(0).listener().onHead(endpointHead(200, false, OptionalDouble.of(0.3)));
+    event(call(0), 1);
+    assertThat(calls.calls).hasSize(1);
+    assertThat(sink.text()).isEqualTo("id: 1\ndata: x\n\n");
+  }
+
+  private void waitForTrial() {
+    quarantine("bad");
+    clock.advance(60_000);
+    quarantine.tick();
+  }
+
+  @Test
+  void trialIsSentOnceAndNotRepeated() {
+    waitForTrial();
+    sendPrompt("stream", "system", "bad", "own");
+    assertThat(calls.calls).hasSize(1);
+    sendPrompt("stream", "system", "bad", "next");
+    assertThat(calls.calls).hasSize(1);
+    assertRefusedAsNotRun();
+    call(0).listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(calls.calls).hasSize(1);
+    assertThat(outcomes.get(1).code()).isEqualTo(ResultCode.ENDPOINT_FAILED);
+  }
+
+  @Test
+  void answeredTrialEndsTheQuarantine() {
+    waitForTrial();
+    sendPrompt("stream", "system", "bad", "own");
+    advance(100);
+    head(call(0), 200, false);
+    event(call(0), 1);
+    event(call(0), 2);
+    sendPrompt("stream", "system", "bad", "next");
+    assertThat(calls.calls).hasSize(2);
+  }
+
+  /** Only a break that nothing else explains accuses the parts of the prompt. */
+  @ParameterizedTest
+  @CsvSource({"false, 1, true", "true, 1, false", "false, 2, false"})
+  void brokenStreamIsReportedAsCrashUnlessItsEndpointLeftOrAnswered(
+      boolean leaving, int events, boolean reported) {
+    List<EndpointCrash> crashes = new ArrayList<>();
+    quarantine.setListener(
+        new QuarantineListener() {
+          @Override
+          public void onCrash(EndpointCrash crash) {
+            crashes.add(crash);
+          }
+
+          @Override
+          public void onVerdict(PartVerdict verdict, List<EndpointCrash> evidence) {}
+        });
+    sendPrompt("once", "system", "bad", "own");
+    EndpointNotice notice = new EndpointNotice(leaving, 0);
+    call(0).listener().onHead(endpointHead(200, false, OptionalDouble.empty(), notice));
+    IntStream.rangeClosed(1, events).forEach(id -> event(call(0), id));
+    call(0).listener().onFailure(CallFailure.TRUNCATED, "");
+    clock.advance(1_000);
+    quarantine.tick();
+    assertThat(crashes.isEmpty()).isEqualTo(!reported);
+  }
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -21,6 +21,7 @@
 import org.currantslip.core.mirror.RelayedFeed;
 import org.currantslip.core.mirror.StoreProbe;
 import org.currantslip.core.mirror.StoreWatchers;
+import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.request.ForwardPorts;
 import org.currantslip.core.request.RequestEngine;
 import org.currantslip.core.request.RequestHandle;
@@ -101,6 +102,8 @@
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
+  private final QuarantineLinks quarantineLinks;
+  private final PromptQuarantine quarantine;
   private final SlotQueue requestQueue;
   private final RequestEngine requestEngine;
   private final PlannedStop plannedStop;
@@ -195,6 +198,10 @@
             },
             clock,
             settings.getRollout().getExposureShare());
+    RateLimitedTrace trace = RateLimitedTrace.create(clock);
+    quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
+    quarantine = PromptQuarantine.create(clock, quarantineLinks);
+    quarantine.setListener(QuarantineLog.create(trace));
     requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
@@ -207,9 +214,10 @@
                     clock, EdgeOptions.retryBound(settings), () -> membership.live().size()),
                 rollouts,
                 SizeCascade.create(),
+                quarantine,
                 RunnerCalls.create(endpointClient, decisions),
                 metrics::record,
-                RateLimitedTrace.create(clock)));
+                trace));
     RequestIds ids = RequestIds.create(self.getId());
     callerServer =
         FrontDoor.forwarding(
@@ -317,6 +325,8 @@
     storeProbe.tick();
     mirrorGossip.tick();
     endpointRegistry.tick();
+    quarantine.tick();
+    quarantineLinks.tick(quarantine);
     requestQueue.tick();
     requestEngine.tick();
     rolloutController.tick();
@@ -415,7 +425,8 @@
             peerLinks.framesReceived(),
             endpointCount,
             routeTable.version(),
-            0));
+            0,
+            quarantine.quarantinedCount()));
   }
 
   /** Begins a graceful shutdown. */
@@ -450,6 +461,7 @@
     @Override
     public void onLink(NodeRecord peer) {
       membership.onRecord(peer);
+      quarantineLinks.onLink(peer.getId().getName(), quarantine);
     }
 
     /** The fault that broke the link may also have interrupted the store watches. */
@@ -475,6 +487,7 @@
                 changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
         case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
         case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
+        case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
         case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
         default -> {
           // Replies have reached their requesters already; frame types of newer nodes are ignored.
--- a/node/src/main/java/org/currantslip/node/edge/RateLimitedTrace.java
+++ b/node/src/main/java/org/currantslip/node/edge/RateLimitedTrace.java
@@ -7,7 +7,7 @@
 import org.currantslip.node.log.EventLog;
 
 /**
- * Logs request events, limited to a number of lines per second.
+ * Logs events of requests and endpoints, limited to a number of lines per second.
  *
  * <p>Failures have a separate limit, so that other events cannot crowd them out. Dropped lines are
  * counted, and the count is logged when the next window starts.
@@ -36,6 +36,11 @@
 
   @Override
   public void record(LogEvent event, String requestId, Supplier<String> fields) {
+    record(event, () -> "request=" + requestId + " " + fields.get());
+  }
+
+  /** Logs an event that concerns no single request. */
+  void record(LogEvent event, Supplier<String> fields) {
     startWindowIfDue();
     boolean failure = event.level().compareTo(LogEvent.Level.WARN) >= 0;
     boolean allowed =
@@ -43,7 +48,7 @@
     if (!allowed) {
       droppedCount++;
     } else if (EventLog.isOn(event)) {
-      EventLog.write(event, "request=" + requestId + " " + fields.get());
+      EventLog.write(event, fields.get());
     }
   }
 
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -21,7 +21,9 @@
   PEER_FRAMES("currantslip.peer.frames", Kind.COUNTER, "", List.of()),
   ENDPOINTS("currantslip.endpoints", Kind.GAUGE, "", List.of()),
   CONFIG_VERSION("currantslip.config.version", Kind.GAUGE, "", List.of()),
-  CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of());
+  CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of()),
+  QUARANTINE_REFUSALS("currantslip.quarantine.refusals", Kind.COUNTER, "", List.of()),
+  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of());
 
   /** Type of a metric. */
   public enum Kind {
--- a/node/src/main/java/org/currantslip/node/metrics/NodeGauges.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeGauges.java
@@ -12,6 +12,7 @@
  * @param endpoints known endpoints
  * @param configVersion version of the active configuration
  * @param configAgeMs time since the active configuration was last confirmed as the newest
+ * @param quarantinedParts prompt parts under quarantine
  */
 public record NodeGauges(
     int inFlight,
@@ -22,9 +23,10 @@
     long frames,
     int endpoints,
     long configVersion,
-    long configAgeMs) {
+    long configAgeMs,
+    int quarantinedParts) {
   /** Returns the initial values, which are all zero. */
   public static NodeGauges empty() {
-    return new NodeGauges(0, 0, 0, 0, 0, 0, 0, 0, 0);
+    return new NodeGauges(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
   }
 }
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -11,6 +11,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.function.ToDoubleFunction;
+import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.RequestOutcome;
 
 /** Records the metrics of this node and exports them to Prometheus. */
@@ -31,6 +32,8 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
+  private final Counter quarantineRefusals =
+      Counter.builder(Metric.QUARANTINE_REFUSALS.meterName()).register(registry);
   private boolean jvmMetricsBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
 
@@ -43,6 +46,7 @@
     gauge(Metric.ENDPOINTS, NodeGauges::endpoints);
     gauge(Metric.CONFIG_VERSION, NodeGauges::configVersion);
     gauge(Metric.CONFIG_AGE, g -> g.configAgeMs() / MS_PER_S);
+    gauge(Metric.QUARANTINED_PARTS, NodeGauges::quarantinedParts);
     FunctionCounter.builder(Metric.PEER_FRAMES.meterName(), this, m -> m.gauges.frames())
         .register(registry);
   }
@@ -71,6 +75,9 @@
         .tag("ran", outcome.ran().text())
         .register(registry)
         .increment();
+    if (outcome.code() == ResultCode.PROMPT_QUARANTINED) {
+      quarantineRefusals.increment();
+    }
     timer(Metric.REQUEST_DURATION, kind).record(Duration.ofMillis(outcome.totalMs()));
     timer(Metric.FIRST_BYTE, kind).record(Duration.ofMillis(outcome.firstByteMs()));
     Counter.builder(Metric.ENDPOINT_CALLS.meterName())
--- a/node/src/main/java/org/currantslip/node/wiring/NodePublisher.java
+++ b/node/src/main/java/org/currantslip/node/wiring/NodePublisher.java
@@ -103,7 +103,8 @@
             links.framesReceived(),
             core.chooser().endpoints().size(),
             core.config().current().version(),
-            core.config().ageMs()));
+            core.config().ageMs(),
+            0));
   }
 
   private void logMembershipChanges() {
--- a/node/src/test/java/org/currantslip/node/metrics/MetricsTest.java
+++ b/node/src/test/java/org/currantslip/node/metrics/MetricsTest.java
@@ -43,7 +43,7 @@
     NodeMetrics metrics = NodeMetrics.create();
     metrics.record(
         new RequestOutcome("crew", "t", "m", "v", "", ResultCode.OK, Ran.YES, 200, 5, 9, 7, 1));
-    metrics.publish(new NodeGauges(1, 2, 3, 4, 5, 6, 7, 8, 9_000));
+    metrics.publish(new NodeGauges(1, 2, 3, 4, 5, 6, 7, 8, 9_000, 10));
 
     String page = metrics.page();
 
@@ -51,6 +51,7 @@
       assertThat(page).contains(metric.meterName().replace('.', '_'));
     }
     assertThat(page).contains("currantslip_config_age_seconds 9.0");
+    assertThat(page).contains("currantslip_quarantine_parts 10.0");
     assertThat(page).contains("currantslip_requests_total{code=\"0\",kind=\"model\",ran=\"yes\"}");
     assertThat(page).doesNotContain("crew");
     metrics.close();
