A trial that reached no endpoint goes to another one

The quarantine does not spend a trial whose connection was never established, and PromptGuard now tells it so. A trial that an endpoint rejected has reached it and is not repeated. ForwardedFlowTest.onlyTrialThatReachedNoEndpointIsSentToAnother covers both. PromptCrashTest runs 40 s where it counts sends after the fifth crash, which covers the first trials.

--- a/core/src/main/java/org/currantslip/core/request/PromptGuard.java
+++ b/core/src/main/java/org/currantslip/core/request/PromptGuard.java
@@ -151,6 +151,7 @@
         }
       }
       case SILENT, CROSSED -> quarantine.onAbandoned(ended);
+      case NOT_SENT -> quarantine.onNotSent(ended);
       default -> quarantine.onEnded(ended);
     }
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
--- a/core/src/test/java/org/currantslip/core/fleet/PromptCrashTest.java
+++ b/core/src/test/java/org/currantslip/core/fleet/PromptCrashTest.java
@@ -15,6 +15,10 @@
 final class PromptCrashTest {
   private static final long CONTACT_MS = 3_000;
   private static final long RUN_MS = 12_000;
+
+  /** Covers the first trials. */
+  private static final long LONG_RUN_MS = 40_000;
+
   private static final int CRASHES = 5;
 
   private static Stream<Arguments> setupsAndSeeds() {
@@ -35,7 +39,7 @@
   @MethodSource("setupsAndSeeds")
   void partThatCrashedFiveEndpointsReachesNoMore(Setup setup, long seed) {
     ForwardingFleet fleet = new ForwardingFleet(setup, seed);
-    fleet.run(RUN_MS);
+    fleet.run(LONG_RUN_MS);
     assertThat(fleet.badArrivalsAfter(fifthCrashMs(fleet) + CONTACT_MS)).isAtMost(3);
   }
 
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -686,6 +686,15 @@
     assertThat(outcomes.get(1).code()).isEqualTo(ResultCode.ENDPOINT_FAILED);
   }
 
+  @ParameterizedTest
+  @CsvSource({"NOT_SENT, 2", "NOT_RUN, 1"})
+  void onlyTrialThatReachedNoEndpointIsSentToAnother(String fault, int sends) {
+    waitForTrial();
+    sendPrompt("stream", "system", "bad", "own");
+    fail(call(0), fault);
+    assertThat(calls.calls).hasSize(sends);
+  }
+
   @Test
   void answeredTrialEndsTheQuarantine() {
     waitForTrial();
