--- a/node/src/main/java/org/currantslip/node/edge/QuarantineLinks.java
+++ b/node/src/main/java/org/currantslip/node/edge/QuarantineLinks.java
@@ -15,7 +15,6 @@
 
 /** Sends what a node knows of quarantined prompt parts over the links to other nodes. */
 final class QuarantineLinks implements QuarantinePeers {
-  private final Membership membership;
   private static final long GOSSIP_INTERVAL_MS = 1_000;
 
   /** Long enough for each node to be selected by others many times. */
