--- a/core/src/main/java/org/currantslip/core/quarantine/Resends.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/Resends.java
@@ -8,7 +8,7 @@
 /** Schedules messages to be sent again, since they are not acknowledged. */
 final class Resends<T> {
   private static final int MAX_PENDING = 1_024;
-  private static final long[] DELAY_MS = {300, 1_000};
+  private static final long[] DELAY_MS = {300, 1_000, 3_000};
 
   private final Clock clock;
   private final Map<T, Schedule> pending = new LinkedHashMap<>();
--- a/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
@@ -352,20 +352,22 @@
 
   @Test
   void trialsPreferPromptsWithoutOtherQuarantinedParts() {
-    Node node = startNodes(1).get(0);
+    startNodes(1);
     convict("bad");
     convict("wrong");
     advance(7_000);
+    Node node = node("n0");
     assertThat(node.check("wrong", "bad", "own").isRefused()).isTrue();
     assertThat(node.check("wrong", "own").isRefused()).isFalse();
   }
 
   @Test
   void verdictsOnPartsThatOccurOnlyTogetherEnd() {
-    Node node = startNodes(1).get(0);
+    startNodes(1);
     convict("wrong0");
     convict("wrong1");
     advance(16_000);
+    Node node = node("n0");
     assertThat(node.check("wrong0", "wrong1", "own").isRefused()).isFalse();
     node.answer("wrong0", "wrong1", "own");
     assertThat(node.check("wrong0", "own")).isEqualTo(Admission.send());
