--- a/core/src/test/java/org/currantslip/core/request/SingleNode.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/NoPeers.java
@@ -1,19 +1,13 @@
-package org.currantslip.core.request;
+package org.currantslip.core.quarantine;
 
 import java.util.List;
-import org.currantslip.core.quarantine.QuarantinePeers;
 import org.currantslip.schema.QuarantineUpdate;
 
-/** A node that has no peers and judges all parts itself. */
-final class SingleNode implements QuarantinePeers {
-  @Override
-  public String self() {
-    return "n";
-  }
-
+/** The peers of a node that runs alone and judges all parts itself. */
+record NoPeers(String self) implements QuarantinePeers {
   @Override
   public List<String> rankedNodes(String service, String part) {
-    return List.of("n");
+    return List.of(self);
   }
 
   @Override
--- a/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
@@ -5,6 +5,11 @@
 
 /** Access to the other nodes. Messages may be lost or delayed. */
 public interface QuarantinePeers {
+  /** Returns the peers of a node that runs alone. */
+  static QuarantinePeers none(String self) {
+    return new NoPeers(self);
+  }
+
   /** Returns the name of this node. */
   String self();
 
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -17,6 +17,7 @@
 import org.currantslip.core.limits.SlotQueue;
 import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.quarantine.QuarantineListener;
+import org.currantslip.core.quarantine.QuarantinePeers;
 import org.currantslip.core.rollout.RolloutOrder;
 import org.currantslip.core.rollout.RolloutOrder.Progress;
 import org.currantslip.core.rollout.ServiceRollouts;
@@ -56,7 +57,8 @@
   private final List<VersionHalt> halts = new ArrayList<>();
   private final ServiceRollouts rollouts =
       ServiceRollouts.create(NodeId.getDefaultInstance(), halts::add);
-  private final PromptQuarantine quarantine = PromptQuarantine.create(clock, new SingleNode());
+  private final PromptQuarantine quarantine =
+      PromptQuarantine.create(clock, QuarantinePeers.none("n"));
   private final SlotQueue queue = SlotQueue.create(clock, chooser::freeSlots, 1);
   private final ForwardedResponseSink sink = new ForwardedResponseSink();
   private final RequestEngine engine =
