--- a/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineFleetTest.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineFleetTest.java
@@ -15,7 +15,8 @@
   private static final double MAX_REFUSED_SHARE = 0.5;
 
   static LongStream seeds() {
-    return LongStream.concat(LongStream.range(0, 60), LongStream.of(74, 189, 484, 684));
+    return LongStream.concat(
+        LongStream.range(0, 60), LongStream.of(74, 189, 212, 325, 461, 484, 610, 684));
   }
 
   @ParameterizedTest
