Slots pass through requests whose callers have left without recursion

What callers saw: an accepted request got no answer until its deadline although a slot was free. Cause: a waiting request that is already done releases its slot as soon as it gets it, and the release grants the next one, one recursion per request. With the stack of 256 KiB of a deployed node the StackOverflowError is swallowed by the future, and the grant is lost. Releases while slots are being granted are now left to the loop. PlaceQueueTest.grantsSlotBehindManyWaitingRequestsWhoseCallersHaveLeft failed before (StackOverflowError in departed requests) and passes now.

--- a/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
+++ b/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
@@ -121,6 +121,7 @@
     private final Deque<Long> releaseTimesMs = new ArrayDeque<>();
     private final Map<String, GrantUsage> usageByAccount = new HashMap<>();
     private int consecutivePriorityGrants;
+    private boolean granting;
 
     private ServiceQueue(String service) {
       this.service = service;
@@ -138,11 +139,20 @@
       grantFreeSlots();
     }
 
+    /** A grant that is released at once is passed on by the loop, since recursion has no bound. */
     private void grantFreeSlots() {
-      while (!waiting.isEmpty() && freeSlots.applyAsInt(service) > 0) {
-        QueuedQuery next = next();
-        waiting.remove(next);
-        next.future().complete(grant(next.query()));
+      if (granting) {
+        return;
+      }
+      granting = true;
+      try {
+        while (!waiting.isEmpty() && freeSlots.applyAsInt(service) > 0) {
+          QueuedQuery next = next();
+          waiting.remove(next);
+          next.future().complete(grant(next.query()));
+        }
+      } finally {
+        granting = false;
       }
     }
 
--- a/core/src/test/java/org/currantslip/core/limits/PlaceQueueTest.java
+++ b/core/src/test/java/org/currantslip/core/limits/PlaceQueueTest.java
@@ -63,6 +63,32 @@
     assertThat(submit("r3", "a", 0).isDone()).isFalse();
   }
 
+  /** The stack of a node's threads in the deployment is this small. */
+  private static void runOnSmallStack(Runnable task) throws InterruptedException {
+    Thread thread = new Thread(null, task, "small-stack", 256 << 10);
+    thread.start();
+    thread.join();
+  }
+
+  @Test
+  void grantsSlotBehindManyWaitingRequestsWhoseCallersHaveLeft() throws Exception {
+    int departedCount = 500;
+    long now = clock.nowMs();
+    SlotRequest request =
+        new SlotRequest("s", "a", 0, now, now + 300_000, now + 300_000, List.of());
+    List<CompletableFuture<Void>> departed = new ArrayList<>();
+    for (int i = 0; i < departedCount; i++) {
+      departed.add(queue.admit(request).thenAccept(permit -> permit.release(0)));
+    }
+    CompletableFuture<Boolean> live = queue.admit(request).thenApply(permit -> granted.add("live"));
+    assertThat(live.isDone()).isFalse();
+    runOnSmallStack(() -> addSlots(1));
+
+    assertThat(departed.stream().filter(CompletableFuture::isCompletedExceptionally).count())
+        .isEqualTo(0);
+    assertThat(granted).containsExactly("live");
+  }
+
   @Test
   void servesByRankAndThenAccountWithFewestGrants() {
     submit("late", "large", 2);
