A planned stop passes through all phases that have ended in one tick

Each phase took a tick of its own, and the limits of flushing and marking counted from the tick at which they began. With ticks that come late, as on a slow node, the end of the stop moved past the grace period, at which the platform kills the process while refusals and answers are still being written (same class as the limits of draining).

--- a/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
+++ b/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
@@ -121,8 +121,16 @@
     }
   }
 
-  /** Moves to the next phase when the current one has ended. */
+  /** Moves on through all phases that have ended. */
   public void tick() {
+    Phase before;
+    do {
+      before = phase;
+      step();
+    } while (phase != before);
+  }
+
+  private void step() {
     long elapsedMs = clock.nowMs() - phaseStartedMs;
     switch (phase) {
       case RUNNING, DONE -> {}
@@ -133,21 +141,21 @@
         }
       }
       case DRAINING -> {
-        if (callers.activeRequests() == 0
-            || isTimedOut(clock.nowMs() - requestedMs, options.entryMs() + options.drainMs())) {
+        if (callers.activeRequests() == 0 || isPast(drainEndMs())) {
           callers.endRequests();
           pendingStep = flush.get();
           enter(Phase.FLUSHING);
         }
       }
       case FLUSHING -> {
-        if (isStepFinished(elapsedMs, options.flushMs())) {
+        if (isStepFinished(elapsedMs, options.flushMs(), drainEndMs() + options.flushMs())) {
           pendingStep = membership.markGone();
           enter(Phase.MARKING);
         }
       }
       case MARKING -> {
-        if (isStepFinished(elapsedMs, options.markMs())) {
+        long endMs = drainEndMs() + options.flushMs() + options.markMs();
+        if (isStepFinished(elapsedMs, options.markMs(), endMs)) {
           enter(Phase.DONE);
         }
       }
@@ -155,17 +163,22 @@
     }
   }
 
-  private boolean isStepFinished(long elapsedMs, long maxMs) {
+  private long drainEndMs() {
+    return requestedMs + options.entryMs() + options.drainMs();
+  }
+
+  /** Returns whether the step is done, has taken too long, or its phase should be over. */
+  private boolean isStepFinished(long elapsedMs, long maxMs, long endMs) {
     CompletableFuture<Void> current = pendingStep;
     if (current != null && current.isDone()) {
       clean &= !current.isCompletedExceptionally();
       return true;
     }
-    return isTimedOut(elapsedMs, maxMs);
+    return isPast(Math.min(clock.nowMs() - elapsedMs + maxMs, endMs));
   }
 
-  private boolean isTimedOut(long elapsedMs, long maxMs) {
-    boolean timedOut = elapsedMs >= maxMs;
+  private boolean isPast(long endMs) {
+    boolean timedOut = clock.nowMs() >= endMs;
     clean &= !timedOut;
     return timedOut;
   }
--- a/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -104,6 +104,26 @@
         .isLessThan(OPTIONS.entryMs() + OPTIONS.drainMs() + LATE_TICK_MS);
   }
 
+  @Test
+  void endsInTimeAlthoughTicksAreLate() {
+    fleet.store.setUnavailable(true);
+    inFlight.set(1);
+    stop.begin();
+    long startedMs = fleet.events.clock().nowMs();
+    while (stop.phase() != PlannedStop.Phase.DONE) {
+      fleet.run(LATE_TICK_MS);
+      stop.tick();
+    }
+
+    assertThat(fleet.events.clock().nowMs() - startedMs)
+        .isLessThan(
+            OPTIONS.entryMs()
+                + OPTIONS.drainMs()
+                + OPTIONS.flushMs()
+                + OPTIONS.markMs()
+                + LATE_TICK_MS);
+  }
+
   @Test
   void endsInBoundedTimeWithoutStoreAndWithHangingRequests() {
     run(3_000);
