--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -305,7 +305,7 @@
   @Test
   void refusesRequestsThatAreNotBegunWhenNodeStops() {
     IntStream.range(0, 4 * SLOTS).forEach(i -> send("safe"));
-    int sent = calls.calls.size();
+    final int sent = calls.calls.size();
     send("safe");
     engine.stop();
     send("safe");
