--- a/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
+++ b/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
@@ -35,6 +35,7 @@
   private LossPlan losses = (from, to, frame) -> false;
   private long latencyMs = 1;
   private long frameCount;
+  private long byteCount;
 
   private FakePeerNetwork(FakeEvents events) {
     this.events = events;
@@ -100,8 +101,14 @@
     return frameCount;
   }
 
+  /** Returns the total size of the frames sent so far. */
+  public long byteCount() {
+    return byteCount;
+  }
+
   private void deliver(String from, String to, PeerFrame frame, Runnable action) {
     frameCount++;
+    byteCount += frame.getSerializedSize();
     if (cuts.contains(from + "|" + to) || losses.isLost(from, to, frame)) {
       return;
     }
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -16,6 +16,7 @@
 import org.currantslip.core.fake.FakePeerNetwork;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,6 +24,7 @@
 /** Tests mirrors in a fleet where a few nodes watch the store and the others follow them. */
 final class RelayedMirrorsTest {
   private static final int DOMAINS = 4;
+  private static final int OBJECTS = 200;
   private static final String KIND = "things";
   private static final long TICK_MS = 10;
 
@@ -244,6 +246,26 @@
     assertThat(pair.get(1).mirror.objects()).containsKey("b");
   }
 
+  /** A watcher that loses the store for a moment must not copy its whole content to followers. */
+  @Test
+  @Tag("known-red")
+  void followersThatChangeTheirWatcherDoNotReceiveFullCopies() {
+    IntStream.range(0, OBJECTS).forEach(i -> store.put("object-%03d".formatted(i)));
+    start(78);
+    long copyBytes = nodes.firstEntry().getValue().mirror.snapshot().getSerializedSize();
+    Node watcher = watchers().findFirst().orElseThrow();
+    final long bytesBefore = network.byteCount();
+    for (int outage = 0; outage < 3; outage++) {
+      watcher.link.setRefused(true);
+      advance(700);
+      watcher.link.setRefused(false);
+      store.put("change-" + outage);
+      advance(IN_FORCE_MS);
+      assertPresence("change-" + outage, true);
+    }
+    assertThat(network.byteCount() - bytesBefore).isLessThan(nodes.size() * copyBytes / 4);
+  }
+
   @Test
   void followersOfWatcherWithHangingWatchUpdateFromPeers() {
     store.put("a");
--- a/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
+++ b/core/src/test/java/org/currantslip/core/rollout/ServiceRolloutsTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.Range;
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -11,11 +13,17 @@
 import org.currantslip.core.rollout.RolloutOrder.State;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.NodeId;
+import org.currantslip.schema.OutcomeCount;
+import org.currantslip.schema.OutcomeReport;
 import org.currantslip.schema.VersionHalt;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class ServiceRolloutsTest {
+  private static final int ROUTES = 5;
+  private static final int MEASURED_REPORTS = 50;
+
   private final List<VersionHalt> halts = new ArrayList<>();
   private final ServiceRollouts rollouts =
       ServiceRollouts.create(NodeId.newBuilder().setName("n").build(), halts::add);
@@ -40,6 +48,36 @@
             .toList());
   }
 
+  private static OutcomeReport reportOf(int node, int answers) {
+    OutcomeReport.Builder report =
+        OutcomeReport.newBuilder().setNode(NodeId.newBuilder().setName("n" + node));
+    for (String version : List.of("v1", "v2")) {
+      IntStream.range(0, ROUTES)
+          .mapToObj(route -> OutcomeCount.newBuilder().setRoute("r" + route))
+          .forEach(c -> report.addCount(c.setService("s").setVersion(version).setGood(answers)));
+    }
+    return report.build();
+  }
+
+  /** Returns the mean number of bytes that one report allocates in a fleet of this size. */
+  private long bytesPerReport(int nodes) {
+    progress(State.IN_PROGRESS, 0.1);
+    IntStream.range(0, nodes).forEach(n -> rollouts.onReport(reportOf(n, 1)));
+    OutcomeReport report = reportOf(0, 2);
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    long before = threads.getCurrentThreadAllocatedBytes();
+    IntStream.range(0, MEASURED_REPORTS).forEach(i -> rollouts.onReport(report));
+    return (threads.getCurrentThreadAllocatedBytes() - before) / MEASURED_REPORTS;
+  }
+
+  /** Allocated bytes stand for work, since they do not depend on the speed of the machine. */
+  @Test
+  @Tag("known-red")
+  void workOfReportDoesNotGrowWithTheFleet() {
+    long bytesInSmallFleet = bytesPerReport(6);
+    assertThat(bytesPerReport(420)).isLessThan(2 * bytesInSmallFleet);
+  }
+
   @Test
   void anyVersionIsAllowedWithoutAnOrder() {
     assertThat(rollouts.versionsFor("s", "k", "r")).containsExactly("");
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.base.Splitter;
+import com.google.common.util.concurrent.Uninterruptibles;
 import com.google.protobuf.ByteString;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -17,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Ran;
@@ -36,6 +38,7 @@
 import org.eclipse.jetty.client.StringRequestContent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -51,6 +54,8 @@
   private static final long BODY_TIMEOUT_MS = 800;
   private static final int BYTE_INTERVAL_MS = 20;
   private static final int SMALL_EVENT_COUNT = 1_500;
+  private static final int SHORT_DEADLINE_MS = 300;
+  private static final long RESPONSE_TIMEOUT_S = 5;
 
   private record StartedRequest(
       RouterRequest request, CallerSink sink, CountDownLatch disconnected) {}
@@ -201,6 +206,69 @@
     assertThat(startedRequests).isEmpty();
   }
 
+  /** Occupies the decision thread until the latch is released. */
+  private CountDownLatch occupyDecisionThread() throws InterruptedException {
+    CountDownLatch occupied = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(1);
+    decisions.execute(
+        () -> {
+          occupied.countDown();
+          Uninterruptibles.awaitUninterruptibly(release);
+        });
+    occupied.await();
+    return release;
+  }
+
+  private Request requestWithShortDeadline() {
+    return request(
+            "POST",
+            CHAT_PATH,
+            "Authorization:Bearer %s|Currantslip-Deadline-Ms:%d".formatted(TOKEN, SHORT_DEADLINE_MS),
+            BODY)
+        .timeout(RESPONSE_TIMEOUT_S, TimeUnit.SECONDS);
+  }
+
+  @Test
+  @Tag("known-red")
+  void requestThatWaitsForBusyDecisionThreadIsRefusedAtItsDeadline() throws Exception {
+    CountDownLatch release = occupyDecisionThread();
+    ContentResponse response;
+    try {
+      response = requestWithShortDeadline().send();
+    } finally {
+      release.countDown();
+    }
+    CountDownLatch idle = new CountDownLatch(1);
+    decisions.offerRequest(idle::countDown);
+    idle.await();
+
+    assertThat(response.getStatus()).isEqualTo(503);
+    assertThat(response.getHeaders().get("Currantslip-Ran")).isEqualTo("no");
+    assertThat(startedRequests).isEmpty();
+  }
+
+  @Test
+  @Tag("known-red")
+  void requestThatHasBegunIsAnsweredAtItsDeadlineWhileDecisionThreadIsBusy() throws Exception {
+    CompletableFuture<ContentResponse> pending =
+        new CompletableResponseListener(requestWithShortDeadline()).send();
+    StartedRequest started = startedRequests.take();
+    CountDownLatch release = occupyDecisionThread();
+    ContentResponse response;
+    try {
+      response = pending.get(RESPONSE_TIMEOUT_S, TimeUnit.SECONDS);
+    } finally {
+      release.countDown();
+    }
+    assertThat(started.disconnected().await(RESPONSE_TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+    started.sink().head(head(ResultCode.OK, true));
+    started.sink().data(ByteString.copyFromUtf8("late"));
+    started.sink().finish(head(ResultCode.OK, true));
+
+    assertThat(response.getStatus()).isEqualTo(504);
+    assertThat(response.getHeaders().get("Currantslip-Ran")).isEqualTo("unknown");
+  }
+
   @Test
   void reportsResultCodeForOversizedHeader() throws Exception {
     ContentResponse response =
--- a/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
+++ b/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
@@ -4,11 +4,14 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class DecisionThreadTest {
   private static final int CAPACITY = 8;
+  private static final long REQUEST_MS = 100;
 
   private final DecisionThread decisions =
       DecisionThread.create(System::currentTimeMillis, CAPACITY, CAPACITY);
@@ -127,6 +130,41 @@
     assertThat(sender.isAlive()).isFalse();
   }
 
+  /** A request takes 100 ms of the driven clock, so that the ring holds 16 times a tick's time. */
+  @Test
+  @Tag("known-red")
+  void ticksAndCompletionsDoNotWaitForQueuedRequests() throws InterruptedException {
+    AtomicLong nowMs = new AtomicLong();
+    DecisionThread thread = DecisionThread.create(nowMs::get, 2 * CAPACITY, CAPACITY);
+    AtomicLong lastTickMs = new AtomicLong();
+    AtomicLong longestTickGapMs = new AtomicLong();
+    thread.onTick(
+        () -> {
+          long gapMs = nowMs.get() - lastTickMs.getAndSet(nowMs.get());
+          longestTickGapMs.accumulateAndGet(gapMs, Math::max);
+        });
+    AtomicLong completionDelayMs = new AtomicLong();
+    CountDownLatch done = new CountDownLatch(2 * CAPACITY);
+    for (int i = 0; i < 2 * CAPACITY; i++) {
+      boolean first = i == 0;
+      thread.offerRequest(
+          () -> {
+            nowMs.addAndGet(REQUEST_MS);
+            if (first) {
+              long sentMs = nowMs.get();
+              thread.execute(() -> completionDelayMs.set(nowMs.get() - sentMs));
+            }
+            done.countDown();
+          });
+    }
+    thread.start();
+    done.await();
+    thread.stop();
+
+    assertThat(completionDelayMs.get()).isEqualTo(0);
+    assertThat(longestTickGapMs.get()).isAtMost(2 * REQUEST_MS);
+  }
+
   private static void stopQuietly(DecisionThread thread) {
     try {
       thread.stop();
