Timeouts count from the arrival of a request and do not depend on the decision thread

Cause: the time ran from the moment at which the decision thread began a request, and only ticks of that thread ended it, so that the timeout of a request grew by every wait in the node, and a request that had not begun had none.

The time now runs from the first byte of the request. 100 ms after it is due, the connection's side answers: 503, not run, if the request had not begun, which it then never does; otherwise 504, and the call is given up. 4001 and 4002 lines have wait_ms, the time before the request was begun, 4009 names each answer of this kind.

FrontDoorTest.requestThatWaitsForBusyDecisionThreadIsRefusedAtItsDeadline and .requestThatHasBegunIsAnsweredAtItsDeadlineWhile- DecisionThreadIsBusy: no response within 5 s before, pass. ForwardedFlowTest.timeoutCountsFromArrivalOfRequest and .requestThatWaitedForItsWholeTimeoutIsNotSent are new; on the old logic a request had its whole timeout left whatever it had waited.

--- a/adapters/src/main/java/org/currantslip/adapter/caller/RequestHead.java
+++ b/adapters/src/main/java/org/currantslip/adapter/caller/RequestHead.java
@@ -9,7 +9,7 @@
  * @param path path as sent, without the query
  * @param pathQuery path and query as sent
  * @param fields header fields
- * @param nowMs time at which the request was received
+ * @param arrivedMs time at which the first byte of the request was read
  */
 public record RequestHead(
-    String method, String path, String pathQuery, HttpFields fields, long nowMs) {}
+    String method, String path, String pathQuery, HttpFields fields, long arrivedMs) {}
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -62,7 +62,8 @@
   private final RouterRequest request;
   private final ForwardedRequest forwarded;
   private final CallerResponse response;
-  private final long startedMs;
+  private final long arrivedMs;
+  private final long beganMs;
   private final Set<String> triedEndpoints = new HashSet<>();
 
   private RouteTable table = RouteTable.none();
@@ -97,7 +98,8 @@
     this.request = request;
     this.forwarded = forwarded;
     response = CallerResponse.create(request, sink);
-    startedMs = ports.clock().nowMs();
+    arrivedMs = forwarded.arrivedMs();
+    beganMs = ports.clock().nowMs();
     deadlineMs = request.deadlineMs();
     promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
   }
@@ -133,7 +135,7 @@
     route = matchedRoute;
     account = matchedRoute.anonymous() ? Account.anonymous() : authenticate();
     service = matchedRoute.serviceFor(request.requestId());
-    deadlineMs = Math.min(request.deadlineMs(), startedMs + matchedRoute.timeoutMs());
+    deadlineMs = Math.min(request.deadlineMs(), arrivedMs + matchedRoute.timeoutMs());
     sizeIndex = ports.sizeCascade().firstSize(matchedRoute);
     ports.retryBudget().recordRequest(service);
     if (request.body().size() > table.limits().bodyBytes()) {
@@ -176,8 +178,8 @@
                 service,
                 account.name(),
                 priority(),
-                startedMs,
-                startedMs + route().objectiveMs(),
+                arrivedMs,
+                arrivedMs + route().objectiveMs(),
                 deadlineMs,
                 forwarded.prompt()));
   }
@@ -358,7 +360,7 @@
             forwarded.prompt(),
             triedEndpoints);
     double expectedMs = ports.chooser().expectedFirstTokenMs(query).orElse(0);
-    long leftMs = startedMs + matchedRoute.objectiveMs() - ports.clock().nowMs();
+    long leftMs = arrivedMs + matchedRoute.objectiveMs() - ports.clock().nowMs();
     if (!ports
         .sizeCascade()
         .isEscalationWorthwhile(currentAnswer, expectedMs, leftMs, matchedRoute.objectiveMs())) {
@@ -425,7 +427,7 @@
 
   private void recordFirstByte() {
     if (firstByteMs < 0) {
-      firstByteMs = ports.clock().nowMs() - startedMs;
+      firstByteMs = ports.clock().nowMs() - arrivedMs;
     }
   }
 
@@ -651,7 +653,7 @@
   private void end(ResultCode code) {
     promptGuard.onAbandoned();
     close(0);
-    long totalMs = ports.clock().nowMs() - startedMs;
+    long totalMs = ports.clock().nowMs() - arrivedMs;
     String routeName = route == null ? "" : route.name();
     ports
         .outcomes()
@@ -676,8 +678,8 @@
             request.requestId(),
             () ->
                 ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
-                        + " status=%d sends=%d events=%d queue_ms=%d first_byte_ms=%d total_ms=%d"
-                        + " endpoint=%s framing=%s")
+                        + " status=%d sends=%d events=%d wait_ms=%d queue_ms=%d first_byte_ms=%d"
+                        + " total_ms=%d endpoint=%s framing=%s")
                     .formatted(
                         routeName,
                         account.name(),
@@ -689,7 +691,8 @@
                         response.sentStatus(),
                         sendCount,
                         eventCount,
-                        admittedMs < 0 ? totalMs : admittedMs - startedMs,
+                        beganMs - arrivedMs,
+                        (admittedMs < 0 ? arrivedMs + totalMs : admittedMs) - beganMs,
                         firstByteMs,
                         totalMs,
                         attempt == null ? "" : attempt.endpoint().getId(),
--- a/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
@@ -12,10 +12,12 @@
  * @param prompt parts of the prompt, in order; empty if the caller declares none
  * @param lastEventId id of the last event that the caller received from an earlier response, or
  *     empty
+ * @param arrivedMs time at which the first byte of the request was read; timeouts count from it
  */
 public record ForwardedRequest(
     String host,
     String apiKey,
     List<HeaderField> fields,
     List<PromptPart> prompt,
-    String lastEventId) {}
+    String lastEventId,
+    long arrivedMs) {}
--- a/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
+++ b/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
@@ -325,7 +325,7 @@
               PART_TOKENS * request.prompt.size(),
               100,
               0,
-              new ForwardedRequest("host", "key", List.of(), request.prompt, "")),
+              new ForwardedRequest("host", "key", List.of(), request.prompt, "", clock.nowMs())),
           request);
     }
   }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -164,10 +164,14 @@
                 key,
                 List.of(),
                 parts.stream().map(part -> new PromptPart(part, 100)).toList(),
-                "")),
+                "",
+                clock.nowMs() - waitedMs)),
         sink);
   }
 
+  /** Time for which the next requests have waited before they are started. */
+  private long waitedMs;
+
   private RequestHandle sendPrompt(String routeName, String... parts) {
     return send(routeName, "key", 60_000, "body", List.of(parts));
   }
@@ -244,6 +248,23 @@
     assertThat(outcomes.get(0).code()).isEqualTo(ResultCode.OK);
   }
 
+  @Test
+  void timeoutCountsFromArrivalOfRequest() {
+    waitedMs = TIMEOUT_MS / 2;
+    send("safe");
+    assertThat(forwarded(call(0).request()).remainingMs()).isEqualTo(TIMEOUT_MS - waitedMs);
+    advance(TIMEOUT_MS - waitedMs);
+    assertThat(sink.status()).isEqualTo(504);
+  }
+
+  @Test
+  void requestThatWaitedForItsWholeTimeoutIsNotSent() {
+    waitedMs = TIMEOUT_MS;
+    send("safe");
+    assertThat(calls.calls).isEmpty();
+    assertThat(sink.status()).isEqualTo(408);
+  }
+
   @ParameterizedTest
   @CsvSource({"missing, key, 404", "safe, wrong, 401", "safe, '', 401"})
   void unknownPathOrKeyIsRefused(String routeName, String key, int status) {
@@ -289,7 +310,7 @@
             0,
             0,
             0,
-            new ForwardedRequest("host", "key", List.of(), List.of(), "")),
+            new ForwardedRequest("host", "key", List.of(), List.of(), "", clock.nowMs())),
         sink);
     assertThat(sink.status()).isEqualTo(503);
     assertThat(sink.firstHead().retryAfterMs()).isGreaterThan(0);
--- a/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.currantslip.node.caller;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
@@ -11,10 +12,15 @@
 import org.currantslip.node.log.EventLog;
 import org.jspecify.annotations.Nullable;
 
-/** Passes one request, and later its caller's disconnect, to the decision thread. */
+/**
+ * Passes one request, and later its caller's disconnect, to the decision thread.
+ *
+ * <p>A request that has not begun can be withdrawn on any thread; it then never begins.
+ */
 final class CallerExchange {
   private final DecisionThread decisions;
   private final CallerRequests requests;
+  private final AtomicBoolean begunOrWithdrawn = new AtomicBoolean();
   private boolean disconnected;
   private @Nullable Runnable onDisconnect;
 
@@ -32,12 +38,17 @@
     return decisions.offerRequest(() -> start(request, sink));
   }
 
+  /** Prevents the start of the request; returns false if it has begun. */
+  boolean withdraw() {
+    return begunOrWithdrawn.compareAndSet(false, true);
+  }
+
   void disconnect() {
     decisions.execute(this::handleDisconnect);
   }
 
   private void start(RouterRequest request, CallerSink sink) {
-    if (disconnected) {
+    if (disconnected || !begunOrWithdrawn.compareAndSet(false, true)) {
       return;
     }
     try {
--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -1,25 +1,32 @@
 package org.currantslip.node.caller;
 
 import com.google.common.base.Strings;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.adapter.caller.PendingRequest;
 import org.currantslip.adapter.caller.RequestHead;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.ResponseHead;
+import org.currantslip.core.request.RouterRequest;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.log.EventLog;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.NanoTime;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Validates callers' requests and passes them to the decision thread. */
 final class CallerHandler extends Handler.Abstract.NonBlocking {
@@ -28,6 +35,9 @@
   /** A request that waits longer for the decision thread is served sooner by another node. */
   static final long MAX_DECISION_LAG_MS = 300;
 
+  /** Leaves the decision thread the time to answer by itself. */
+  private static final long OVERDUE_MARGIN_MS = 100;
+
   private final CallerOptions options;
   private final CallerProtocol protocol;
   private final Clock clock;
@@ -148,7 +158,7 @@
                 Strings.nullToEmpty(request.getHttpURI().getPath()),
                 Strings.nullToEmpty(request.getHttpURI().getPathQuery()),
                 request.getHeaders(),
-                clock.nowMs()));
+                clock.nowMs() - NanoTime.millisSince(request.getBeginNanoTime())));
     if (request.getLength() > options.maxBodyBytes()) {
       throw tooLarge();
     }
@@ -203,7 +213,9 @@
         DisconnectMonitor.start(
             request.getConnectionMetaData().getConnection(), sink::markDisconnected));
     try {
-      if (!exchange.offer(pending.complete(requestId, body), sink)) {
+      RouterRequest routerRequest = pending.complete(requestId, body);
+      endWhenOverdue(request, sink, exchange, routerRequest);
+      if (!exchange.offer(routerRequest, sink)) {
         throw RefusalException.notRunRetryable(
             ResultCode.OVERLOADED, BUSY_RETRY_AFTER_MS, "the request queue is full");
       }
@@ -212,6 +224,39 @@
     }
   }
 
+  /** Ends a request that the decision thread has not answered shortly after it was due. */
+  private void endWhenOverdue(
+      Request request, ResponseSink sink, CallerExchange exchange, RouterRequest routerRequest) {
+    long delayMs = requests.responseDueMs(routerRequest) + OVERDUE_MARGIN_MS - clock.nowMs();
+    Scheduler.Task timer =
+        request
+            .getConnectionMetaData()
+            .getConnector()
+            .getScheduler()
+            .schedule(
+                () -> endOverdue(request, sink, exchange, routerRequest.requestId()),
+                Math.max(0, delayMs),
+                TimeUnit.MILLISECONDS);
+    Request.addCompletionListener(request, failure -> timer.cancel());
+  }
+
+  private void endOverdue(
+      Request request, ResponseSink sink, CallerExchange exchange, String requestId) {
+    boolean notRun = exchange.withdraw();
+    RefusalException refusal =
+        notRun
+            ? RefusalException.notRunRetryable(
+                ResultCode.DEADLINE_UNREACHABLE, BUSY_RETRY_AFTER_MS, "the node is behind")
+            : RefusalException.of(
+                ResultCode.DEADLINE_EXCEEDED, Ran.UNKNOWN, 0, "the deadline passed");
+    if (refuse(request, sink, requestId, refusal)) {
+      EventLog.write(
+          LogEvent.RESPONSE_OVERDUE,
+          "request=%s begun=%s lag_ms=%d".formatted(requestId, !notRun, decisions.lagMs()));
+      exchange.disconnect();
+    }
+  }
+
   private static RefusalException bodyRefusal(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof IllegalStateException
@@ -223,10 +268,12 @@
     return RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "the request body is too large");
   }
 
-  private void refuse(
+  /** Ends the response with a refusal; returns false if it had ended before. */
+  @CanIgnoreReturnValue
+  private boolean refuse(
       Request request, ResponseSink sink, String requestId, RefusalException refusal) {
     Ran ran = protocol.executionStateOfRefusal(request.getHeaders());
-    sink.finish(
+    return sink.finishIfOpen(
         new ResponseHead(
             requestId,
             refusal.code(),
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -76,6 +76,9 @@
 
   @Override
   public synchronized void head(ResponseHead head) {
+    if (finished) {
+      return;
+    }
     streaming = head.stream();
     if (streaming) {
       writeHead(head);
@@ -88,6 +91,9 @@
 
   @Override
   public synchronized void data(ByteString data) {
+    if (finished) {
+      return;
+    }
     if (streaming) {
       enqueue(protocol.encodeChunk(data).toByteArray(), false);
     } else {
@@ -96,9 +102,14 @@
   }
 
   @Override
-  public synchronized void finish(ResponseHead end) {
+  public void finish(ResponseHead end) {
+    finishIfOpen(end);
+  }
+
+  /** Ends the response; returns false if it had ended before. */
+  synchronized boolean finishIfOpen(ResponseHead end) {
     if (finished) {
-      return;
+      return false;
     }
     finished = true;
     if (streaming) {
@@ -113,6 +124,7 @@
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.size());
       enqueue(body.toByteArray(), true);
     }
+    return true;
   }
 
   /** Closes the connection after the pending data is written, without ending the response. */
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -24,7 +24,6 @@
 import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.request.ForwardPorts;
 import org.currantslip.core.request.RequestEngine;
-import org.currantslip.core.request.RequestHandle;
 import org.currantslip.core.request.RequestIds;
 import org.currantslip.core.rollout.ServiceRolloutController;
 import org.currantslip.core.rollout.ServiceRollouts;
@@ -228,10 +227,7 @@
             WireCallerProtocol.create(),
             clock,
             decisions,
-            (request, sink) -> {
-              RequestHandle handle = requestEngine.start(request, sink);
-              return handle::onCallerDisconnected;
-            },
+            EdgeRequests.create(requestEngine, mirrors.routes()),
             () -> nextRequestId(ids),
             () -> entryView);
     callerTraffic = CallerTraffic.create(callerServer, requestEngine);
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -38,7 +38,6 @@
 import org.eclipse.jetty.client.StringRequestContent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -252,7 +251,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requestThatWaitsForBusyDecisionThreadIsRefusedAtItsDeadline() throws Exception {
     CountDownLatch release = occupyDecisionThread();
     ContentResponse response;
@@ -271,7 +269,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requestThatHasBegunIsAnsweredAtItsDeadlineWhileDecisionThreadIsBusy() throws Exception {
     CompletableFuture<ContentResponse> pending =
         new CompletableResponseListener(requestWithShortDeadline()).send();
