--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -159,6 +159,11 @@
     return clock.nowMs() - startedMs;
   }
 
+  /** Returns the time at which the request was sent. */
+  long sentMs() {
+    return startedMs;
+  }
+
   /** Returns the mean time between events of a stream, or -1 if it had too few events. */
   double meanEventIntervalMs(int events) {
     return events < MIN_INTERVAL_EVENTS || !hasResponseHead()
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -301,7 +301,7 @@
 
   @Override
   public void onNotice(Attempt a, EndpointNotice notice) {
-    EndpointNotice.Effect effect = ports.chooser().onNotice(a.endpoint(), notice);
+    EndpointNotice.Effect effect = ports.chooser().onNotice(a.endpoint(), notice, a.sentMs());
     if (effect != EndpointNotice.Effect.NONE) {
       ports
           .trace()
@@ -309,9 +309,14 @@
               LogEvent.ENDPOINT_NOTICE,
               request.requestId(),
               () ->
-                  "endpoint=%s leaving=%s retry_after_s=%s effect=%s"
+                  "endpoint=%s leaving=%s retry_after_s=%s limit=%s limit_per_s=%s effect=%s"
                       .formatted(
-                          a.endpoint().getId(), notice.leaving(), notice.retryAfterS(), effect));
+                          a.endpoint().getId(),
+                          notice.leaving(),
+                          notice.retryAfterS(),
+                          notice.limit().kind(),
+                          notice.limit().perS(),
+                          effect));
     }
   }
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -50,8 +50,13 @@
     return false;
   }
 
-  /** Applies what an endpoint said of itself in a response. */
-  default EndpointNotice.Effect onNotice(EndpointRecord endpoint, EndpointNotice notice) {
+  /**
+   * Applies what an endpoint said of itself in a response.
+   *
+   * @param sentMs time at which the request was sent; a response to a later one goes before it
+   */
+  default EndpointNotice.Effect onNotice(
+      EndpointRecord endpoint, EndpointNotice notice, long sentMs) {
     return EndpointNotice.Effect.NONE;
   }
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointNotice.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointNotice.java
@@ -6,17 +6,25 @@
  * @param leaving whether it is about to stop
  * @param retryAfterS time in seconds for which it wants no requests; zero if it names none, NaN if
  *     the value cannot be read
+ * @param limit number of requests that it accepts from all nodes together
  */
-public record EndpointNotice(boolean leaving, double retryAfterS) {
-  private static final EndpointNotice NONE = new EndpointNotice(false, 0);
+public record EndpointNotice(boolean leaving, double retryAfterS, RequestLimit limit) {
+  private static final EndpointNotice NONE = new EndpointNotice(false, 0, RequestLimit.unsaid());
+
+  /** Creates the notice of a response that says nothing of a limit. */
+  public EndpointNotice(boolean leaving, double retryAfterS) {
+    this(leaving, retryAfterS, RequestLimit.unsaid());
+  }
 
   /** Effect of a notice on the requests that may be sent to the endpoint. */
   public enum Effect {
     /** Nothing changes. */
     NONE,
-    /** The endpoint gets no requests any more, or none until a later time than before. */
+    /** The endpoint gets fewer requests than before, or none. */
     RESTRICTED,
-    /** The time is negative or cannot be read, and is ignored. */
+    /** The endpoint gets more requests than before. */
+    RELAXED,
+    /** The time or the limit is negative or cannot be read, and is ignored. */
     UNREADABLE
   }
 
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -205,7 +205,8 @@
   }
 
   @Override
-  public EndpointNotice.Effect onNotice(EndpointRecord endpoint, EndpointNotice notice) {
+  public EndpointNotice.Effect onNotice(
+      EndpointRecord endpoint, EndpointNotice notice, long sentMs) {
     return restrictions.add(endpoint, notice, clock.nowMs());
   }
 
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -464,7 +464,7 @@
   @CsvSource({"true, 0", "false, 2"})
   void requestIsRefusedAsNotRunWhileNoEndpointWantsIt(boolean leaving, double retryAfterS) {
     EndpointNotice notice = new EndpointNotice(leaving, retryAfterS);
-    chooser.endpoints().forEach(e -> chooser.onNotice(e, notice));
+    chooser.endpoints().forEach(e -> chooser.onNotice(e, notice, clock.nowMs()));
     send("unsafe");
     clock.advance(OBJECTIVE_MS);
     queue.tick();
--- a/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
+++ b/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
@@ -98,7 +98,7 @@
     EndpointQuery query = EndpointQuery.ofService("s", "", "", List.of(), Set.of());
     chooser.onEndpoints(List.of(endpoint(1)));
     assertThat(chooser.choose(query)).isPresent();
-    chooser.onNotice(endpoint(1), LEAVING);
+    chooser.onNotice(endpoint(1), LEAVING, clock.nowMs());
     assertThat(chooser.choose(query)).isEmpty();
     assertThat(chooser.freeSlots("s")).isEqualTo(0);
     chooser.onEndpoints(List.of());
