A fleet keeps to the request limit that an endpoint names

Cause: nothing read the limit. As many nodes as it has whole requests a second, at least one, now send to the endpoint, ranked alike on all nodes, with equal token buckets of two requests; the others leave it to them. An endpoint that only few may use is preferred by these when the costs are about the same, since it would otherwise stay at half of its limit. The senders tell all nodes when the limit changes or ends; what nobody repeats for 70 s is forgotten. Of two statements the one in the response to the later request counts, and a new start has none.

Ruled out: an equal share for each node (86 requests in 4 s at 78 nodes, worked out), tokens granted by one node (nothing is sent while it is lost). A limit that ended was reported by nobody if it was 0, since its share was 0: found by the test.

--- a/core/src/main/java/org/currantslip/core/quarantine/NodeRanking.java
+++ b/core/src/main/java/org/currantslip/core/membership/NodeRanking.java
@@ -1,4 +1,4 @@
-package org.currantslip.core.quarantine;
+package org.currantslip.core.membership;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -6,25 +6,25 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** Ranks nodes for a part by rendezvous hashing. */
+/** Ranks nodes for an object by rendezvous hashing. */
 public final class NodeRanking {
   private NodeRanking() {}
 
-  /** Returns these nodes in the order of a part. */
-  public static List<String> rank(String service, String part, Collection<String> nodes) {
+  /** Returns these nodes in the order of an object; the group tells objects of one name apart. */
+  public static List<String> rank(String group, String object, Collection<String> nodes) {
     return nodes.stream()
-        .map(node -> new Ranked(node, score(service, part, node)))
+        .map(node -> new Ranked(node, score(group, object, node)))
         .sorted(Comparator.comparingLong(Ranked::score).thenComparing(Ranked::node))
         .map(Ranked::node)
         .toList();
   }
 
-  private static long score(String service, String part, String node) {
+  private static long score(String group, String object, String node) {
     return Hashing.murmur3_128()
         .newHasher()
-        .putString(service, StandardCharsets.UTF_8)
+        .putString(group, StandardCharsets.UTF_8)
         .putChar('>')
-        .putString(part, StandardCharsets.UTF_8)
+        .putString(object, StandardCharsets.UTF_8)
         .putChar('>')
         .putString(node, StandardCharsets.UTF_8)
         .hash()
--- a/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/QuarantinePeers.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.quarantine;
 
 import java.util.List;
+import org.currantslip.core.membership.NodeRanking;
 import org.currantslip.schema.QuarantineUpdate;
 
 /** Access to the other nodes. Messages may be lost or delayed. */
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -13,6 +13,7 @@
 import java.util.stream.IntStream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.PromptPart;
+import org.currantslip.schema.EndpointLimits;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.PendingPrefill;
 import org.currantslip.schema.PrefillReport;
@@ -47,6 +48,9 @@
   private static final double DEFAULT_PREFILL_MS_PER_TOKEN = 0.25;
   private static final double CROSS_DOMAIN_PENALTY_MS = 1;
 
+  /** An endpoint that few nodes may use stays below its limit unless these nodes prefer it. */
+  private static final double LIMITED_ENDPOINT_BONUS_MS = 5;
+
   /** Bounds a report; a node sends fewer prompts between two reports. */
   private static final int MAX_SENT_PROMPTS = 64;
 
@@ -61,17 +65,26 @@
   private final PeerPrefills peerPrefills = PeerPrefills.create();
   private final List<SentPrompt> sentPrompts = new ArrayList<>();
   private final SendRestrictions restrictions = SendRestrictions.create();
+  private final RequestLimits limits;
   private Map<PoolKey, EndpointPool> pools = Map.of();
 
-  private ExpectedWaitChooser(Clock clock, String localFailureDomain, long seed) {
+  private ExpectedWaitChooser(
+      Clock clock, String localFailureDomain, long seed, SenderShares shares) {
     this.clock = clock;
     this.localFailureDomain = localFailureDomain;
+    limits = RequestLimits.create(shares);
     random = new SplittableRandom(seed);
   }
 
-  /** Creates a chooser without endpoints. */
+  /** Creates a chooser without endpoints, of a node that sends to them alone. */
   public static ExpectedWaitChooser create(Clock clock, String localFailureDomain, long seed) {
-    return new ExpectedWaitChooser(clock, localFailureDomain, seed);
+    return create(clock, localFailureDomain, seed, SenderShares.all());
+  }
+
+  /** Creates a chooser without endpoints, of a node that has a share of their request limits. */
+  public static ExpectedWaitChooser create(
+      Clock clock, String localFailureDomain, long seed, SenderShares shares) {
+    return new ExpectedWaitChooser(clock, localFailureDomain, seed, shares);
   }
 
   @Override
@@ -201,13 +214,32 @@
   }
 
   private boolean isUsable(EndpointState state, long nowMs) {
-    return state.isUsable(nowMs) && restrictions.permits(state.endpoint(), nowMs);
+    return state.isUsable(nowMs)
+        && restrictions.permits(state.endpoint(), nowMs)
+        && limits.permits(state.endpoint(), nowMs);
   }
 
   @Override
   public EndpointNotice.Effect onNotice(
       EndpointRecord endpoint, EndpointNotice notice, long sentMs) {
-    return restrictions.add(endpoint, notice, clock.nowMs());
+    EndpointNotice.Effect restricted = restrictions.add(endpoint, notice, clock.nowMs());
+    EndpointNotice.Effect limited = limits.add(endpoint, notice.limit(), sentMs, clock.nowMs());
+    return restricted == EndpointNotice.Effect.NONE ? limited : restricted;
+  }
+
+  /** Returns the request limits that other nodes must learn of, if there are any. */
+  public Optional<EndpointLimits> limitReport() {
+    return limits.report(clock.nowMs());
+  }
+
+  /** Applies request limits that another node has learned of. */
+  public void onLimitReport(EndpointLimits report) {
+    limits.onReport(report, clock.nowMs());
+  }
+
+  private void onSent(EndpointState state) {
+    state.onDispatched(clock.nowMs());
+    limits.onSent(state.endpoint(), clock.nowMs());
   }
 
   private static boolean isSmallServicePool(EndpointPool pool, EndpointQuery query) {
@@ -272,7 +304,8 @@
         + backlogMs(state, query, now)
         + uncachedTokens(state, query, prefixOwner) * perToken
         + state.failureRate(now) * FAILURE_PENALTY_MS
-        + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
+        + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
+        - (limits.isLeftToFew(state.endpoint()) ? LIMITED_ENDPOINT_BONUS_MS : 0);
   }
 
   private double backlogMs(EndpointState state, EndpointQuery query, long now) {
@@ -336,7 +369,7 @@
 
     @Override
     public void onStarted(long expectedTokens) {
-      state.onDispatched(clock.nowMs());
+      onSent(state);
       state.addPendingPrompts(1, prefillMs);
       meanPrefillTime(query).update(prefillMs);
       state.promptCache().add(query.engineModel(), query.prompt());
@@ -397,7 +430,7 @@
   public void onDispatched(String endpointId, long expectedTokens) {
     EndpointState state = states.get(endpointId);
     if (state != null) {
-      state.onDispatched(clock.nowMs());
+      onSent(state);
     }
   }
 
--- a/core/src/test/java/org/currantslip/core/fleet/FleetQuarantinePeers.java
+++ b/core/src/test/java/org/currantslip/core/fleet/FleetQuarantinePeers.java
@@ -1,8 +1,8 @@
 package org.currantslip.core.fleet;
 
 import java.util.List;
+import org.currantslip.core.membership.NodeRanking;
 import org.currantslip.core.port.PeerNetwork;
-import org.currantslip.core.quarantine.NodeRanking;
 import org.currantslip.core.quarantine.QuarantinePeers;
 import org.currantslip.schema.PeerFrame;
 import org.currantslip.schema.QuarantineUpdate;
--- a/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.currantslip.core.common.ManualClock;
+import org.currantslip.core.membership.NodeRanking;
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.QuarantineUpdate;
 import org.junit.jupiter.api.Test;
--- a/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.currantslip.core.common.ManualClock;
+import org.currantslip.core.membership.NodeRanking;
 import org.currantslip.core.quarantine.FleetResult.BadPart;
 import org.currantslip.core.quarantine.FleetResult.SoundRequest;
 import org.currantslip.core.route.PromptPart;
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -29,6 +29,7 @@
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.routing.EndpointRegistry;
 import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.core.routing.RankedSenders;
 import org.currantslip.node.caller.CallerTraffic;
 import org.currantslip.node.caller.EntryView;
 import org.currantslip.node.caller.FrontDoor;
@@ -167,7 +168,9 @@
     membership.setMirrorRevisions(mirrorGossip::revisions, mirrorGossip::onRevisions);
     mirrorGossip.setCopyListener(membership::advanceHeartbeat);
     mirrors.onNewConfig(membership::advanceHeartbeat);
-    endpointChooser = ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed);
+    endpointChooser =
+        ExpectedWaitChooser.create(
+            clock, settings.getFailureDomain(), seed, RankedSenders.create(membership));
     rollouts = ServiceRollouts.create(self.getId(), this::onHalt);
     endpointRegistry =
         EndpointRegistry.create(
@@ -305,7 +308,10 @@
         LogEvent.VERSION_STOPPED,
         "service=%s version=%s reason=%s"
             .formatted(halt.getService(), halt.getVersion(), halt.getReason()));
-    PeerFrame frame = PeerFrame.newBuilder().setVersionHalt(halt).build();
+    sendToOthers(PeerFrame.newBuilder().setVersionHalt(halt).build());
+  }
+
+  private void sendToOthers(PeerFrame frame) {
     membership.live().stream()
         .map(n -> n.getId().getName())
         .filter(n -> !n.equals(settings.getName()))
@@ -341,6 +347,9 @@
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
       sendOutcomeReport();
+      endpointChooser
+          .limitReport()
+          .ifPresent(r -> sendToOthers(PeerFrame.newBuilder().setEndpointLimits(r).build()));
     }
     if (nowMs >= nextPrefillReportMs) {
       nextPrefillReportMs = nowMs + PREFILL_REPORT_INTERVAL_MS;
@@ -512,6 +521,7 @@
         case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
         case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
         case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
+        case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
         case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
         default -> {
           // Replies have reached their requesters already; frame types of newer nodes are ignored.
