--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -50,6 +50,7 @@
 
   private DecisionThread(Clock clock, int requestCapacity, int completionCapacity) {
     this.clock = clock;
+    roundStartedMs = clock.nowMs();
     requests = TaskRing.ofCapacity(requestCapacity);
     completions = TaskRing.ofCapacity(completionCapacity);
     thread = new Thread(this::run, "decision");
