--- a/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
+++ b/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
@@ -138,7 +138,7 @@
     assertThat(sender.isAlive()).isFalse();
   }
 
-  /** A request takes 100 ms of the driven clock, so that the ring holds 16 times a tick's time. */
+  /** Sixteen requests wait, each of which takes 100 ms of the driven clock. */
   @Test
   void ticksAndCompletionsDoNotWaitForQueuedRequests() throws InterruptedException {
     AtomicLong nowMs = new AtomicLong();
