Failing test: requests that crash endpoints come again and are sent each time

A fleet of 6 to 78 nodes gets one to three requests that crash each endpoint that begins them, again and again, at any node, on safe, unsafe and streaming routes, before the head or after some events.

--- a/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
@@ -35,26 +35,31 @@
 
   final List<Arrival> arrivals = new ArrayList<>();
   final List<Long> crashTimesMs = new ArrayList<>();
+  final List<Arrival> crashes = new ArrayList<>();
+
+  /** Events of a response that an endpoint sends before it crashes. */
+  int eventsBeforeCrash;
+
   private final FakeEvents events;
   private final ForwardingFleet.Setup setup;
-  private final Predicate<String> crashes;
+  private final Predicate<String> isCrashing;
   private final Runnable onChange;
   private final List<Endpoint> endpoints;
 
   /**
    * Creates running endpoints.
    *
-   * @param crashes returns whether the request with this id crashes an endpoint
+   * @param isCrashing returns whether the request with this id crashes an endpoint
    * @param onChange called when an endpoint has restarted
    */
   CrashingEndpoints(
       FakeEvents events,
       ForwardingFleet.Setup setup,
-      Predicate<String> crashes,
+      Predicate<String> isCrashing,
       Runnable onChange) {
     this.events = events;
     this.setup = setup;
-    this.crashes = crashes;
+    this.isCrashing = isCrashing;
     this.onChange = onChange;
     endpoints = IntStream.range(0, setup.endpoints()).mapToObj(Endpoint::new).toList();
   }
@@ -122,17 +127,18 @@
           () ->
               call.listener.onHead(
                   EndpointResponseHead.of(200, "text/event-stream", call.request.correlation())));
-      if (crashes.test(call.request.correlation())) {
-        crash();
-      } else {
-        writeEvent(call, call.firstEvent());
-      }
+      writeEvent(call, call.firstEvent());
     }
 
     private void writeEvent(Call call, int number) {
       if (!calls.contains(call)) {
         return;
       }
+      if (number > eventsBeforeCrash && isCrashing.test(call.request.correlation())) {
+        crashes.add(new Arrival(call.request.correlation(), events.clock().nowMs()));
+        crash();
+        return;
+      }
       call.deliver(
           () ->
               call.listener.onData(
--- a/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
+++ b/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
@@ -2,11 +2,13 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -41,6 +43,12 @@
 /** Several nodes that forward prompts to a shared pool of endpoints, some of which crash them. */
 final class ForwardingFleet {
   static final String BAD_PART = "bad";
+  static final String BAD_BODY = "bad";
+  static final String STREAM_PATH = "/chat/x";
+  static final String SAFE_PATH = "/lookup/x";
+  static final String UNSAFE_PATH = "/record/x";
+  private static final long CALLER_RETRY_MS = 100;
+  private static final int CALLER_TRIES = 8;
   private static final long START_MS = 1_800_000_000_000L;
   private static final long TICK_MS = 5;
   private static final long PART_TOKENS = 200;
@@ -92,20 +100,9 @@
         RouteTable.of(
             1,
             List.of(
-                new Route(
-                    "chat",
-                    "host",
-                    "/chat/",
-                    RouteKind.STREAMING,
-                    List.of(new WeightedService(CrashingEndpoints.SERVICE, 1)),
-                    3,
-                    TIMEOUT_MS,
-                    1_000,
-                    600,
-                    1,
-                    false,
-                    true,
-                    List.of())),
+                route("chat", "/chat/", RouteKind.STREAMING),
+                route("lookup", "/lookup/", RouteKind.SAFE),
+                route("record", "/record/", RouteKind.UNSAFE)),
             Map.of("key", new Account("account", OptionalInt.empty())),
             CallerLimits.defaults()));
     endpoints =
@@ -116,6 +113,23 @@
     announceEndpoints();
   }
 
+  private static Route route(String name, String prefix, RouteKind kind) {
+    return new Route(
+        name,
+        "host",
+        prefix,
+        kind,
+        List.of(new WeightedService(CrashingEndpoints.SERVICE, 1)),
+        3,
+        TIMEOUT_MS,
+        1_000,
+        600,
+        1,
+        false,
+        true,
+        List.of());
+  }
+
   private Sent sentRequest(String id) {
     Sent request = sent.get(id);
     if (request == null) {
@@ -145,6 +159,77 @@
     }
   }
 
+  /**
+   * Sends requests without a prompt. Each bad request comes again all the time, a sound one when it
+   * failed.
+   *
+   * @param badRequests number of requests that crash endpoints
+   * @param badIntervalMs time between two tries of each of them
+   * @param copies number of nodes that get each of these tries
+   */
+  void runPlain(long ms, String path, int badRequests, long badIntervalMs, int copies) {
+    for (long i = 0; i < ms; i++) {
+      if (i % setup.intervalMs() == 0) {
+        sendPlain(path, "sound" + sent.size(), 1);
+      }
+      for (int bad = 0; bad < badRequests; bad++) {
+        if ((i + bad * 7L) % badIntervalMs == 0) {
+          for (int copy = 0; copy < copies; copy++) {
+            sendPlain(path, BAD_BODY + bad, 1);
+          }
+        }
+      }
+      events.advance(1);
+      if (clock.nowMs() % TICK_MS == 0) {
+        nodes.forEach(Node::tick);
+      }
+    }
+  }
+
+  private void sendPlain(String path, String body, int tries) {
+    String id = "r" + sent.size();
+    Runnable retry =
+        () -> {
+          if (!body.startsWith(BAD_BODY) && tries < CALLER_TRIES) {
+            events.after(CALLER_RETRY_MS, () -> sendPlain(path, body, tries + 1));
+          }
+        };
+    Sent request = new Sent(List.of(), path, body, clock.nowMs(), retry);
+    sent.put(id, request);
+    nodes.get(random.nextInt(nodes.size())).start(id, request);
+  }
+
+  /** Returns the times at which endpoints crashed under a request with this body. */
+  List<Long> crashesMs(String body) {
+    return endpoints.crashes.stream()
+        .filter(c -> sentRequest(c.requestId()).body.equals(body))
+        .map(CrashingEndpoints.Arrival::atMs)
+        .toList();
+  }
+
+  /** Returns how many times endpoints received a request with this body after a time. */
+  long arrivalsAfter(String body, long ms) {
+    return endpoints.arrivals.stream()
+        .filter(a -> a.atMs() > ms && sentRequest(a.requestId()).body.equals(body))
+        .count();
+  }
+
+  /** Returns the share of sound requests without a prompt of which a try was quarantined. */
+  double refusedSoundShare() {
+    Set<String> bodies = new HashSet<>();
+    Set<String> refused = new HashSet<>();
+    sent.values().stream()
+        .filter(r -> !r.isBad())
+        .forEach(
+            r -> {
+              bodies.add(r.body);
+              if (r.isRefusedAsNotRun()) {
+                refused.add(r.body);
+              }
+            });
+    return refused.size() / (double) bodies.size();
+  }
+
   /** Sends requests without the bad part. */
   void runCalm(long ms) {
     run(ms, 0);
@@ -209,7 +294,7 @@
     }
     String id = "r" + sent.size();
     prompt.add(part(id));
-    Sent request = new Sent(prompt, clock.nowMs());
+    Sent request = new Sent(prompt, STREAM_PATH, "", clock.nowMs(), () -> {});
     sent.put(id, request);
     nodes.get(random.nextInt(nodes.size())).start(id, request);
   }
@@ -221,17 +306,23 @@
   /** A request and its response. */
   static final class Sent implements CallerSink {
     private final List<PromptPart> prompt;
+    private final String path;
+    private final String body;
     private final long sentMs;
+    private final Runnable retry;
     private final List<ResponseHead> heads = new ArrayList<>();
     private final List<ResponseHead> ends = new ArrayList<>();
 
-    private Sent(List<PromptPart> prompt, long sentMs) {
+    private Sent(List<PromptPart> prompt, String path, String body, long sentMs, Runnable retry) {
       this.prompt = prompt;
+      this.path = path;
+      this.body = body;
       this.sentMs = sentMs;
+      this.retry = retry;
     }
 
     boolean isBad() {
-      return prompt.stream().anyMatch(p -> p.id().equals(BAD_PART));
+      return body.startsWith(BAD_BODY) || prompt.stream().anyMatch(p -> p.id().equals(BAD_PART));
     }
 
     long sentMs() {
@@ -261,6 +352,9 @@
     @Override
     public void finish(ResponseHead end) {
       ends.add(end);
+      if (end.code() != ResultCode.OK) {
+        retry.run();
+      }
     }
   }
 
@@ -312,9 +406,9 @@
               "",
               "",
               "POST",
-              "/chat/x",
+              request.path,
               "text/plain",
-              ByteString.EMPTY,
+              ByteString.copyFromUtf8(request.body),
               true,
               null,
               true,
