Requests that crash endpoints are quarantined as a whole

Cause: the suspects of a crash were the shared parts of prompts only. A plain request has none, and of a prompt the last part was left out; a call that broke after two events was no crash; requests without shared parts were always repeated.

The hash of method, path with query, account and body is now one more suspect beside the parts, whatever the service, with the same detection, judges, verdicts and trials. Its success is the whole answer, and a call that breaks after events accuses it. Three crashes convict, at once or one after the other; our own repeats end with the third known one. A conviction explains its crashes to requests that could not be convicted yet.

ForwardedFlowTest.brokenStreamIsReportedAsCrash... demanded no report for a stream that breaks after two events; the request is reported now, and the test demands that its parts are not.

--- a/core/src/main/java/org/currantslip/core/quarantine/CrashDetector.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/CrashDetector.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 
 /**
@@ -72,7 +73,7 @@
   /** Removes a call that the router gave up, though the endpoint may still work on it. */
   void onAbandoned(PromptCall call) {
     Calls calls = callsByEndpoint.get(call.endpoint());
-    if (calls != null && calls.open.remove(call) && !call.progressed()) {
+    if (calls != null && calls.open.remove(call)) {
       calls.abandoned.add(new Abandoned(call, clock.nowMs()));
     }
   }
@@ -120,19 +121,26 @@
       return Optional.of(crash);
     }
 
-    private Map<PartKey, Long> suspects() {
-      Map<PartKey, Long> sentMsByPart = new LinkedHashMap<>();
-      broken.stream()
-          .filter(call -> !call.progressed())
-          .forEach(call -> addParts(call, sentMsByPart));
-      if (!sentMsByPart.isEmpty()) {
-        abandoned.forEach(a -> addParts(a.call(), sentMsByPart));
+    private Map<Fingerprint, Long> suspects() {
+      Map<Fingerprint, Long> sentMs = new LinkedHashMap<>();
+      broken.forEach(call -> addParts(call, sentMs));
+      if (!sentMs.isEmpty()) {
+        abandoned.forEach(a -> addParts(a.call(), sentMs));
       }
-      return sentMsByPart;
+      // An endpoint may answer a part of a request that makes it crash.
+      Stream.concat(broken.stream(), abandoned.stream().map(Abandoned::call))
+          .forEach(call -> call.request().ifPresent(key -> add(key, call, sentMs)));
+      return sentMs;
     }
 
-    private static void addParts(PromptCall call, Map<PartKey, Long> sentMsByPart) {
-      call.parts().forEach(part -> sentMsByPart.merge(part, call.sentMs(), Math::max));
+    private static void addParts(PromptCall call, Map<Fingerprint, Long> sentMs) {
+      if (!call.progressed()) {
+        call.parts().forEach(key -> add(key, call, sentMs));
+      }
+    }
+
+    private static void add(Fingerprint key, PromptCall call, Map<Fingerprint, Long> sentMs) {
+      sentMs.merge(key, call.sentMs(), Math::max);
     }
   }
 
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptCall.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptCall.java
@@ -1,23 +1,24 @@
 package org.currantslip.core.quarantine;
 
 import java.util.List;
+import java.util.Optional;
 
-/** A call of an endpoint with a prompt. */
+/** A call of an endpoint. */
 public final class PromptCall {
   private final EndpointInstance endpoint;
-  private final List<PartKey> parts;
+  private final RequestFingerprints fingerprints;
   private final long sentMs;
   private boolean progressed;
   private boolean trial;
 
-  private PromptCall(EndpointInstance endpoint, List<PartKey> parts, long sentMs) {
+  private PromptCall(EndpointInstance endpoint, RequestFingerprints fingerprints, long sentMs) {
     this.endpoint = endpoint;
-    this.parts = parts;
+    this.fingerprints = fingerprints;
     this.sentMs = sentMs;
   }
 
-  static PromptCall of(EndpointInstance endpoint, List<PartKey> parts, long sentMs) {
-    return new PromptCall(endpoint, parts, sentMs);
+  static PromptCall of(EndpointInstance endpoint, RequestFingerprints fingerprints, long sentMs) {
+    return new PromptCall(endpoint, fingerprints, sentMs);
   }
 
   EndpointInstance endpoint() {
@@ -25,8 +26,17 @@
   }
 
   /** Returns the parts of the prompt that may be shared with other prompts. */
-  List<PartKey> parts() {
-    return parts;
+  List<Fingerprint> parts() {
+    return fingerprints.parts();
+  }
+
+  /** Returns the fingerprint of the request, if it has one. */
+  Optional<Fingerprint> request() {
+    return fingerprints.request();
+  }
+
+  RequestFingerprints fingerprints() {
+    return fingerprints;
   }
 
   long sentMs() {
@@ -42,7 +52,7 @@
     progressed = true;
   }
 
-  /** Returns whether this call is the trial of a quarantined part. */
+  /** Returns whether this call is the trial of a quarantined fingerprint. */
   boolean isTrial() {
     return trial;
   }
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -8,21 +8,22 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
-import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointCrash;
 import org.currantslip.schema.PartSuccess;
 import org.currantslip.schema.PartVerdict;
 import org.currantslip.schema.QuarantineUpdate;
 import org.currantslip.schema.SuspectPart;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Finds prompt parts under which endpoints crash, and keeps requests with such a part from being
- * sent to further endpoints.
+ * Finds prompt parts and whole requests under which endpoints crash, and keeps them from being sent
+ * to further endpoints.
  *
- * <p>Each node reports the crashes it sees to the judges of the suspected parts. A judge that finds
- * that a part makes endpoints crash announces this to all nodes. From time to time a single request
- * is let through, and its success ends the quarantine.
+ * <p>Each node reports the crashes it sees to the judges of the suspected fingerprints. A judge
+ * that finds that one makes endpoints crash announces this to all nodes. From time to time a single
+ * request is let through, and its success ends the quarantine.
  *
  * <p>Not thread-safe; confined to the decision thread.
  */
@@ -39,6 +40,9 @@
   /** Endpoints that one request may see crash. */
   private static final int MAX_CRASHES_PER_REQUEST = 2;
 
+  /** Crashes of which a whole request is convicted. */
+  private static final int MAX_REQUEST_CRASHES = 3;
+
   /** Time for which a node must have seen answers of a service to have seen most of its parts. */
   private static final long WARM_UP_MS = 5_000;
 
@@ -51,30 +55,31 @@
   private final Clock clock;
   private final QuarantinePeers peers;
   private final CrashDetector detector;
-  private final PartEvidence ownEvidence = PartEvidence.create();
-  private final PartEvidence judgedEvidence = PartEvidence.create();
-  private final PartVerdicts verdicts;
-  private final Map<PartKey, Long> successMs = RecentMap.ofSize(MAX_SUCCESSES);
-  private final Map<PartKey, Long> reportedMs = RecentMap.ofSize(MAX_REPORTED);
-  private final Map<PartKey, Long> successSentMs = RecentMap.ofSize(MAX_REPORTED);
+  private final CrashEvidence ownEvidence = CrashEvidence.create();
+  private final CrashEvidence judgedEvidence = CrashEvidence.create();
+  private final Verdicts verdicts;
+  private final Map<Fingerprint, Long> partSuccessMs = RecentMap.ofSize(MAX_SUCCESSES);
+  private final Map<Fingerprint, Long> requestSuccessMs = RecentMap.ofSize(MAX_SUCCESSES);
+  private final Map<Fingerprint, Long> reportedMs = RecentMap.ofSize(MAX_REPORTED);
+  private final Map<Fingerprint, Long> successSentMs = RecentMap.ofSize(MAX_REPORTED);
   private final Map<String, Long> firstSuccessMs = RecentMap.ofSize(MAX_SERVICES);
 
-  /** Parts of trials that this node started, but that did not reach an endpoint. */
-  private final Set<PartKey> unusedTrials = new HashSet<>();
+  /** Fingerprints of trials that this node started, but that did not reach an endpoint. */
+  private final Set<Fingerprint> unusedTrials = new HashSet<>();
 
-  /** Parts whose verdict waits for successes of other requests. */
-  private final Set<PartKey> undecided = new LinkedHashSet<>();
+  /** Fingerprints whose verdict waits for successes of other requests. */
+  private final Set<Fingerprint> undecided = new LinkedHashSet<>();
 
   private final Resends<Crash> crashResends;
-  private final Resends<PartKey> successResends;
-  private final Resends<PartKey> verdictResends;
+  private final Resends<Fingerprint> successResends;
+  private final Resends<Fingerprint> verdictResends;
   private QuarantineListener listener = QuarantineListener.none();
 
   private PromptQuarantine(Clock clock, QuarantinePeers peers) {
     this.clock = clock;
     this.peers = peers;
     detector = CrashDetector.create(clock);
-    verdicts = PartVerdicts.create(clock);
+    verdicts = Verdicts.create(clock);
     crashResends = Resends.create(clock);
     successResends = Resends.create(clock);
     verdictResends = Resends.create(clock);
@@ -94,9 +99,8 @@
    * Returns whether a request may be sent now. To be asked before each sending, right before {@link
    * #onSent}.
    */
-  public Admission check(String service, List<PromptPart> prompt) {
-    List<PartKey> quarantined =
-        PartKey.sharedParts(service, prompt).filter(verdicts::isQuarantined).toList();
+  public Admission check(RequestFingerprints fingerprints) {
+    List<Fingerprint> quarantined = fingerprints.stream().filter(verdicts::isQuarantined).toList();
     if (quarantined.isEmpty()) {
       return Admission.send();
     }
@@ -107,46 +111,45 @@
   }
 
   /**
-   * Returns whether a request with these parts may be sent as a trial of them. A request with
-   * several of them may fail because of another one, so it waits for those with a single one.
+   * Returns whether a request with these fingerprints may be sent as a trial of them. A request
+   * with several of them may fail because of another one, so it waits for those with a single one.
    */
-  private boolean mayRunTrial(List<PartKey> quarantined) {
+  private boolean mayRunTrial(List<Fingerprint> quarantined) {
     return quarantined.stream()
             .allMatch(key -> quarantined.size() == 1 || verdicts.isTrialLate(key))
         && quarantined.stream()
-            .min(Comparator.comparing(PartKey::part))
+            .min(Comparator.comparing(Fingerprint::id))
             .filter(this::mayRunTrial)
             .isPresent();
   }
 
-  private boolean mayRunTrial(PartKey key) {
+  private boolean mayRunTrial(Fingerprint key) {
     if (unusedTrials.contains(key) && verdicts.untilTrialMs(key) > 0) {
       return true;
     }
     long trialNodes = verdicts.trialNodes(key);
     return trialNodes > 0
-        && peers.rankedNodes(key.service(), key.part()).stream()
+        && peers.rankedNodes(key.service(), key.id()).stream()
             .limit(trialNodes)
             .anyMatch(peers.self()::equals);
   }
 
-  private List<String> judges(PartKey key) {
-    return peers.rankedNodes(key.service(), key.part()).stream().limit(JUDGES).toList();
+  private List<String> judges(Fingerprint key) {
+    return peers.rankedNodes(key.service(), key.id()).stream().limit(JUDGES).toList();
   }
 
   /**
    * Records that a request is sent to an endpoint. The call is to be ended by {@link #onBroken},
    * {@link #onEnded}, {@link #onNotSent} or {@link #onAbandoned}.
    */
-  public PromptCall onSent(String service, List<PromptPart> prompt, EndpointInstance endpoint) {
-    List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
-    PromptCall call = PromptCall.of(endpoint, parts, clock.nowMs());
+  public PromptCall onSent(RequestFingerprints fingerprints, EndpointInstance endpoint) {
+    PromptCall call = PromptCall.of(endpoint, fingerprints, clock.nowMs());
     detector.onSent(call);
-    parts.stream().filter(verdicts::isQuarantined).forEach(key -> startTrial(key, call));
+    fingerprints.stream().filter(verdicts::isQuarantined).forEach(key -> startTrial(key, call));
     return call;
   }
 
-  private void startTrial(PartKey key, PromptCall call) {
+  private void startTrial(Fingerprint key, PromptCall call) {
     boolean unused = unusedTrials.remove(key);
     if (verdicts.untilTrialMs(key) <= 0) {
       call.markTrial();
@@ -168,9 +171,28 @@
     }
   }
 
-  private void onSuccess(PartKey key) {
+  /** Records the complete and successful end of a response. */
+  public void onAnswered(PromptCall call) {
+    onProgress(call);
+    call.request().ifPresent(this::onSuccess);
+    detector.onEnded(call);
+  }
+
+  private Map<Fingerprint, Long> successes(Fingerprint key) {
+    return key.isRequest() ? requestSuccessMs : partSuccessMs;
+  }
+
+  private @Nullable Long successMs(Fingerprint key) {
+    return successes(key).get(key);
+  }
+
+  private boolean isAnswered(Fingerprint key) {
+    return successes(key).containsKey(key);
+  }
+
+  private void onSuccess(Fingerprint key) {
     long nowMs = clock.nowMs();
-    successMs.put(key, nowMs);
+    successes(key).put(key, nowMs);
     firstSuccessMs.putIfAbsent(key.service(), nowMs);
     boolean awaited = reportedMs.remove(key) != null || verdicts.isQuarantined(key);
     if (awaited && isSuccessDue(key, nowMs)) {
@@ -180,7 +202,7 @@
     }
   }
 
-  private boolean isSuccessDue(PartKey key, long nowMs) {
+  private boolean isSuccessDue(Fingerprint key, long nowMs) {
     Long sentMs = successSentMs.get(key);
     return sentMs == null || nowMs - sentMs >= MIN_SUCCESS_INTERVAL_MS;
   }
@@ -205,7 +227,7 @@
   public void onNotSent(PromptCall call) {
     detector.onEnded(call);
     if (call.isTrial()) {
-      call.parts().stream().filter(verdicts::isQuarantined).forEach(unusedTrials::add);
+      call.fingerprints().stream().filter(verdicts::isQuarantined).forEach(unusedTrials::add);
     }
   }
 
@@ -215,46 +237,81 @@
   }
 
   /**
-   * Returns whether a request may be sent again after a call of it broke without progress. One
-   * without shared parts always may.
+   * Returns whether the parts of a prompt allow that it is sent again after a call of it broke
+   * without progress.
    *
    * @param crashes number of calls of this request that broke without progress
    */
-  public boolean mayRepeat(String service, List<PromptPart> prompt, int crashes) {
-    List<PartKey> parts = PartKey.sharedParts(service, prompt).toList();
-    Predicate<PartKey> suspected =
-        key -> !successMs.containsKey(key) && ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
+  public boolean mayRepeatPrompt(RequestFingerprints fingerprints, int crashes) {
+    List<Fingerprint> parts = fingerprints.parts();
+    Predicate<Fingerprint> suspected =
+        key -> !isAnswered(key) && ownEvidence.crashCount(key) >= MAX_CRASHES_TO_REPEAT;
     return parts.isEmpty()
         || (crashes < MAX_CRASHES_PER_REQUEST
             && parts.stream().noneMatch(suspected.or(verdicts::isQuarantined)));
   }
 
+  /**
+   * Returns whether a request may be sent again after a call of it broke.
+   *
+   * @param crashes number of calls that broke, those of earlier tries included
+   */
+  public boolean mayRepeatRequest(RequestFingerprints fingerprints, int crashes) {
+    return crashes < MAX_REQUEST_CRASHES
+        && fingerprints.request().filter(verdicts::isQuarantined).isEmpty();
+  }
+
+  /** Returns the number of crashes that this node knows to have happened under a request. */
+  public int crashCount(RequestFingerprints fingerprints) {
+    return fingerprints
+        .request()
+        .map(key -> Math.max(ownEvidence.crashCount(key), judgedEvidence.crashCount(key)))
+        .orElse(0);
+  }
+
   /** Handles a message of another node. */
   public void onUpdate(String fromNode, QuarantineUpdate update) {
     long nowMs = clock.nowMs();
     update
         .getSuccessList()
-        .forEach(s -> judgeSuccess(new PartKey(s.getService(), s.getPart()), nowMs - s.getAgeMs()));
+        .forEach(
+            s -> judgeSuccess(new Fingerprint(s.getService(), s.getPart()), nowMs - s.getAgeMs()));
     update.getCrashList().stream()
         .filter(crash -> crash.getPartCount() > 0)
         .forEach(crash -> judgeCrash(fromNode, crash, nowMs));
-    onExplained(
-        update.getCrashList().stream().filter(crash -> crash.getPartCount() == 0).toList(), nowMs);
+    List<EndpointCrash> explained =
+        update.getCrashList().stream().filter(crash -> crash.getPartCount() == 0).toList();
+    update.getVerdictList().stream()
+        .limit(1)
+        .forEach(verdict -> onExplained(key(verdict), explained, nowMs));
     update.getVerdictList().forEach(verdict -> onVerdict(fromNode, verdict));
   }
 
-  /** Lifts the verdicts of this node that do not hold since other parts explain the crashes. */
-  private void onExplained(List<EndpointCrash> crashes, long nowMs) {
+  private static Fingerprint key(PartVerdict verdict) {
+    return new Fingerprint(verdict.getService(), verdict.getPart());
+  }
+
+  /**
+   * Lifts the verdicts of this node that do not hold since this conviction explains the crashes.
+   */
+  private void onExplained(Fingerprint by, List<EndpointCrash> crashes, long nowMs) {
     if (crashes.isEmpty()) {
       return;
     }
-    List<PartKey> convicted =
+    List<Crash> explained =
+        crashes.stream()
+            .map(
+                c ->
+                    new Crash(
+                        new EndpointInstance(c.getEndpoint(), c.getEndpointStartedMs()),
+                        nowMs - c.getAgeMs(),
+                        Map.of()))
+            .toList();
+    List<Fingerprint> convicted =
         verdicts.quarantined().stream().filter(judgedEvidence::isConvicted).toList();
-    crashes.forEach(
-        c ->
-            judgedEvidence.addExplained(
-                new EndpointInstance(c.getEndpoint(), c.getEndpointStartedMs()),
-                nowMs - c.getAgeMs()));
+    if (!judgedEvidence.addExplained(by, explained)) {
+      return;
+    }
     convicted.stream()
         .filter(key -> !judgedEvidence.isConvicted(key))
         .forEach(key -> announce(key, verdicts.lift(key)));
@@ -267,7 +324,7 @@
         .getPartList()
         .forEach(
             part -> {
-              PartKey key = new PartKey(crash.getService(), part.getId());
+              Fingerprint key = new Fingerprint(crash.getService(), part.getId());
               judgedEvidence.addCrash(
                   key, endpoint, nowMs - crash.getAgeMs(), nowMs - part.getSentAgeMs());
               judge(key);
@@ -277,8 +334,8 @@
             });
   }
 
-  private void judge(PartKey key) {
-    Long ownSuccessMs = successMs.get(key);
+  private void judge(Fingerprint key) {
+    Long ownSuccessMs = successMs(key);
     if (ownSuccessMs != null) {
       judgedEvidence.addSuccess(key, ownSuccessMs);
     }
@@ -297,14 +354,14 @@
    * Returns whether the lack of a success says little yet, since this node has not seen answers of
    * the service for long.
    */
-  private boolean isSuccessAwaited(PartKey key) {
+  private boolean isSuccessAwaited(Fingerprint key) {
     long nowMs = clock.nowMs();
     Long firstMs = firstSuccessMs.get(key.service());
     boolean warm = firstMs != null && nowMs - firstMs >= WARM_UP_MS;
     return !warm && nowMs - judgedEvidence.firstCrashMs(key) < MAX_AWAITED_MS;
   }
 
-  private void judgeSuccess(PartKey key, long succeededMs) {
+  private void judgeSuccess(Fingerprint key, long succeededMs) {
     boolean convicted = judgedEvidence.isConvicted(key);
     judgedEvidence.addSuccess(key, succeededMs);
     boolean cleared = convicted && !judgedEvidence.isConvicted(key);
@@ -317,11 +374,11 @@
 
   /** Merges a verdict; a judge passes on what it did not know. */
   private void onVerdict(String fromNode, PartVerdict verdict) {
-    PartKey key = new PartKey(verdict.getService(), verdict.getPart());
+    Fingerprint key = key(verdict);
     if (verdicts.merge(verdict)) {
       if (!verdict.getQuarantined()) {
         clear(key);
-      } else if (successMs.containsKey(key)) {
+      } else if (isAnswered(key)) {
         sendSuccess(key);
         successResends.add(key);
       }
@@ -334,13 +391,14 @@
     }
   }
 
-  private void sendVerdictTo(String node, PartKey key) {
+  private void sendVerdictTo(String node, Fingerprint key) {
     if (!node.equals(peers.self())) {
       verdicts.message(key).ifPresent(v -> peers.send(node, update().addVerdict(v).build()));
     }
   }
 
-  private void clear(PartKey key) {
+  private void clear(Fingerprint key) {
+    judgedEvidence.removeExplained(key);
     verdicts
         .reachedMs(key)
         .ifPresent(
@@ -350,15 +408,15 @@
             });
   }
 
-  /** Returns the verdicts by which the parts of a prompt are quarantined. */
-  public List<PartVerdict> verdicts(String service, List<PromptPart> prompt) {
-    return PartKey.sharedParts(service, prompt)
+  /** Returns the verdicts by which a request is quarantined. */
+  public List<PartVerdict> verdicts(RequestFingerprints fingerprints) {
+    return fingerprints.stream()
         .filter(verdicts::isQuarantined)
         .flatMap(key -> verdicts.message(key).stream())
         .toList();
   }
 
-  /** Returns the number of quarantined parts. */
+  /** Returns the number of quarantined parts and requests. */
   public int quarantinedCount() {
     return verdicts.quarantined().size();
   }
@@ -394,16 +452,21 @@
   }
 
   /**
-   * Returns the parts to report. Those that were never answered come first; the others are left out
-   * if a quarantined part explains the crash.
+   * Returns the fingerprints to report. Those that were never answered come first; the others are
+   * left out if a quarantined one explains the crash.
    */
-  private List<PartKey> suspectsToReport(Crash crash) {
+  private List<Fingerprint> suspectsToReport(Crash crash) {
+    return Stream.of(true, false)
+        .flatMap(requests -> suspectsToReport(crash, requests).limit(MAX_SUSPECTS))
+        .toList();
+  }
+
+  private Stream<Fingerprint> suspectsToReport(Crash crash, boolean requests) {
     boolean explained = crash.suspects().keySet().stream().anyMatch(verdicts::isQuarantined);
     return crash.suspects().keySet().stream()
-        .filter(key -> !explained || !successMs.containsKey(key))
-        .sorted(Comparator.comparing(successMs::containsKey))
-        .limit(MAX_SUSPECTS)
-        .toList();
+        .filter(key -> key.isRequest() == requests)
+        .filter(key -> !explained || !isAnswered(key))
+        .sorted(Comparator.comparing(this::isAnswered));
   }
 
   private void sendCrash(Crash crash) {
@@ -421,14 +484,15 @@
     updates.forEach((judge, update) -> sendToJudge(judge, update.build()));
   }
 
-  private void addSuspect(QuarantineUpdate.Builder update, Crash crash, PartKey key, long nowMs) {
+  private void addSuspect(
+      QuarantineUpdate.Builder update, Crash crash, Fingerprint key, long nowMs) {
     update.getCrashBuilderList().stream()
         .filter(c -> c.getService().equals(key.service()))
         .findFirst()
         .orElseGet(() -> update.addCrashBuilder().mergeFrom(message(crash, key.service(), nowMs)))
         .addPart(
             SuspectPart.newBuilder()
-                .setId(key.part())
+                .setId(key.id())
                 .setSentAgeMs(Math.max(0, nowMs - crash.sentMs(key))));
     addSuccess(update, key, nowMs);
   }
@@ -450,19 +514,19 @@
     return all.getCrashList();
   }
 
-  private void sendSuccess(PartKey key) {
+  private void sendSuccess(Fingerprint key) {
     QuarantineUpdate.Builder update = update();
     addSuccess(update, key, clock.nowMs());
     judges(key).forEach(judge -> sendToJudge(judge, update.build()));
   }
 
-  private void addSuccess(QuarantineUpdate.Builder update, PartKey key, long nowMs) {
-    Long succeededMs = successMs.get(key);
+  private void addSuccess(QuarantineUpdate.Builder update, Fingerprint key, long nowMs) {
+    Long succeededMs = successMs(key);
     if (succeededMs != null) {
       update.addSuccess(
           PartSuccess.newBuilder()
               .setService(key.service())
-              .setPart(key.part())
+              .setPart(key.id())
               .setAgeMs(Math.max(0, nowMs - succeededMs)));
     }
   }
@@ -475,7 +539,7 @@
     }
   }
 
-  private void announce(PartKey key, PartVerdict verdict) {
+  private void announce(Fingerprint key, PartVerdict verdict) {
     if (!verdict.getQuarantined()) {
       clear(key);
     }
@@ -486,16 +550,13 @@
 
   /** Sends a verdict, with the crashes that it explains, to all other nodes. */
   private void sendVerdict(PartVerdict verdict) {
-    List<EndpointCrash> explained =
-        verdict.getQuarantined()
-            ? evidence(new PartKey(verdict.getService(), verdict.getPart()))
-            : List.of();
+    List<EndpointCrash> explained = verdict.getQuarantined() ? evidence(key(verdict)) : List.of();
     peers.sendToAll(update().addVerdict(verdict).addAllCrash(explained).build());
-    onExplained(explained, clock.nowMs());
+    onExplained(key(verdict), explained, clock.nowMs());
   }
 
-  /** Returns the crashes that a part explains. */
-  private List<EndpointCrash> evidence(PartKey key) {
+  /** Returns the crashes that a fingerprint explains. */
+  private List<EndpointCrash> evidence(Fingerprint key) {
     long nowMs = clock.nowMs();
     return judgedEvidence.explainedCrashes(key).stream()
         .map(crash -> message(crash, key.service(), nowMs))
--- a/core/src/main/java/org/currantslip/core/quarantine/PartVerdicts.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/Verdicts.java
@@ -7,8 +7,8 @@
 import org.currantslip.core.common.Clock;
 import org.currantslip.schema.PartVerdict;
 
-/** The verdicts on parts that this node knows. */
-final class PartVerdicts {
+/** The verdicts that this node knows. */
+final class Verdicts {
   private static final int MAX_VERDICTS = 512;
 
   /**
@@ -17,6 +17,9 @@
    */
   private static final long[] TRIAL_DELAY_MS = {5_000, 15_000, 600_000, 86_400_000};
 
+  /** As above, for a whole request, which may reach few more endpoints after its conviction. */
+  private static final long[] REQUEST_TRIAL_DELAY_MS = {15_000, 600_000, 86_400_000};
+
   private static final long MIN_DOUBLING_MS = 10_000;
   private static final long MAX_DOUBLINGS = 30;
   private static final long MAX_QUARANTINE_MS = 2 * 86_400_000L;
@@ -26,22 +29,22 @@
   private static final long AGE_ERROR_MS = 1_000;
 
   private final Clock clock;
-  private final Map<PartKey, Verdict> verdicts = RecentMap.ofSize(MAX_VERDICTS);
+  private final Map<Fingerprint, Verdict> verdicts = RecentMap.ofSize(MAX_VERDICTS);
 
-  private PartVerdicts(Clock clock) {
+  private Verdicts(Clock clock) {
     this.clock = clock;
   }
 
-  static PartVerdicts create(Clock clock) {
-    return new PartVerdicts(clock);
+  static Verdicts create(Clock clock) {
+    return new Verdicts(clock);
   }
 
-  boolean isQuarantined(PartKey key) {
+  boolean isQuarantined(Fingerprint key) {
     return find(key).filter(Verdict::quarantined).isPresent();
   }
 
   /** Returns the time until the next trial of a quarantined part; negative once it is due. */
-  long untilTrialMs(PartKey key) {
+  long untilTrialMs(Fingerprint key) {
     return find(key).map(v -> v.trialMs(key) - clock.nowMs()).orElse(0L);
   }
 
@@ -49,22 +52,22 @@
    * Returns how many nodes may run a trial: none before it is due, then one, and twice as many
    * after each further time in which none of these got a request with the part.
    */
-  long trialNodes(PartKey key) {
+  long trialNodes(Fingerprint key) {
     return find(key).map(v -> v.trialNodes(key, clock.nowMs())).orElse(0L);
   }
 
   /** Returns whether a trial was due so long ago that nodes may get no request that suits it. */
-  boolean isTrialLate(PartKey key) {
-    return find(key).filter(v -> clock.nowMs() - v.trialMs(key) >= v.trialDelayMs()).isPresent();
+  boolean isTrialLate(Fingerprint key) {
+    return find(key).filter(v -> clock.nowMs() - v.trialMs(key) >= v.trialDelayMs(key)).isPresent();
   }
 
   /** Returns the time at which the newest verdict on the part was reached, if there is one. */
-  Optional<Long> reachedMs(PartKey key) {
+  Optional<Long> reachedMs(Fingerprint key) {
     return find(key).map(Verdict::reachedMs);
   }
 
   /** Returns the quarantined parts. */
-  List<PartKey> quarantined() {
+  List<Fingerprint> quarantined() {
     return verdicts.entrySet().stream()
         .filter(e -> e.getValue().quarantined())
         .map(Map.Entry::getKey)
@@ -72,29 +75,29 @@
   }
 
   /** Quarantines a part. */
-  PartVerdict quarantine(PartKey key) {
+  PartVerdict quarantine(Fingerprint key) {
     return put(key, new Verdict(true, clock.nowMs(), 0));
   }
 
   /** Records a trial, which counts as failed unless the verdict is lifted. */
-  PartVerdict startTrial(PartKey key) {
+  PartVerdict startTrial(Fingerprint key) {
     int failedTrials = find(key).map(Verdict::failedTrials).orElse(0);
     return put(key, new Verdict(true, clock.nowMs(), failedTrials + 1));
   }
 
   /** Ends the quarantine of a part. */
-  PartVerdict lift(PartKey key) {
+  PartVerdict lift(Fingerprint key) {
     return put(key, new Verdict(false, clock.nowMs(), 0));
   }
 
   /** Returns the current verdict as a message. */
-  Optional<PartVerdict> message(PartKey key) {
+  Optional<PartVerdict> message(Fingerprint key) {
     return find(key).map(v -> v.toMessage(key, clock.nowMs()));
   }
 
   /** Adds a verdict of another node; returns whether it is in force and changes something. */
   boolean merge(PartVerdict message) {
-    PartKey key = new PartKey(message.getService(), message.getPart());
+    Fingerprint key = new Fingerprint(message.getService(), message.getPart());
     Verdict received =
         new Verdict(
             message.getQuarantined(),
@@ -120,28 +123,29 @@
     verdicts.values().removeIf(v -> v.isExpired(nowMs));
   }
 
-  private PartVerdict put(PartKey key, Verdict verdict) {
+  private PartVerdict put(Fingerprint key, Verdict verdict) {
     verdicts.put(key, verdict);
     return verdict.toMessage(key, clock.nowMs());
   }
 
-  private Optional<Verdict> find(PartKey key) {
+  private Optional<Verdict> find(Fingerprint key) {
     return Optional.ofNullable(verdicts.get(key));
   }
 
   private record Verdict(boolean quarantined, long reachedMs, int failedTrials) {
-    private long trialDelayMs() {
-      return TRIAL_DELAY_MS[Math.min(failedTrials, TRIAL_DELAY_MS.length - 1)];
+    private long trialDelayMs(Fingerprint key) {
+      long[] delaysMs = key.isRequest() ? REQUEST_TRIAL_DELAY_MS : TRIAL_DELAY_MS;
+      return delaysMs[Math.min(failedTrials, delaysMs.length - 1)];
     }
 
-    private long trialMs(PartKey key) {
-      long delayMs = trialDelayMs();
-      return reachedMs + delayMs + Math.floorMod(key.part().hashCode(), delayMs / 2);
+    private long trialMs(Fingerprint key) {
+      long delayMs = trialDelayMs(key);
+      return reachedMs + delayMs + Math.floorMod(key.id().hashCode(), delayMs / 2);
     }
 
-    private long trialNodes(PartKey key, long nowMs) {
+    private long trialNodes(Fingerprint key, long nowMs) {
       long overdueMs = nowMs - trialMs(key);
-      long doublings = overdueMs / Math.max(MIN_DOUBLING_MS, trialDelayMs());
+      long doublings = overdueMs / Math.max(MIN_DOUBLING_MS, trialDelayMs(key));
       return overdueMs < 0 ? 0 : 1L << Math.min(MAX_DOUBLINGS, doublings);
     }
 
@@ -161,10 +165,10 @@
       return nowMs - reachedMs >= (quarantined ? MAX_QUARANTINE_MS : MAX_LIFTED_MS);
     }
 
-    private PartVerdict toMessage(PartKey key, long nowMs) {
+    private PartVerdict toMessage(Fingerprint key, long nowMs) {
       return PartVerdict.newBuilder()
           .setService(key.service())
-          .setPart(key.part())
+          .setPart(key.id())
           .setQuarantined(quarantined)
           .setAgeMs(Math.max(0, nowMs - reachedMs))
           .setFailedTrials(failedTrials)
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -13,6 +13,7 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.limits.Permit;
 import org.currantslip.core.limits.SlotRequest;
+import org.currantslip.core.quarantine.RequestFingerprints;
 import org.currantslip.core.rollout.OutcomeSample;
 import org.currantslip.core.route.Account;
 import org.currantslip.core.route.Route;
@@ -146,7 +147,16 @@
     }
     promptGuard =
         PromptGuard.create(
-            ports.quarantine(), ports.trace(), request.requestId(), service, forwarded.prompt());
+            ports.quarantine(),
+            ports.trace(),
+            request.requestId(),
+            RequestFingerprints.of(
+                service,
+                forwarded.prompt(),
+                request.method(),
+                request.path(),
+                account.name(),
+                request.body()));
     Optional<RefusalException> quarantined = promptGuard.refusal(ran);
     if (quarantined.isPresent()) {
       throw quarantined.get();
--- a/core/src/main/java/org/currantslip/core/request/PromptGuard.java
+++ b/core/src/main/java/org/currantslip/core/request/PromptGuard.java
@@ -1,6 +1,5 @@
 package org.currantslip.core.request;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.currantslip.core.common.LogEvent;
@@ -11,12 +10,12 @@
 import org.currantslip.core.quarantine.EndpointInstance;
 import org.currantslip.core.quarantine.PromptCall;
 import org.currantslip.core.quarantine.PromptQuarantine;
-import org.currantslip.core.route.PromptPart;
+import org.currantslip.core.quarantine.RequestFingerprints;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Applies the quarantine of prompt parts to one request.
+ * Applies the quarantine of requests and prompt parts to one request.
  *
  * <p>Reports each call of the request to the quarantine, and decides whether the request may be
  * sent at all, and whether it may be sent again after a broken call.
@@ -25,15 +24,16 @@
   /** Events of a response that show that the endpoint survived the start of the response. */
   private static final int MIN_PROGRESS_EVENTS = 2;
 
-  private static final String QUARANTINED = "endpoints crash under a part of the prompt";
+  private static final String QUARANTINED = "endpoints crash under the request or its prompt";
 
   private final PromptQuarantine quarantine;
   private final RequestTrace trace;
   private final String requestId;
-  private final String service;
-  private final List<PromptPart> prompt;
+  private final RequestFingerprints fingerprints;
+  private final int earlierCrashCount;
   private @Nullable PromptCall call;
   private int callEvents;
+  private int brokenCount;
   private int crashCount;
   private boolean trial;
 
@@ -41,27 +41,25 @@
       PromptQuarantine quarantine,
       RequestTrace trace,
       String requestId,
-      String service,
-      List<PromptPart> prompt) {
+      RequestFingerprints fingerprints) {
     this.quarantine = quarantine;
     this.trace = trace;
     this.requestId = requestId;
-    this.service = service;
-    this.prompt = prompt;
+    this.fingerprints = fingerprints;
+    earlierCrashCount = quarantine.crashCount(fingerprints);
   }
 
   static PromptGuard create(
       PromptQuarantine quarantine,
       RequestTrace trace,
       String requestId,
-      String service,
-      List<PromptPart> prompt) {
-    return new PromptGuard(quarantine, trace, requestId, service, prompt);
+      RequestFingerprints fingerprints) {
+    return new PromptGuard(quarantine, trace, requestId, fingerprints);
   }
 
   /** Returns a guard that knows of no prompt. */
   static PromptGuard withoutPrompt(ForwardPorts ports, String requestId) {
-    return create(ports.quarantine(), ports.trace(), requestId, "", List.of());
+    return create(ports.quarantine(), ports.trace(), requestId, RequestFingerprints.none());
   }
 
   /**
@@ -70,7 +68,7 @@
    * @param ran whether the request has run so far
    */
   Optional<RefusalException> refusal(Ran ran) {
-    Admission admission = quarantine.check(service, prompt);
+    Admission admission = quarantine.check(fingerprints);
     trial = admission.kind() == Admission.Kind.SEND_AS_TRIAL;
     if (!admission.isRefused()) {
       return Optional.empty();
@@ -87,7 +85,7 @@
   }
 
   private String verdicts() {
-    return quarantine.verdicts(service, prompt).stream()
+    return quarantine.verdicts(fingerprints).stream()
         .map(
             v ->
                 "service=%s part=%s age_ms=%d failed_trials=%d"
@@ -104,7 +102,7 @@
           () -> verdicts() + " endpoint=%s".formatted(endpoint.getId()));
     }
     callEvents = 0;
-    call = quarantine.onSent(service, prompt, EndpointInstance.of(endpoint));
+    call = quarantine.onSent(fingerprints, EndpointInstance.of(endpoint));
   }
 
   /** Records an event of a successful response. */
@@ -124,15 +122,16 @@
     PromptCall ended = takeCall();
     if (ended != null) {
       if (success) {
-        quarantine.onProgress(ended);
+        quarantine.onAnswered(ended);
+      } else {
+        quarantine.onEnded(ended);
       }
-      quarantine.onEnded(ended);
     }
   }
 
   /**
-   * Records a failed call and returns whether the request may be sent again, as far as its prompt
-   * is concerned.
+   * Records a failed call and returns whether the request may be sent again, as far as its
+   * quarantine is concerned.
    *
    * @param endpointLeft whether the endpoint left as planned
    */
@@ -147,6 +146,7 @@
           quarantine.onEnded(ended);
         } else {
           quarantine.onBroken(ended);
+          brokenCount++;
           crashCount += hasProgressed() ? 0 : 1;
         }
       }
@@ -155,21 +155,25 @@
       default -> quarantine.onEnded(ended);
     }
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
-    boolean mayRepeat = notRun || hasProgressed() || mayRepeat();
+    boolean mayRepeat = notRun || (hasProgressed() ? requestMayRepeat() : mayRepeat());
     if (!mayRepeat) {
       trace.record(
           LogEvent.REPEAT_VETOED,
           requestId,
           () ->
-              "service=%s fault=%s crashes=%d trial=%b"
-                  .formatted(service, fault, crashCount, trial));
+              "service=%s fault=%s crashes=%d earlier_crashes=%d trial=%b"
+                  .formatted(fingerprints.service(), fault, brokenCount, earlierCrashCount, trial));
     }
     return mayRepeat;
   }
 
   /** Returns whether the request may be sent to a further endpoint after it may have run. */
   boolean mayRepeat() {
-    return !trial && quarantine.mayRepeat(service, prompt, crashCount);
+    return !trial && quarantine.mayRepeatPrompt(fingerprints, crashCount) && requestMayRepeat();
+  }
+
+  private boolean requestMayRepeat() {
+    return quarantine.mayRepeatRequest(fingerprints, earlierCrashCount + brokenCount);
   }
 
   /** Records that the router gave up the current call, if there is one. */
--- a/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
@@ -74,6 +74,13 @@
     return call;
   }
 
+  /** Crashes an endpoint for a reason other than its requests. */
+  void crash(int number) {
+    if (endpoints.get(number).up) {
+      endpoints.get(number).crash();
+    }
+  }
+
   private void arrive(EndpointRecord target, Call call) {
     if (call.cancelled) {
       return;
--- a/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/PromptQuarantineTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,15 +55,15 @@
     }
 
     private PromptCall call(EndpointInstance endpoint, String... parts) {
-      return quarantine.onSent(SERVICE, prompt(parts), endpoint);
+      return quarantine.onSent(prompt(parts), endpoint);
     }
 
     private Admission check(String... parts) {
-      return quarantine.check(SERVICE, prompt(parts));
+      return quarantine.check(prompt(parts));
     }
 
     private boolean mayRepeat(int crashes, String... parts) {
-      return quarantine.mayRepeat(SERVICE, prompt(parts), crashes);
+      return quarantine.mayRepeatPrompt(prompt(parts), crashes);
     }
 
     /** Sends a prompt to an endpoint of its own, which crashes. */
@@ -101,8 +102,13 @@
     return new EndpointInstance("e" + endpointCount++, 1);
   }
 
-  private static List<PromptPart> prompt(String... parts) {
-    return Stream.of(parts).map(id -> new PromptPart(id, 100)).toList();
+  private static RequestFingerprints prompt(String... parts) {
+    return promptOf(SERVICE, parts);
+  }
+
+  private static RequestFingerprints promptOf(String service, String... parts) {
+    return RequestFingerprints.ofPrompt(
+        service, Stream.of(parts).map(id -> new PromptPart(id, 100)).toList());
   }
 
   /** Advances the clock, with the nodes at work. */
@@ -215,7 +221,8 @@
   void partOfAnotherServiceIsSent() {
     List<Node> all = startNodes(3);
     convict("bad");
-    assertThat(all.get(0).quarantine.check("lookups", prompt("bad", "own")).isRefused()).isFalse();
+    assertThat(all.get(0).quarantine.check(promptOf("lookups", "bad", "own")).isRefused())
+        .isFalse();
   }
 
   @Test
@@ -480,4 +487,112 @@
     node.answer("bad", "own");
     assertThat(node.check("bad", "own")).isEqualTo(Admission.send());
   }
+
+  private static RequestFingerprints request(String service, String body) {
+    return RequestFingerprints.of(
+        service,
+        Stream.of("session", body).map(id -> new PromptPart(id, 100)).toList(),
+        "POST",
+        "/x?y=z",
+        "account",
+        ByteString.copyFromUtf8(body));
+  }
+
+  private boolean isRefused(Node node, String body) {
+    return node.quarantine.check(request(SERVICE, body)).isRefused();
+  }
+
+  /** Sends requests to one endpoint, which answers two events and crashes. */
+  private void crashAfterEvents(Node node, String... bodies) {
+    EndpointInstance endpoint = nextEndpoint();
+    List<PromptCall> calls =
+        Stream.of(bodies)
+            .map(body -> node.quarantine.onSent(request(SERVICE, body), endpoint))
+            .toList();
+    advance(200);
+    calls.forEach(node.quarantine::onProgress);
+    calls.forEach(node.quarantine::onBroken);
+    advance(600);
+  }
+
+  private void answerRequest(Node node, String body) {
+    PromptCall call = node.quarantine.onSent(request(SERVICE, body), nextEndpoint());
+    advance(50);
+    node.quarantine.onAnswered(call);
+  }
+
+  @Test
+  void requestThatCrashedThreeEndpointsIsRefusedWithAnyService() {
+    List<Node> all = startNodes(5);
+    for (int i = 0; i < 3; i++) {
+      assertThat(isRefused(all.get(4), "bad")).isFalse();
+      crashAfterEvents(all.get(i), "bad");
+    }
+    advance(1_000);
+    all.forEach(n -> assertThat(isRefused(n, "bad")).isTrue());
+    all.forEach(n -> assertThat(isRefused(n, "good")).isFalse());
+    assertThat(all.get(3).quarantine.check(request("lookups", "bad")).isRefused()).isTrue();
+    assertThat(all.get(3).check("session", "bad").isRefused()).isFalse();
+  }
+
+  @Test
+  void copiesOfRequestThatCrashThreeEndpointsAtOnceConvictIt() {
+    List<Node> all = startNodes(3);
+    List<PromptCall> calls =
+        all.stream()
+            .map(n -> n.quarantine.onSent(request(SERVICE, "bad"), nextEndpoint()))
+            .toList();
+    advance(50);
+    for (int i = 0; i < 3; i++) {
+      all.get(i).quarantine.onBroken(calls.get(i));
+    }
+    advance(2_000);
+    all.forEach(n -> assertThat(isRefused(n, "bad")).isTrue());
+  }
+
+  @Test
+  void onlyTheWholeAnswerOfRequestEndsItsSuspicion() {
+    List<Node> all = startNodes(3);
+    crashAfterEvents(all.get(0), "sound");
+    crashAfterEvents(all.get(1), "sound");
+    answerRequest(all.get(0), "sound");
+    answerRequest(all.get(1), "sound");
+    crashAfterEvents(all.get(2), "sound");
+    advance(2_000);
+    all.forEach(n -> assertThat(isRefused(n, "sound")).isFalse());
+  }
+
+  @Test
+  void requestIsNotConvictedOfCrashesUnderAnotherOne() {
+    List<Node> all = startNodes(3);
+    crashAfterEvents(all.get(0), "bad", "sound");
+    crashAfterEvents(all.get(1), "bad", "sound");
+    crashAfterEvents(all.get(2), "bad");
+    advance(1_000);
+    crashAfterEvents(all.get(2), "sound");
+    all.forEach(n -> assertThat(isRefused(n, "bad")).isTrue());
+    all.forEach(n -> assertThat(isRefused(n, "sound")).isFalse());
+  }
+
+  @Test
+  void requestReachesAtMostTwoEndpointsInOneDayAfterItsVerdict() {
+    List<Node> all = startNodes(6);
+    for (int i = 0; i < 3; i++) {
+      crashAfterEvents(all.get(i), "bad");
+    }
+    advance(2_000);
+    int sent = 0;
+    for (long atMs = 0; atMs < DAY_MS; atMs += 5_000) {
+      advance(50);
+      for (Node node : all) {
+        if (!isRefused(node, "bad")) {
+          sent++;
+          crashAfterEvents(node, "bad");
+        }
+      }
+      clock.advance(5_000);
+    }
+    assertThat(sent).isAtMost(2);
+    assertThat(sent).isAtLeast(1);
+  }
 }
--- a/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
+++ b/core/src/test/java/org/currantslip/core/quarantine/QuarantineFleet.java
@@ -204,7 +204,7 @@
   }
 
   private void send(Request request, Node node) {
-    Admission admission = node.quarantine.check(SERVICE, request.prompt);
+    Admission admission = node.quarantine.check(request.fingerprints());
     if (request.sends == 0 && request.badPart == null) {
       sound.add(
           new SoundRequest(
@@ -242,6 +242,10 @@
       this.badPart = badPart;
       this.repeatable = repeatable;
     }
+
+    private RequestFingerprints fingerprints() {
+      return RequestFingerprints.ofPrompt(SERVICE, prompt);
+    }
   }
 
   private final class Node implements QuarantinePeers {
@@ -300,7 +304,7 @@
       this.endpoint = endpoint;
       promptCall =
           node.quarantine.onSent(
-              SERVICE, request.prompt, new EndpointInstance(endpoint.id, endpoint.knownStartedMs));
+              request.fingerprints(), new EndpointInstance(endpoint.id, endpoint.knownStartedMs));
     }
 
     private void start() {
@@ -378,7 +382,7 @@
       }
       request.crashes++;
       if (request.repeatable
-          && node.quarantine.mayRepeat(SERVICE, request.prompt, request.crashes)) {
+          && node.quarantine.mayRepeatPrompt(request.fingerprints(), request.crashes)) {
         repeat();
       }
     }
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -769,11 +769,11 @@
     assertThat(calls.calls).hasSize(2);
   }
 
-  /** Only a break that nothing else explains accuses the parts of the prompt. */
+  /** Only a break that nothing else explains accuses the request, and the parts of its prompt. */
   @ParameterizedTest
-  @CsvSource({"false, 1, true", "true, 1, false", "false, 2, false"})
+  @CsvSource({"false, 1, true, true", "true, 1, false, false", "false, 2, true, false"})
   void brokenStreamIsReportedAsCrashUnlessItsEndpointLeftOrAnswered(
-      boolean leaving, int events, boolean reported) {
+      boolean leaving, int events, boolean requestReported, boolean partsReported) {
     List<EndpointCrash> crashes = new ArrayList<>();
     quarantine.setListener(
         new QuarantineListener() {
@@ -792,6 +792,9 @@
     call(0).listener().onFailure(CallFailure.TRUNCATED, "");
     clock.advance(1_000);
     quarantine.tick();
-    assertThat(crashes.isEmpty()).isEqualTo(!reported);
+    assertThat(crashes.stream().filter(c -> c.getService().isEmpty()).count())
+        .isEqualTo(requestReported ? 1 : 0);
+    assertThat(crashes.stream().filter(c -> c.getService().equals("s")).count())
+        .isEqualTo(partsReported ? 1 : 0);
   }
 }
