Log lines tell which rule ended an answer and what a further send lacked

The lines of an attempt that is given up (4004) and of a request that ends without a whole answer (4002) could not tell the hypotheses apart. They now say which rule ended it (FIRST_BYTE, IDLE, UNREACHABLE, DEADLINE, STOP or the fault), how long this call and all open calls to the endpoint had been silent, what a further send lacked (attempts, budget, quarantine, an endpoint, time) and the version of the configuration at the end beside the one at arrival. An event costs one timestamp more. No decision changes: ForwardedFlowTest and RetryBudgetTest pass.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -74,6 +74,7 @@
   private long firstByteMs = -1;
   private EndpointResponseHead head = EndpointResponseHead.of(0, "", "");
   private String failureDetail = "";
+  private long endpointSilentMs;
   private boolean ended;
 
   private Attempt(
@@ -159,6 +160,16 @@
     return clock.nowMs() - startedMs;
   }
 
+  /** Returns the time since the endpoint last sent something on this call, or since its start. */
+  long silentMs() {
+    return clock.nowMs() - lastEventMs;
+  }
+
+  /** Returns for how long the endpoint had sent nothing on any call when this one failed. */
+  long endpointSilentMs() {
+    return endpointSilentMs;
+  }
+
   /** Returns the time at which the request was sent. */
   long sentMs() {
     return startedMs;
@@ -206,12 +217,17 @@
     }
   }
 
+  private void recordHeard() {
+    lastEventMs = clock.nowMs();
+    tracker.onHeard();
+  }
+
   @Override
   public void onHead(EndpointResponseHead head) {
     if (ended) {
       return;
     }
-    lastEventMs = clock.nowMs();
+    recordHeard();
     this.head = head;
     if (head.correlation().equals(request.correlation())) {
       listener.onNotice(this, head.notice());
@@ -233,7 +249,7 @@
     if (ended) {
       return;
     }
-    lastEventMs = clock.nowMs();
+    recordHeard();
     eventCount++;
     if (listener.onData(this, data)) {
       return;
@@ -276,6 +292,7 @@
   }
 
   private void fail(Fault fault) {
+    endpointSilentMs = tracker.endpointSilentMs();
     finish(result(false, fault == Fault.SILENT, fault == Fault.NOT_RUN));
     listener.onFault(this, fault);
   }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -91,6 +91,9 @@
   private boolean paceRecorded;
   private Ran ran = Ran.NO;
   private @Nullable ByteString lastEvent;
+  private SilenceRule silenceRule = SilenceRule.DEADLINE;
+  private String endRule = "";
+  private RetryObstacle obstacle = RetryObstacle.NONE;
 
   private ForwardedFlow(
       ForwardPorts ports, RouterRequest request, ForwardedRequest forwarded, CallerSink sink) {
@@ -194,6 +197,7 @@
     enter(Stage.CHOOSING);
     Optional<RefusalException> quarantined = promptGuard.refusal(ran);
     if (quarantined.isPresent()) {
+      obstacle = RetryObstacle.QUARANTINE;
       refuse(quarantined.get());
       return;
     }
@@ -206,6 +210,7 @@
         return;
       }
     }
+    obstacle = RetryObstacle.NO_ENDPOINT;
     refuse(notServedRefusal(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable"));
   }
 
@@ -484,6 +489,7 @@
       choose();
       return;
     }
+    endRule = fault == Attempt.Fault.SILENT ? silenceRule.name() : fault.name();
     traceFault(a, fault);
     boolean promptAllows = promptGuard.onFault(fault, hasLeft(a));
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
@@ -498,13 +504,9 @@
         recordOutcome(a, fault == Attempt.Fault.ERROR_STATUS);
       }
     }
-    boolean retry =
-        retryPaid
-            || (promptAllows
-                && mayRetry(!notRun)
-                && (fault == Attempt.Fault.NOT_SENT || ports.retryBudget().trySpend(service)));
+    obstacle = retryPaid ? RetryObstacle.NONE : retryObstacle(fault, promptAllows);
     retryPaid = false;
-    if (retry) {
+    if (obstacle == RetryObstacle.NONE) {
       choose();
     } else {
       refuse(notServedRefusal(Refusals.codeOf(fault), "endpoint fault: " + fault));
@@ -528,30 +530,52 @@
             LogEvent.ATTEMPT_FAILED,
             request.requestId(),
             () ->
-                ("route=%s endpoint=%s fault=%s status=%d framing=%s events=%d age_ms=%d"
-                        + " reason=%s")
+                ("route=%s endpoint=%s fault=%s rule=%s status=%d framing=%s events=%d age_ms=%d"
+                        + " silent_ms=%d endpoint_silent_ms=%d reason=%s")
                     .formatted(
                         route().name(),
                         a.endpoint().getId(),
                         fault,
+                        endRule,
                         a.status(),
                         a.head().framing(),
                         eventCount,
                         a.elapsedMs(),
+                        a.silentMs(),
+                        a.endpointSilentMs(),
                         a.failureDetail()));
   }
 
+  /** Returns what keeps the request from another endpoint; if nothing does, the retry is paid. */
+  private RetryObstacle retryObstacle(Attempt.Fault fault, boolean promptAllows) {
+    boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
+    RetryObstacle unpaid = promptAllows ? retryObstacle(!notRun) : RetryObstacle.QUARANTINE;
+    boolean paid =
+        unpaid != RetryObstacle.NONE
+            || fault == Attempt.Fault.NOT_SENT
+            || ports.retryBudget().trySpend(service);
+    return paid ? unpaid : RetryObstacle.BUDGET;
+  }
+
   /**
-   * Returns whether the request may be sent to another endpoint, regardless of the retry budget.
+   * Returns what keeps the request from another endpoint, regardless of the retry budget, the
+   * quarantine and the endpoints.
    */
-  private boolean mayRetry(boolean mayHaveRun) {
-    if (callerDisconnected || deadlineExpired || timeLeftMs() < MIN_RETRY_TIME_LEFT_MS) {
-      return false;
+  private RetryObstacle retryObstacle(boolean mayHaveRun) {
+    if (callerDisconnected) {
+      return RetryObstacle.CALLER_GONE;
+    }
+    if (deadlineExpired || timeLeftMs() < MIN_RETRY_TIME_LEFT_MS) {
+      return RetryObstacle.TIME;
     }
     Route matchedRoute = route();
-    return mayHaveRun
-        ? matchedRoute.isRepeatable() && runCount < matchedRoute.attempts()
-        : declineCount <= MAX_DECLINES;
+    if (!mayHaveRun) {
+      return declineCount <= MAX_DECLINES ? RetryObstacle.NONE : RetryObstacle.DECLINES;
+    }
+    if (!matchedRoute.isRepeatable()) {
+      return RetryObstacle.NOT_REPEATABLE;
+    }
+    return runCount < matchedRoute.attempts() ? RetryObstacle.NONE : RetryObstacle.ATTEMPTS;
   }
 
   /**
@@ -601,15 +625,21 @@
    * connect to the endpoint than if the endpoint is merely slow.
    */
   private boolean hasTimedOut(Attempt a, long nowMs) {
+    if (a.hasTimedOut(nowMs)) {
+      silenceRule = a.hasResponseHead() ? SilenceRule.IDLE : SilenceRule.FIRST_BYTE;
+      return true;
+    }
+    silenceRule = SilenceRule.UNREACHABLE;
     boolean retryable = route().isRepeatable() && runCount + 1 < route().attempts();
-    return a.hasTimedOut(nowMs)
-        || (retryable
-            && a.isIdleFor(UNREACHABLE_IDLE_TIMEOUT_MS, nowMs)
-            && ports.chooser().isUnreachable(a.endpoint().getId()));
+    return retryable
+        && a.isIdleFor(UNREACHABLE_IDLE_TIMEOUT_MS, nowMs)
+        && ports.chooser().isUnreachable(a.endpoint().getId());
   }
 
   private void onDeadline() {
     deadlineExpired = true;
+    silenceRule = SilenceRule.DEADLINE;
+    endRule = SilenceRule.DEADLINE.name();
     if (isIn(Stage.CALLING) && attempt != null && !attempt.isEnded()) {
       attempt.failOnTimeout();
     } else {
@@ -619,6 +649,7 @@
 
   @Override
   void onNodeStop() {
+    endRule = "STOP";
     if (isIn(Stage.CALLING) && ran == Ran.NO) {
       ran = Ran.UNKNOWN;
     }
@@ -684,7 +715,8 @@
             () ->
                 ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
                         + " status=%d sends=%d events=%d wait_ms=%d queue_ms=%d first_byte_ms=%d"
-                        + " total_ms=%d endpoint=%s framing=%s")
+                        + " total_ms=%d endpoint=%s framing=%s rule=%s lacked=%s silent_ms=%d"
+                        + " end_config_version=%d")
                     .formatted(
                         routeName,
                         account.name(),
@@ -701,6 +733,10 @@
                         firstByteMs,
                         totalMs,
                         attempt == null ? "" : attempt.endpoint().getId(),
-                        attempt == null ? "" : attempt.head().framing()));
+                        attempt == null ? "" : attempt.head().framing(),
+                        endRule,
+                        obstacle,
+                        attempt == null ? -1 : attempt.silentMs(),
+                        ports.routes().current().version()));
   }
 }
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -49,6 +49,7 @@
   private double failureRate;
   private long failureRateUpdatedMs;
   private long lastConnectFailureMs;
+  private long silentSinceMs;
 
   EndpointState(EndpointRecord endpoint) {
     this.endpoint = endpoint;
@@ -87,6 +88,9 @@
   }
 
   void onDispatched(long nowMs) {
+    if (inFlight == 0) {
+      silentSinceMs = nowMs;
+    }
     inFlight++;
     probeInFlight = ejectedUntilMs > 0;
     addDelta(nowMs, 1);
@@ -117,6 +121,16 @@
     }
   }
 
+  /** Records that the endpoint sent something on any call. */
+  void onHeard(long nowMs) {
+    silentSinceMs = nowMs;
+  }
+
+  /** Returns for how long all open calls have been silent, or zero if there are none. */
+  long silentMs(long nowMs) {
+    return inFlight == 0 ? 0 : nowMs - silentSinceMs;
+  }
+
   /** Ejects the endpoint after a failed connection until a probe succeeds. */
   void onConnectFailure(long nowMs) {
     lastConnectFailureMs = nowMs;
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -388,6 +388,16 @@
       }
     }
 
+    @Override
+    public void onHeard() {
+      state.onHeard(clock.nowMs());
+    }
+
+    @Override
+    public long endpointSilentMs() {
+      return state.silentMs(clock.nowMs());
+    }
+
     @Override
     public void onConnectFailure() {
       state.onConnectFailure(clock.nowMs());
--- a/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
+++ b/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
@@ -13,6 +13,17 @@
   /** Called when the first byte of the response arrives, {@code firstByteMs} after the start. */
   void onFirstByte(long firstByteMs);
 
+  /** Called when any part of the response arrives. */
+  default void onHeard() {}
+
+  /**
+   * Returns for how long the endpoint has sent nothing on any of this node's open calls; zero if
+   * that is unknown.
+   */
+  default long endpointSilentMs() {
+    return 0;
+  }
+
   /** Called when the connection to the endpoint failed. */
   default void onConnectFailure() {}
 
