--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
@@ -0,0 +1,323 @@
+package org.currantslip.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.currantslip.core.cascade.SizeCascade;
+import org.currantslip.core.common.ManualClock;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.limits.RetryBudget;
+import org.currantslip.core.limits.SlotQueue;
+import org.currantslip.core.quarantine.PromptQuarantine;
+import org.currantslip.core.quarantine.QuarantinePeers;
+import org.currantslip.core.rollout.ServiceRollouts;
+import org.currantslip.core.route.Account;
+import org.currantslip.core.route.CallerLimits;
+import org.currantslip.core.route.PromptPart;
+import org.currantslip.core.route.Route;
+import org.currantslip.core.route.RouteHolder;
+import org.currantslip.core.route.RouteKind;
+import org.currantslip.core.route.RouteTable;
+import org.currantslip.core.route.WeightedService;
+import org.currantslip.core.routing.EndpointNotice;
+import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.NodeId;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that an answer is not let go before another endpoint is certain to take it over. */
+final class PausedEndpointTest {
+  private static final long TIMEOUT_MS = 6_000;
+  private static final long OBJECTIVE_MS = 400;
+  private static final long TICK_MS = 5;
+  private static final int SLOTS = 16;
+  private static final int EVENTS = 6;
+  private static final int STREAMS = 12;
+  private static final RetryBudget.Bound NO_RETRIES = new RetryBudget.Bound(0, 0, 10_000);
+  private static final RetryBudget.Bound FEW_RETRIES = new RetryBudget.Bound(0.5, 50, 10_000);
+  private static final int FLEET_NODES = 23;
+
+  private final ManualClock clock = ManualClock.startingAt(1_000_000);
+  private final RouteHolder routes = RouteHolder.create();
+  private final FakeEndpointClient calls = new FakeEndpointClient();
+  private final ExpectedWaitChooser chooser = ExpectedWaitChooser.create(clock, "fd", 1);
+  private final Set<FakeEndpointClient.Call> answered = new HashSet<>();
+  private RequestEngine engine = engine(FEW_RETRIES);
+
+  private RequestEngine engine(RetryBudget.Bound bound) {
+    routes.replaceIfNewer(
+        RouteTable.of(
+            5,
+            List.of(
+                route("safe", RouteKind.SAFE, List.of()),
+                route("stream", RouteKind.STREAMING, List.of()),
+                route("sized", RouteKind.STREAMING, List.of("small", "large"))),
+            Map.of("key", new Account("account", OptionalInt.empty())),
+            CallerLimits.defaults()));
+    return RequestEngine.forwarding(
+        new ForwardPorts(
+            clock,
+            routes,
+            SlotQueue.create(clock, chooser::freeSlots, 1),
+            chooser,
+            RetryBudget.create(clock, bound, () -> FLEET_NODES),
+            ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
+            SizeCascade.create(),
+            PromptQuarantine.create(clock, QuarantinePeers.none("n")),
+            calls,
+            outcome -> {},
+            (event, id, fields) -> assertThat(fields.get()).isNotEmpty()));
+  }
+
+  private static Route route(String name, RouteKind kind, List<String> sizes) {
+    return new Route(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        List.of(new WeightedService("s", 1)),
+        3,
+        TIMEOUT_MS,
+        OBJECTIVE_MS,
+        400,
+        1,
+        false,
+        true,
+        sizes);
+  }
+
+  private void setEndpoints(int count, boolean leaving) {
+    chooser.onEndpoints(
+        IntStream.range(0, count)
+            .mapToObj(
+                i ->
+                    EndpointRecord.newBuilder()
+                        .setId("i" + i)
+                        .setService("s")
+                        .setVersion("v1")
+                        .setSlots(SLOTS)
+                        .setLeaving(leaving)
+                        .build())
+            .toList());
+  }
+
+  private ForwardedResponseSink send(String routeName) {
+    final ForwardedResponseSink sink = new ForwardedResponseSink();
+    engine.start(
+        new RouterRequest(
+            "id",
+            "",
+            "",
+            "",
+            "",
+            "POST",
+            "/" + routeName + "/x",
+            "text/plain",
+            ByteString.copyFromUtf8("body"),
+            false,
+            null,
+            true,
+            "",
+            "",
+            clock.nowMs() + TIMEOUT_MS,
+            0,
+            100,
+            50,
+            0,
+            new ForwardedRequest(
+                "host", "key", List.of(), List.of(new PromptPart("p", 100)), "", clock.nowMs())),
+        sink);
+    return sink;
+  }
+
+  private ForwardedResponseSink openStream() {
+    final ForwardedResponseSink sink = send("stream");
+    calls.last().head(200);
+    events(calls.last(), 1, 2);
+    return sink;
+  }
+
+  private static void events(FakeEndpointClient.Call call, int first, int last) {
+    IntStream.rangeClosed(first, last).forEach(id -> call.data(event(id)));
+  }
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: x\n\n";
+  }
+
+  private static String wholeStream() {
+    return IntStream.rangeClosed(1, EVENTS)
+        .mapToObj(PausedEndpointTest::event)
+        .collect(Collectors.joining());
+  }
+
+  private static void assertWhole(ForwardedResponseSink sink) {
+    assertThat(sink.text()).isEqualTo(wholeStream());
+    assertThat(sink.end().code()).isEqualTo(ResultCode.OK);
+  }
+
+  private void advance(long ms) {
+    for (long t = 0; t < ms; t += TICK_MS) {
+      clock.advance(TICK_MS);
+      engine.tick();
+    }
+  }
+
+  /** Ends the call as its endpoint would, from the event after the last one that the caller has. */
+  private void finishStream(FakeEndpointClient.Call call) {
+    if (!answered.add(call) || calls.cancelled.contains(call)) {
+      return;
+    }
+    ForwardedCall forwarded = call.request().forwarded();
+    String lastId = forwarded == null ? "" : forwarded.lastEventId();
+    call.head(200);
+    events(call, lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1, EVENTS);
+    call.listener().onEnd(EndpointUsage.none());
+  }
+
+  private void decline(FakeEndpointClient.Call call) {
+    if (answered.add(call)) {
+      call.listener().onHead(head(503, true, OptionalDouble.empty()));
+    }
+  }
+
+  private static EndpointResponseHead head(int status, boolean notRun, OptionalDouble confidence) {
+    return new EndpointResponseHead(
+        status,
+        "text/plain",
+        "id",
+        notRun,
+        true,
+        confidence,
+        BodyFraming.LENGTH,
+        EndpointNotice.none(),
+        null,
+        List.of());
+  }
+
+  @Test
+  @Tag("known-red")
+  void streamAtTheOnlyEndpointGoesOnAfterPause() {
+    setEndpoints(1, false);
+    final ForwardedResponseSink sink = openStream();
+    advance(1_500);
+    events(calls.last(), 3, EVENTS);
+    calls.last().listener().onEnd(EndpointUsage.none());
+    assertWhole(sink);
+    assertThat(calls.calls).hasSize(1);
+  }
+
+  @Test
+  @Tag("known-red")
+  void pausedStreamGoesOnWhenTheRetryBudgetIsSpent() {
+    engine = engine(NO_RETRIES);
+    setEndpoints(4, false);
+    final ForwardedResponseSink sink = openStream();
+    advance(1_500);
+    events(calls.last(), 3, EVENTS);
+    calls.last().listener().onEnd(EndpointUsage.none());
+    assertWhole(sink);
+  }
+
+  @ParameterizedTest
+  @Tag("known-red")
+  @ValueSource(ints = {1, 4})
+  void streamsOfPausedEndpointsEndWhole(int pausedEndpoints) {
+    setEndpoints(pausedEndpoints, false);
+    List<ForwardedResponseSink> sinks = new ArrayList<>();
+    IntStream.range(0, STREAMS).forEach(i -> sinks.add(openStream()));
+    List<FakeEndpointClient.Call> paused = List.copyOf(calls.calls);
+    setEndpoints(4, false);
+    for (int t = 0; t < 1_500; t += TICK_MS) {
+      advance(TICK_MS);
+      if (pausedEndpoints == 1) {
+        calls.calls.stream().skip(STREAMS).toList().forEach(this::finishStream);
+      }
+    }
+    paused.stream()
+        .filter(call -> !calls.cancelled.contains(call))
+        .forEach(
+            call -> {
+              events(call, 3, EVENTS);
+              call.listener().onEnd(EndpointUsage.none());
+            });
+    calls.calls.stream().skip(STREAMS).toList().forEach(this::finishStream);
+    sinks.forEach(PausedEndpointTest::assertWhole);
+  }
+
+  @Test
+  @Tag("known-red")
+  void safeRequestWaitsForTheOnlyEndpoint() {
+    setEndpoints(1, false);
+    final ForwardedResponseSink sink = send("safe");
+    advance(3 * OBJECTIVE_MS);
+    calls.last().respond("whole");
+    assertThat(sink.status()).isEqualTo(200);
+    assertThat(sink.text()).isEqualTo("whole");
+  }
+
+  @Test
+  @Tag("known-red")
+  void brokenStreamOutlastsEndpointsThatDecline() {
+    setEndpoints(4, false);
+    final ForwardedResponseSink sink = openStream();
+    calls.last().listener().onFailure(CallFailure.TRUNCATED, "");
+    for (int t = 0; t < 1_000; t += TICK_MS) {
+      calls.calls.stream().skip(1).toList().forEach(this::decline);
+      advance(TICK_MS);
+    }
+    advance(1_000);
+    finishStream(calls.last());
+    assertWhole(sink);
+  }
+
+  @Test
+  @Tag("known-red")
+  void errorOfTheOnlyEndpointIsPassedOn() {
+    setEndpoints(1, false);
+    final ForwardedResponseSink sink = send("safe");
+    calls.last().head(500);
+    calls.last().data("error");
+    calls.last().listener().onEnd(EndpointUsage.none());
+    assertThat(sink.status()).isEqualTo(500);
+    assertThat(sink.text()).isEqualTo("error");
+  }
+
+  @Test
+  @Tag("known-red")
+  void answerOfSmallModelIsKeptIfNoEndpointTakesTheLargerOne() {
+    setEndpoints(1, false);
+    final ForwardedResponseSink sink = send("sized");
+    setEndpoints(1, true);
+    calls.last().listener().onHead(head(200, false, OptionalDouble.of(0.1)));
+    events(calls.last(), 1, EVENTS);
+    calls.last().listener().onEnd(EndpointUsage.none());
+    assertWhole(sink);
+  }
+
+  @Test
+  @Tag("known-red")
+  void pauseOfThisNodeDoesNotCountAsSilenceOfAnEndpoint() {
+    setEndpoints(4, false);
+    final ForwardedResponseSink sink = openStream();
+    advance(TICK_MS);
+    clock.advance(3_000);
+    engine.tick();
+    assertThat(calls.cancelled).isEmpty();
+    events(calls.last(), 3, EVENTS);
+    calls.last().listener().onEnd(EndpointUsage.none());
+    assertWhole(sink);
+  }
+}
