An answer is let go only after another endpoint has been found and paid for

A timeout ended the call first and only then asked whether attempts, retry budget, quarantine and a further endpoint allowed another send. If one did not, an open stream was cut, and a request without a byte got 502, although the endpoint went on. An error status and the answer of a small model were dropped in the same order.

A call that is silent for too long now asks for a successor: what the route and the prompt allow, then an endpoint, then the budget, so that nothing is paid for an endpoint that is not there. Only then is the call given up. Otherwise it goes on and asks again every 250 ms, without a log line; the deadline still ends it. An error status or a small model's answer is likewise passed on if there is no successor. The estimate for a larger model now covers the endpoints that may run it, this one included, and no estimate means no endpoint, not no wait.

Ruled out: keeping the old call open until the new one sends its first event. Both would work on the request for longer than 400 ms, and a request that is prefilled twice for each pause costs endpoints more than the pause.

--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +36,9 @@
   /** Number of endpoints that may decline a request before it is refused with a retry delay. */
   private static final int MAX_DECLINES = 3;
 
+  /** Interval at which a call that is silent asks for another endpoint. */
+  private static final long SUCCESSOR_INTERVAL_MS = 250;
+
   /** Minimum time before the deadline at which a retry is still worthwhile. */
   private static final long MIN_RETRY_TIME_LEFT_MS = 20;
 
@@ -78,7 +82,8 @@
   private String model = "";
   private int sizeIndex;
   private boolean escalating;
-  private boolean retryPaid;
+  private @Nullable Successor successor;
+  private long nextSuccessorMs;
   private int nextSizeIndex;
   private SizeCascade.@Nullable Answer previousAnswer;
   private boolean deadlineExpired;
@@ -95,6 +100,9 @@
   private String endRule = "";
   private RetryObstacle obstacle = RetryObstacle.NONE;
 
+  /** An endpoint that may take a request over. */
+  private record Successor(EndpointRecord endpoint, EndpointQuery query) {}
+
   private ForwardedFlow(
       ForwardPorts ports, RouterRequest request, ForwardedRequest forwarded, CallerSink sink) {
     this.ports = ports;
@@ -201,22 +209,29 @@
       refuse(quarantined.get());
       return;
     }
+    Optional<Successor> found = findSuccessor(sizeIndex, triedEndpoints);
+    if (found.isPresent()) {
+      dispatch(found.get());
+      return;
+    }
+    obstacle = RetryObstacle.NO_ENDPOINT;
+    refuse(notServedRefusal(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable"));
+  }
+
+  private Optional<Successor> findSuccessor(int size, Set<String> excluded) {
     for (String version :
         ports.rollouts().versionsFor(service, request.session(), request.requestId())) {
-      EndpointQuery query = query(version);
+      EndpointQuery query = query(version, size, excluded);
       Optional<EndpointRecord> endpoint = ports.chooser().choose(query);
       if (endpoint.isPresent()) {
-        dispatch(endpoint.get(), query);
-        return;
+        return Optional.of(new Successor(endpoint.get(), query));
       }
     }
-    obstacle = RetryObstacle.NO_ENDPOINT;
-    refuse(notServedRefusal(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable"));
+    return Optional.empty();
   }
 
-  private EndpointQuery query(String version) {
-    return EndpointQuery.ofService(
-        service, version, modelOf(sizeIndex), forwarded.prompt(), triedEndpoints);
+  private EndpointQuery query(String version, int size, Set<String> excluded) {
+    return EndpointQuery.ofService(service, version, modelOf(size), forwarded.prompt(), excluded);
   }
 
   /** Returns the model with this index, or an empty name if the caller names the model. */
@@ -224,7 +239,8 @@
     return route().modelSizes().isEmpty() ? "" : route().modelSizes().get(index);
   }
 
-  private void dispatch(EndpointRecord endpoint, EndpointQuery query) {
+  private void dispatch(Successor next) {
+    EndpointRecord endpoint = next.endpoint();
     enter(Stage.CALLING);
     triedEndpoints.add(endpoint.getId());
     sendCount++;
@@ -238,7 +254,7 @@
             endpointRequest(endpoint),
             timeouts(),
             ports.clock(),
-            ports.chooser().track(endpoint.getId(), query),
+            ports.chooser().track(endpoint.getId(), next.query()),
             this);
     attempt = a;
     ports
@@ -329,27 +345,42 @@
   public boolean isFault(Attempt a, EndpointResponseHead head) {
     reportLoad(a, head);
     if (!head.isSuccess()) {
-      return HttpStatus.isEndpointFault(head.status()) && trySpendRetry();
+      return HttpStatus.isEndpointFault(head.status())
+          && isSuccessorPaid(sizeIndex, triedEndpoints);
     }
     if (!head.authentic()) {
       return true;
     }
-    escalating = !response.isStarted() && shouldEscalate(a, head) && trySpendRetry();
+    escalating =
+        !response.isStarted()
+            && shouldEscalate(a, head)
+            && isSuccessorPaid(nextSizeIndex, Set.of());
     return escalating;
   }
 
   /**
-   * Returns whether the request may run again after this attempt, and spends retry budget if so.
+   * Finds and pays for an endpoint that takes over from the current attempt. Returns whether it
+   * did; otherwise the attempt is the best that the request has.
    */
-  private boolean trySpendRetry() {
-    retryPaid =
-        !callerDisconnected
-            && !deadlineExpired
-            && timeLeftMs() >= MIN_RETRY_TIME_LEFT_MS
-            && route().isRepeatable()
-            && runCount + 1 < route().attempts()
-            && ports.retryBudget().trySpend(service);
-    return retryPaid;
+  private boolean isSuccessorPaid(int size, Set<String> excluded) {
+    obstacle = retryObstacle(true, runCount + 1);
+    if (obstacle == RetryObstacle.NONE && !promptGuard.mayRepeat()) {
+      obstacle = RetryObstacle.QUARANTINE;
+    }
+    if (obstacle != RetryObstacle.NONE) {
+      return false;
+    }
+    Optional<Successor> found = findSuccessor(size, excluded);
+    if (found.isEmpty()) {
+      obstacle = RetryObstacle.NO_ENDPOINT;
+    } else if (promptGuard.refusal(ran).isPresent()) {
+      obstacle = RetryObstacle.QUARANTINE;
+    } else if (!ports.retryBudget().trySpend(service)) {
+      obstacle = RetryObstacle.BUDGET;
+    } else {
+      successor = found.get();
+    }
+    return successor != null;
   }
 
   private boolean shouldEscalate(Attempt a, EndpointResponseHead head) {
@@ -362,18 +393,14 @@
     if (next.isEmpty() || !promptGuard.mayRepeat()) {
       return false;
     }
-    EndpointQuery query =
-        EndpointQuery.ofService(
-            service,
-            a.endpoint().getVersion(),
-            modelOf(next.getAsInt()),
-            forwarded.prompt(),
-            triedEndpoints);
-    double expectedMs = ports.chooser().expectedFirstTokenMs(query).orElse(0);
+    EndpointQuery query = query(a.endpoint().getVersion(), next.getAsInt(), Set.of());
+    OptionalDouble expectedMs = ports.chooser().expectedFirstTokenMs(query);
     long leftMs = arrivedMs + matchedRoute.objectiveMs() - ports.clock().nowMs();
-    if (!ports
-        .sizeCascade()
-        .isEscalationWorthwhile(currentAnswer, expectedMs, leftMs, matchedRoute.objectiveMs())) {
+    if (expectedMs.isEmpty()
+        || !ports
+            .sizeCascade()
+            .isEscalationWorthwhile(
+                currentAnswer, expectedMs.getAsDouble(), leftMs, matchedRoute.objectiveMs())) {
       return false;
     }
     previousAnswer = currentAnswer;
@@ -478,15 +505,16 @@
 
   @Override
   public void onFault(Attempt a, Attempt.Fault fault) {
-    if (escalating) {
+    Successor next = successor;
+    successor = null;
+    if (escalating && next != null) {
       escalating = false;
       promptGuard.onAbandoned();
       runCount++;
       ran = Ran.UNKNOWN;
       sizeIndex = nextSizeIndex;
       triedEndpoints.clear();
-      retryPaid = false;
-      choose();
+      dispatch(next);
       return;
     }
     endRule = fault == Attempt.Fault.SILENT ? silenceRule.name() : fault.name();
@@ -504,8 +532,11 @@
         recordOutcome(a, fault == Attempt.Fault.ERROR_STATUS);
       }
     }
-    obstacle = retryPaid ? RetryObstacle.NONE : retryObstacle(fault, promptAllows);
-    retryPaid = false;
+    if (next != null) {
+      dispatch(next);
+      return;
+    }
+    obstacle = retryObstacle(fault, promptAllows);
     if (obstacle == RetryObstacle.NONE) {
       choose();
     } else {
@@ -549,7 +580,8 @@
   /** Returns what keeps the request from another endpoint; if nothing does, the retry is paid. */
   private RetryObstacle retryObstacle(Attempt.Fault fault, boolean promptAllows) {
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
-    RetryObstacle unpaid = promptAllows ? retryObstacle(!notRun) : RetryObstacle.QUARANTINE;
+    RetryObstacle unpaid =
+        promptAllows ? retryObstacle(!notRun, runCount) : RetryObstacle.QUARANTINE;
     boolean paid =
         unpaid != RetryObstacle.NONE
             || fault == Attempt.Fault.NOT_SENT
@@ -560,8 +592,11 @@
   /**
    * Returns what keeps the request from another endpoint, regardless of the retry budget, the
    * quarantine and the endpoints.
+   *
+   * @param mayHaveRun whether the last attempt may have run
+   * @param runs number of attempts that may have run
    */
-  private RetryObstacle retryObstacle(boolean mayHaveRun) {
+  private RetryObstacle retryObstacle(boolean mayHaveRun, int runs) {
     if (callerDisconnected) {
       return RetryObstacle.CALLER_GONE;
     }
@@ -575,7 +610,7 @@
     if (!matchedRoute.isRepeatable()) {
       return RetryObstacle.NOT_REPEATABLE;
     }
-    return runCount < matchedRoute.attempts() ? RetryObstacle.NONE : RetryObstacle.ATTEMPTS;
+    return runs < matchedRoute.attempts() ? RetryObstacle.NONE : RetryObstacle.ATTEMPTS;
   }
 
   /**
@@ -607,8 +642,11 @@
       if (route().kind() == RouteKind.STREAMING) {
         recordPaceIfSlow(current);
       }
-      if (hasTimedOut(current, nowMs)) {
-        current.failOnTimeout();
+      if (nowMs >= nextSuccessorMs && hasTimedOut(current, nowMs)) {
+        nextSuccessorMs = nowMs + SUCCESSOR_INTERVAL_MS;
+        if (isSuccessorPaid(sizeIndex, triedEndpoints)) {
+          current.failOnTimeout();
+        }
       }
     }
   }
