Test methods of the relayed mirrors run in parallel

Each method has fleets and a driven clock of its own; no check, bound or case is changed. Other classes still run one method after the other.

--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -17,10 +17,13 @@
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests mirrors in a fleet where a few nodes watch the store and the others follow them. */
+@Execution(ExecutionMode.CONCURRENT)
 final class RelayedMirrorsTest {
   private static final int DOMAINS = 4;
   private static final int OBJECTS = 200;
