Log connections that this node closes with a request in them

The logs did not tell which rule ended a connection whose caller waited: the idle timeout, the guard against slow requests, the end of a truncated stream, the limit of unread bytes, or a stop. 1011 CONNECTION_CUT names the rule, the request, its age, and the versions of the configuration at its arrival and now.

FrontDoorStopTest.logsWhyConnectionWithRequestIsClosed.

--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -41,6 +41,7 @@
   private final CallerOptions options;
   private final CallerProtocol protocol;
   private final Clock clock;
+  private final CloseLog closeLog;
   private final SlowRequestGuard slowRequestGuard;
   private final DecisionThread decisions;
   private final CallerRequests requests;
@@ -55,6 +56,7 @@
       CallerOptions options,
       CallerProtocol protocol,
       Clock clock,
+      CloseLog closeLog,
       SlowRequestGuard slowRequestGuard,
       DecisionThread decisions,
       CallerRequests requests,
@@ -63,6 +65,7 @@
     this.options = options;
     this.protocol = protocol;
     this.clock = clock;
+    this.closeLog = closeLog;
     this.slowRequestGuard = slowRequestGuard;
     this.decisions = decisions;
     this.requests = requests;
@@ -75,13 +78,22 @@
       CallerOptions options,
       CallerProtocol protocol,
       Clock clock,
+      CloseLog closeLog,
       SlowRequestGuard slowRequestGuard,
       DecisionThread decisions,
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> entryView) {
     return new CallerHandler(
-        options, protocol, clock, slowRequestGuard, decisions, requests, requestIds, entryView);
+        options,
+        protocol,
+        clock,
+        closeLog,
+        slowRequestGuard,
+        decisions,
+        requests,
+        requestIds,
+        entryView);
   }
 
   int inFlight() {
@@ -107,6 +119,8 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     CallerExchange exchange = CallerExchange.create(decisions, requests);
+    String requestId = requestIds.get();
+    OpenRequest openRequest = closeLog.open(requestId, arrivedMs(request));
     ResponseSink sink =
         ResponseSink.create(
             protocol,
@@ -114,11 +128,11 @@
             callback,
             options.maxPendingBytes(),
             () -> leaving,
+            rule -> closeLog.record(rule, openRequest),
             exchange::disconnect);
-    String requestId = requestIds.get();
     int requestCount = inFlight.incrementAndGet();
     Connection connection = request.getConnectionMetaData().getConnection();
-    slowRequestGuard.onHeader(connection);
+    slowRequestGuard.onHeader(connection, openRequest);
     Request.addCompletionListener(
         request,
         failure -> {
@@ -133,7 +147,7 @@
         throw RefusalException.notRunRetryable(
             ResultCode.TOO_MANY_IN_FLIGHT, BUSY_RETRY_AFTER_MS, "too many concurrent requests");
       }
-      readBody(request, sink, exchange, requestId, readHead(request));
+      readBody(request, sink, exchange, openRequest, readHead(request));
     } catch (RefusalException refusal) {
       refuse(request, sink, requestId, refusal);
     }
@@ -150,6 +164,10 @@
         ResultCode.OVERLOADED, BUSY_RETRY_AFTER_MS, "the node is behind with its requests");
   }
 
+  private long arrivedMs(Request request) {
+    return clock.nowMs() - NanoTime.millisSince(request.getBeginNanoTime());
+  }
+
   private PendingRequest readHead(Request request) {
     PendingRequest pending =
         protocol.read(
@@ -158,7 +176,7 @@
                 Strings.nullToEmpty(request.getHttpURI().getPath()),
                 Strings.nullToEmpty(request.getHttpURI().getPathQuery()),
                 request.getHeaders(),
-                clock.nowMs() - NanoTime.millisSince(request.getBeginNanoTime())));
+                arrivedMs(request)));
     if (request.getLength() > options.maxBodyBytes()) {
       throw tooLarge();
     }
@@ -169,7 +187,7 @@
       Request request,
       ResponseSink sink,
       CallerExchange exchange,
-      String requestId,
+      OpenRequest openRequest,
       PendingRequest pending) {
     long reservedBytes = request.getLength() < 0 ? options.maxBodyBytes() : request.getLength();
     if (!bodyBudget.tryReserve(reservedBytes)) {
@@ -179,15 +197,15 @@
           "too many bytes of concurrent request bodies");
     }
     Request.addCompletionListener(request, failure -> bodyBudget.release(reservedBytes));
-    request.addFailureListener(failure -> sink.markDisconnected());
+    request.addFailureListener(sink::onFailure);
     Content.Source.asByteArrayAsync(request, options.maxBodyBytes())
         .whenComplete(
             (body, failure) -> {
-              slowRequestGuard.onBody(request.getConnectionMetaData().getConnection());
+              slowRequestGuard.onBody(request.getConnectionMetaData().getConnection(), openRequest);
               if (failure != null) {
-                refuse(request, sink, requestId, bodyRefusal(failure));
+                refuse(request, sink, openRequest.id(), bodyRefusal(failure));
               } else {
-                dispatch(request, sink, exchange, requestId, pending, body);
+                dispatch(request, sink, exchange, openRequest, pending, body);
               }
             });
   }
@@ -196,9 +214,10 @@
       Request request,
       ResponseSink sink,
       CallerExchange exchange,
-      String requestId,
+      OpenRequest openRequest,
       PendingRequest pending,
       byte[] body) {
+    String requestId = openRequest.id();
     if (decisions.lagMs() > MAX_DECISION_LAG_MS) {
       refuse(request, sink, requestId, behind());
       return;
@@ -214,6 +233,7 @@
             request.getConnectionMetaData().getConnection(), sink::markDisconnected));
     try {
       RouterRequest routerRequest = pending.complete(requestId, body);
+      openRequest.setId(routerRequest.requestId());
       endWhenOverdue(request, sink, exchange, routerRequest);
       if (!exchange.offer(routerRequest, sink)) {
         throw RefusalException.notRunRetryable(
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -133,13 +133,26 @@
     connector.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
     server.addConnector(connector);
     server.addBean(new ConnectionLimit(options.maxConnections(), connector));
+    CloseLog closeLog = CloseLog.create(clock, entryView);
     SlowRequestGuard slowRequestGuard =
         SlowRequestGuard.create(
-            connector.getScheduler(), clock, options.headerTimeoutMs(), options.bodyTimeoutMs());
+            connector.getScheduler(),
+            clock,
+            closeLog,
+            options.headerTimeoutMs(),
+            options.bodyTimeoutMs());
     connector.addBean(slowRequestGuard);
     CallerHandler handler =
         CallerHandler.create(
-            options, protocol, clock, slowRequestGuard, decisions, requests, requestIds, entryView);
+            options,
+            protocol,
+            clock,
+            closeLog,
+            slowRequestGuard,
+            decisions,
+            requests,
+            requestIds,
+            entryView);
     server.setHandler(
         firstHandler.<Handler>map(first -> new Handler.Sequence(first, handler)).orElse(handler));
     server.setErrorHandler(ProtocolErrorHandler.create(protocol, requestIds));
@@ -186,6 +199,7 @@
     }
     if (handler.inFlight() > 0) {
       EventLog.write(LogEvent.REQUESTS_CUT, "requests=" + handler.inFlight());
+      slowRequestGuard.logOpenRequests();
     }
     server.stop();
   }
--- a/node/src/main/java/org/currantslip/node/caller/ProtocolErrorHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/ProtocolErrorHandler.java
@@ -46,7 +46,8 @@
             false,
             false,
             HttpStatus.getMessage(response.getStatus()));
-    ResponseSink.create(protocol, response, callback, Long.MAX_VALUE, () -> false, () -> {})
+    ResponseSink.create(
+            protocol, response, callback, Long.MAX_VALUE, () -> false, rule -> {}, () -> {})
         .finish(head);
     return true;
   }
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -3,7 +3,9 @@
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.CallerSink;
@@ -29,6 +31,7 @@
   private final CallerProtocol protocol;
   private final Response response;
   private final Callback callback;
+  private final Consumer<CloseLog.Rule> onClose;
   private final Runnable onDisconnect;
   private final long maxPendingBytes;
   private final BooleanSupplier leaving;
@@ -49,12 +52,14 @@
       Callback callback,
       long maxPendingBytes,
       BooleanSupplier leaving,
+      Consumer<CloseLog.Rule> onClose,
       Runnable onDisconnect) {
     this.protocol = protocol;
     this.response = response;
     this.callback = callback;
     this.maxPendingBytes = maxPendingBytes;
     this.leaving = leaving;
+    this.onClose = onClose;
     this.onDisconnect = onDisconnect;
   }
 
@@ -62,6 +67,7 @@
    * Creates a sink.
    *
    * @param leaving whether the caller is told to close its connection
+   * @param onClose is told why this node closes the connection before the response is complete
    * @param onDisconnect runs once if the caller disconnects before the end
    */
   static ResponseSink create(
@@ -70,8 +76,10 @@
       Callback callback,
       long maxPendingBytes,
       BooleanSupplier leaving,
+      Consumer<CloseLog.Rule> onClose,
       Runnable onDisconnect) {
-    return new ResponseSink(protocol, response, callback, maxPendingBytes, leaving, onDisconnect);
+    return new ResponseSink(
+        protocol, response, callback, maxPendingBytes, leaving, onClose, onDisconnect);
   }
 
   @Override
@@ -130,6 +138,9 @@
   /** Closes the connection after the pending data is written, without ending the response. */
   private void truncate() {
     truncating = true;
+    if (!disconnected) {
+      onClose.accept(CloseLog.Rule.TRUNCATED);
+    }
     if (!writing && pending.isEmpty()) {
       abort("the response was truncated");
     }
@@ -161,6 +172,16 @@
     return writing;
   }
 
+  /** Called when the connection fails, by its caller or by its idle timeout. */
+  void onFailure(Throwable failure) {
+    synchronized (this) {
+      if (!disconnected && failure instanceof TimeoutException) {
+        onClose.accept(CloseLog.Rule.IDLE);
+      }
+    }
+    markDisconnected();
+  }
+
   /** Called when the connection is lost: discards the pending data and reports it once. */
   void markDisconnected() {
     boolean wasFinished;
@@ -192,6 +213,7 @@
       return;
     }
     if (streaming && pendingBytes + bytes.length > maxPendingBytes) {
+      onClose.accept(CloseLog.Rule.PENDING_BYTES);
       markDisconnected();
       return;
     }
@@ -241,7 +263,7 @@
     synchronized (this) {
       writing = false;
     }
-    markDisconnected();
+    onFailure(failure);
     complete(() -> callback.failed(failure));
   }
 }
--- a/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
+++ b/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
@@ -1,12 +1,14 @@
 package org.currantslip.node.caller;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.Clock;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Closes connections whose request arrives too slowly.
@@ -32,13 +34,24 @@
     private Phase phase = Phase.HEADER;
     private long startBytes;
     private long startMs = NOT_STARTED;
+    private @Nullable OpenRequest request;
 
-    private synchronized void enter(Phase next, long bytes, long nowMs) {
+    private synchronized void enter(
+        Phase next, @Nullable OpenRequest current, long bytes, long nowMs) {
       phase = next;
+      request = current;
       startBytes = bytes;
       startMs = next == Phase.BODY ? nowMs : NOT_STARTED;
     }
 
+    private synchronized @Nullable OpenRequest request() {
+      return request;
+    }
+
+    private synchronized CloseLog.Rule timeoutRule() {
+      return phase == Phase.HEADER ? CloseLog.Rule.HEADER_TIMEOUT : CloseLog.Rule.BODY_TIMEOUT;
+    }
+
     private synchronized boolean isBetweenRequests(long bytes) {
       return phase == Phase.HEADER && startMs == NOT_STARTED && bytes == startBytes;
     }
@@ -56,20 +69,30 @@
   private final Map<Connection, RequestProgress> progressByConnection = new ConcurrentHashMap<>();
   private final Scheduler scheduler;
   private final Clock clock;
+  private final CloseLog closeLog;
   private final long headerTimeoutMs;
   private final long bodyTimeoutMs;
 
   private SlowRequestGuard(
-      Scheduler scheduler, Clock clock, long headerTimeoutMs, long bodyTimeoutMs) {
+      Scheduler scheduler,
+      Clock clock,
+      CloseLog closeLog,
+      long headerTimeoutMs,
+      long bodyTimeoutMs) {
     this.scheduler = scheduler;
     this.clock = clock;
+    this.closeLog = closeLog;
     this.headerTimeoutMs = headerTimeoutMs;
     this.bodyTimeoutMs = bodyTimeoutMs;
   }
 
   static SlowRequestGuard create(
-      Scheduler scheduler, Clock clock, long headerTimeoutMs, long bodyTimeoutMs) {
-    return new SlowRequestGuard(scheduler, clock, headerTimeoutMs, bodyTimeoutMs);
+      Scheduler scheduler,
+      Clock clock,
+      CloseLog closeLog,
+      long headerTimeoutMs,
+      long bodyTimeoutMs) {
+    return new SlowRequestGuard(scheduler, clock, closeLog, headerTimeoutMs, bodyTimeoutMs);
   }
 
   @Override
@@ -94,24 +117,32 @@
   }
 
   /** Called when the headers of a request are complete and its body follows. */
-  void onHeader(Connection connection) {
-    enter(connection, Phase.BODY);
+  void onHeader(Connection connection, OpenRequest request) {
+    enter(connection, Phase.BODY, request);
   }
 
   /** Called when the body of a request is complete. */
-  void onBody(Connection connection) {
-    enter(connection, Phase.RESPONSE);
+  void onBody(Connection connection, OpenRequest request) {
+    enter(connection, Phase.RESPONSE, request);
   }
 
   /** Called when the response is complete and the next request may follow. */
   void onResponse(Connection connection) {
-    enter(connection, Phase.HEADER);
+    enter(connection, Phase.HEADER, null);
+  }
+
+  /** Logs the requests that are cut off when the server stops. */
+  void logOpenRequests() {
+    progressByConnection.values().stream()
+        .map(RequestProgress::request)
+        .filter(Objects::nonNull)
+        .forEach(request -> closeLog.record(CloseLog.Rule.STOP, request));
   }
 
-  private void enter(Connection connection, Phase phase) {
+  private void enter(Connection connection, Phase phase, @Nullable OpenRequest request) {
     RequestProgress progress = progressByConnection.get(connection);
     if (progress != null) {
-      progress.enter(phase, connection.getBytesIn(), clock.nowMs());
+      progress.enter(phase, request, connection.getBytesIn(), clock.nowMs());
     }
   }
 
@@ -120,6 +151,7 @@
     progressByConnection.forEach(
         (connection, progress) -> {
           if (progress.isTimedOut(connection.getBytesIn(), nowMs, headerTimeoutMs, bodyTimeoutMs)) {
+            closeLog.record(progress.timeoutRule(), progress.request());
             connection.getEndPoint().close();
           }
         });
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.AppenderBase;
 import com.google.common.base.Strings;
 import com.google.common.util.concurrent.Uninterruptibles;
 import com.google.protobuf.ByteString;
@@ -16,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,6 +28,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
@@ -31,12 +36,14 @@
 import org.currantslip.core.request.ResponseHead;
 import org.currantslip.core.request.RouterRequest;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.log.EventLog;
 import org.currantslip.schema.AccountSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.slf4j.LoggerFactory;
 
 /** Tests that no request is left without a response, above all while the server stops. */
 @Timeout(60)
@@ -399,4 +406,47 @@
 
     awaitCondition(() -> server.inFlight() == 0);
   }
+
+  /** Collects log lines while it is open. */
+  private static final class LogCapture extends AppenderBase<ILoggingEvent>
+      implements AutoCloseable {
+    private final Logger logger = (Logger) LoggerFactory.getLogger(EventLog.class);
+    private final List<String> lines = new CopyOnWriteArrayList<>();
+
+    private LogCapture() {
+      start();
+      logger.addAppender(this);
+    }
+
+    @Override
+    protected void append(ILoggingEvent event) {
+      lines.add(event.getFormattedMessage());
+    }
+
+    @Override
+    public void close() {
+      logger.detachAppender(this);
+    }
+
+    private boolean contains(String pattern) {
+      return lines.stream().anyMatch(line -> Pattern.compile(pattern).matcher(line).find());
+    }
+  }
+
+  @Test
+  void logsWhyConnectionWithRequestIsClosed() throws Exception {
+    try (LogCapture log = new LogCapture();
+        Socket socket = new Socket(HOST, port)) {
+      send(socket, BODY);
+      CallerSink sink = startedRequests.take().sink();
+      sink.head(head(ResultCode.OK, true));
+      sink.data(ByteString.copyFrom(new byte[1 << 17]));
+
+      awaitCondition(
+          () ->
+              log.contains(
+                  "1011 CONNECTION_CUT request=n1.1.1 rule=PENDING_BYTES age_ms=[0-9]+"
+                      + " arrival_version=0 config_version=0"));
+    }
+  }
 }
