Open connections take over an idle timeout that was raised

Callers reuse a connection that has been idle for up to four fifths of the newest limit. A connection kept the limit of the time it was opened, so that the next request after a raise met a connection that was closing.

Cause: the connector's timeout is copied into each connection once, and a request in flight restores the old one at its end. The newest limit is now looked up when the old one expires, without work per connection at a change. A lowered limit still holds for new connections only: closing later than the limit loses nothing.

FrontDoorStopTest.keepsOpenConnectionForIdleTimeoutThatWasRaised and .keepsConnectionForIdleTimeoutThatWasRaisedDuringRequest failed before: closed after 814 and 801 ms with a limit of 3,000 ms.

--- a/node/src/main/java/org/currantslip/node/caller/CallerConnection.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.currantslip.node.caller;
 
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.FillInterest;
@@ -47,6 +48,21 @@
     }
   }
 
+  /** Applies the newest idle timeout. */
+  @Override
+  public boolean onIdleExpired(TimeoutException timeout) {
+    EndPoint endPoint = getEndPoint();
+    if (!getParser().isStart() || endPoint.isOutputShutdown()) {
+      return super.onIdleExpired(timeout);
+    }
+    long idleTimeoutMs = getConnector().getIdleTimeout();
+    if (endPoint.getIdleTimeout() < idleTimeoutMs) {
+      endPoint.setIdleTimeout(idleTimeoutMs);
+      return false;
+    }
+    return super.onIdleExpired(timeout);
+  }
+
   @Override
   public void onFillInterestedFailed(Throwable cause) {
     if (cause == closing) {
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -160,7 +160,7 @@
         server, connector, handler, slowRequestGuard, clock, options.closeTimeoutMs());
   }
 
-  /** Sets the idle timeout of new connections. */
+  /** Sets the idle timeout of new connections; open ones take it over if it is longer. */
   public void setIdleTimeout(long idleTimeoutMs) {
     connector.setIdleTimeout(idleTimeoutMs);
   }
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -55,6 +55,8 @@
       "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final long CLOSE_TIMEOUT_MS = 5_000;
+  private static final long SHORT_IDLE_TIMEOUT_MS = 800;
+  private static final long LONG_IDLE_TIMEOUT_MS = 3_000;
   private static final int CALLER_COUNT = 16;
   private static final int WARM_UP_ANSWERS = 500;
 
@@ -449,4 +451,42 @@
                       + " arrival_version=0 config_version=0"));
     }
   }
+
+  private void exchange(Socket socket) throws IOException {
+    send(socket, BODY);
+    assertThat(readResponse(reader(socket))).contains("HTTP/1.1 200 OK");
+  }
+
+  private static void assertOpenFor(Socket socket, long startNs, long durationMs)
+      throws IOException {
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    assertThat(Duration.ofNanos(System.nanoTime() - startNs).toMillis()).isAtLeast(durationMs);
+  }
+
+  @Test
+  void keepsOpenConnectionForIdleTimeoutThatWasRaised() throws Exception {
+    requests = FrontDoorStopTest::respond;
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    try (Socket socket = new Socket(HOST, port)) {
+      exchange(socket);
+      final long startNs = System.nanoTime();
+      server.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+
+      assertOpenFor(socket, startNs, LONG_IDLE_TIMEOUT_MS);
+    }
+  }
+
+  @Test
+  void keepsConnectionForIdleTimeoutThatWasRaisedDuringRequest() throws Exception {
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    try (Socket socket = new Socket(HOST, port)) {
+      send(socket, BODY);
+      final StartedRequest started = startedRequests.take();
+      server.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+      respond(started.request(), started.sink());
+      assertThat(readResponse(reader(socket))).contains("HTTP/1.1 200 OK");
+
+      assertOpenFor(socket, System.nanoTime(), LONG_IDLE_TIMEOUT_MS);
+    }
+  }
 }
