A starting node opens the port for callers once it can serve

What callers saw: a node that had just started took connections and read requests before it knew a configuration.

Cause: EdgeNode.start opened all ports at once, and only the directory and the readiness waited for the configuration. Callers that knew the address from before the restart connected all the same.

Now the port for callers opens when a configuration and the endpoints are known, on a thread of its own, so that the decision thread does not wait for it. A refused connection sends a caller to another node at once; a request that was read and waits does not. Ready and SERVING come after the port is open. If the store is down and no peer knows a configuration, the port opens after five timeouts of the store, and requests get 503, not run, as before. A port that cannot be bound ends the process with status 1.

EdgeNodeTest.startingNodeReadsNoRequestBeforeItKnowsConfiguration failed before ("expected to be false": the port was open). answersRequestsWhenStoppedBeforeItIsReady connected at once after the start, which is now refused; it now waits for the port of a node whose store is down, and asks for 503 before and during the stop.

--- a/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
+++ b/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
@@ -1,8 +1,10 @@
 package org.currantslip.node.edge;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.currantslip.adapter.http.FreePorts;
@@ -99,13 +101,22 @@
 
   private void awaitReady(EdgeSettings node) throws Exception {
     long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
-    int status = call(node, RehearsalPlatform.ONCE_PATH);
-    while (status != HttpStatus.OK_200) {
+    while (!isReady(node)) {
       if (System.nanoTime() > endNs) {
-        throw new IOException(node.getName() + " still responds with status " + status);
+        throw new IOException(node.getName() + " is not ready");
       }
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_INTERVAL_MS));
-      status = call(node, RehearsalPlatform.ONCE_PATH);
+    }
+  }
+
+  private boolean isReady(EdgeSettings node) throws Exception {
+    try {
+      return call(node, RehearsalPlatform.ONCE_PATH) == HttpStatus.OK_200;
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof ConnectException) {
+        return false;
+      }
+      throw e;
     }
   }
 
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -70,6 +70,9 @@
   /** If the store does not respond in time, the incarnation is taken from the clock. */
   private static final long INCARNATION_TIMEOUT_MS = 800;
 
+  /** Allows several attempts to read the configuration from the store. */
+  private static final long MAX_PORT_CLOSED_MS = 5 * STORE_TIMEOUT_MS;
+
   private static final long PUBLISH_INTERVAL_MS = 50;
   private static final long REPORT_INTERVAL_MS = 300;
 
@@ -110,6 +113,7 @@
   private final CallerTraffic callerTraffic;
   private final PlannedStop plannedStop;
   private final FrontDoor callerServer;
+  private final CallerPort callerPort;
   private final Server managementServer;
   private PlannedStop.Phase lastStopPhase = PlannedStop.Phase.RUNNING;
   private volatile EntryView entryView = EntryView.empty();
@@ -233,6 +237,7 @@
             EdgeRequests.create(requestEngine, mirrors.routes()),
             () -> nextRequestId(ids),
             () -> entryView);
+    callerPort = CallerPort.create(clock, MAX_PORT_CLOSED_MS, this::openCallerPort);
     callerTraffic = CallerTraffic.create(callerServer, requestEngine);
     plannedStop =
         PlannedStop.create(
@@ -246,12 +251,14 @@
             settings, () -> ready, this::callerAddresses, MetricsHandler.create(metrics));
   }
 
-  /** Starts a node; its ports are open when this method returns. */
+  /**
+   * Starts a node. Its ports for peers and administration are open when this method returns, that
+   * for callers opens once the node can serve.
+   */
   public static EdgeNode start(EdgeSettings settings) throws Exception {
     EdgeNode node = new EdgeNode(settings);
     try {
       node.peerLinks.listen(node.new FrameDispatcher());
-      node.callerServer.start();
       node.managementServer.start();
     } catch (Exception e) {
       node.close();
@@ -269,6 +276,12 @@
     return node;
   }
 
+  private synchronized void openCallerPort() throws Exception {
+    if (!closed) {
+      callerServer.start();
+    }
+  }
+
   /** A node that starts or stops is not idle, since each step of it waits for a tick. */
   private boolean isIdle() {
     return membership.self().getState() == NodeState.SERVING && requestEngine.activeCount() == 0;
@@ -339,10 +352,8 @@
     peerLinks.tick();
     plannedStop.tick();
     logStopPhase();
-    if (membership.self().getState() == NodeState.JOINING
-        && mirrors.routes().current().version() > 0) {
-      membership.serve();
-      EventLog.write(LogEvent.NODE_SERVING, "");
+    if (membership.self().getState() == NodeState.JOINING) {
+      join();
     }
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
@@ -360,11 +371,19 @@
       publish();
     }
     membership.supersededBy().ifPresent(this::onSuperseded);
-    if (superseded || plannedStop.phase() == PlannedStop.Phase.DONE) {
+    if (superseded || callerPort.hasFailed() || plannedStop.phase() == PlannedStop.Phase.DONE) {
       stopped.countDown();
     }
   }
 
+  private void join() {
+    callerPort.tick(mirrors.isUsable());
+    if (callerPort.isOpen() && mirrors.routes().current().version() > 0) {
+      membership.serve();
+      EventLog.write(LogEvent.NODE_SERVING, "");
+    }
+  }
+
   /** Logs each phase of a stop with the work that is left when it begins. */
   private void logStopPhase() {
     if (plannedStop.phase() == lastStopPhase) {
@@ -436,7 +455,7 @@
   private void publish() {
     boolean running = plannedStop.phase() == PlannedStop.Phase.RUNNING;
     var routeTable = mirrors.routes().current();
-    ready = running && routeTable.version() > 0;
+    ready = running && callerPort.isOpen() && routeTable.version() > 0;
     entryView = new EntryView(membership.entryNodes(), routeTable.version());
     if (routeTable.limits().idleTimeoutMs() != idleTimeoutMs) {
       idleTimeoutMs = routeTable.limits().idleTimeoutMs();
@@ -466,7 +485,7 @@
   public boolean awaitStop() throws Exception {
     stopped.await();
     close();
-    return !superseded && plannedStop.isClean();
+    return !superseded && !callerPort.hasFailed() && plannedStop.isClean();
   }
 
   private synchronized void close() throws Exception {
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -9,6 +9,7 @@
 import org.currantslip.core.mirror.MirrorOptions;
 import org.currantslip.core.port.KindObject;
 import org.currantslip.core.port.KindStore;
+import org.currantslip.core.port.StorePosition;
 import org.currantslip.core.rollout.RolloutOrder;
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.route.RouteHolder;
@@ -75,6 +76,11 @@
     return routes;
   }
 
+  /** Returns whether a configuration and the endpoints are known. */
+  boolean isUsable() {
+    return routes.current().version() > 0 && !endpoints.position().equals(StorePosition.NONE);
+  }
+
   KindMirror config() {
     return config;
   }
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -219,16 +219,60 @@
         .isEmpty();
   }
 
+  private static boolean isOpen(HostAndPort address) {
+    try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+      return socket.isConnected();
+    } catch (ConnectException e) {
+      return false;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Test
+  void startingNodeReadsNoRequestBeforeItKnowsConfiguration() throws Exception {
+    try (RehearsalPlatform unconfigured = RehearsalPlatform.withoutConfig()) {
+      EdgeSettings other = CdsTrainingRun.edgeSettings("edge-2", unconfigured);
+      EdgeNode starting = EdgeNode.start(other);
+      HostAndPort address = HostAndPort.fromString(other.getListen().getCaller());
+      assertThat(isOpen(address)).isFalse();
+      assertThat(status(other.getListen().getReadiness(), "/api/readiness")).isEqualTo(503);
+
+      unconfigured.putConfig(1);
+      awaitCondition(() -> isOpen(address));
+      try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+        assertThat(exchange(socket, "/once/first", "first")).startsWith("HTTP/1.1 200 ");
+      }
+      starting.beginStop();
+      assertThat(starting.awaitStop()).isTrue();
+    }
+  }
+
+  @Test
+  void stopsBeforeItsPortForCallersIsOpen() throws Exception {
+    try (RehearsalPlatform unconfigured = RehearsalPlatform.withoutConfig()) {
+      EdgeNode starting = EdgeNode.start(CdsTrainingRun.edgeSettings("edge-2", unconfigured));
+      starting.beginStop();
+      assertThat(starting.awaitStop()).isTrue();
+    }
+  }
+
   @Test
   void answersRequestsWhenStoppedBeforeItIsReady() throws Exception {
-    EdgeSettings others = CdsTrainingRun.edgeSettings("edge-2", platform);
-    EdgeNode starting = EdgeNode.start(others);
-    HostAndPort address = HostAndPort.fromString(others.getListen().getCaller());
+    EdgeSettings other;
+    try (RehearsalPlatform closed = new RehearsalPlatform()) {
+      other = CdsTrainingRun.edgeSettings("edge-2", closed);
+    }
+    EdgeNode starting = EdgeNode.start(other);
+    HostAndPort address = HostAndPort.fromString(other.getListen().getCaller());
+    awaitCondition(() -> isOpen(address));
     try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+      assertThat(exchange(socket, "/once/early", "early")).startsWith("HTTP/1.1 503 ");
+      assertThat(status(other.getListen().getReadiness(), "/api/readiness")).isEqualTo(503);
       starting.beginStop();
-      assertThat(exchange(socket, "/once/early", "early")).startsWith("HTTP/1.1 ");
+      assertThat(exchange(socket, "/once/late", "late")).startsWith("HTTP/1.1 503 ");
     }
-    assertThat(starting.awaitStop()).isTrue();
+    assertThat(starting.awaitStop()).isFalse();
   }
 
   /** Sends a request that its endpoint does not answer; returns the status line to come. */
