The lag of a decision thread counts the requests that already wait

What callers saw: on nodes that had just started, requests waited for over 300 ms, some for seconds, before they were begun, and none was refused at once for the lag.

Cause: lagMs was the wait of the request begun last, or the age of the current round. Behind rounds that take long, of which each begins one request, a burst is accepted whole: the request begun last had not waited for the others yet.

The lag is now at least the number of waiting requests times what each one took in the last round, with all that ran in between; it is zero again once none is left.

DecisionThreadTest.lagCountsTheRequestsThatWaitBehindSlowRounds failed before: 510 ms were told to a request that would have waited 1,560 ms.

--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -47,6 +47,9 @@
   private volatile boolean stopped;
   private volatile long roundStartedMs;
   private volatile long requestDelayMs;
+  private volatile double msPerRequest;
+  private long lastRequestMs;
+  private boolean requestsLeft;
 
   private DecisionThread(Clock clock, int requestCapacity, int completionCapacity) {
     this.clock = clock;
@@ -130,7 +133,9 @@
 
   /** Returns about how long a request that is offered now waits until it begins. */
   public long lagMs() {
-    long delayMs = requests.isEmpty() ? 0 : requestDelayMs;
+    int requestCount = requests.size();
+    long delayMs =
+        requestCount == 0 ? 0 : Math.max(requestDelayMs, Math.round(requestCount * msPerRequest));
     return parked ? delayMs : Math.max(delayMs, clock.nowMs() - roundStartedMs);
   }
 
@@ -161,7 +166,7 @@
         taskCount++;
       }
       taskCount += drainFor(completions, COMPLETION_SLICE_MS);
-      taskCount += drainFor(requests, REQUEST_SLICE_MS);
+      taskCount += runRequests();
       if (taskCount == 0) {
         long intervalMs = idle.getAsBoolean() ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS;
         park(Math.max(0, lastTickMs + intervalMs - clock.nowMs()));
@@ -174,6 +179,16 @@
         || (sinceLastMs >= TICK_INTERVAL_MS && !idle.getAsBoolean());
   }
 
+  /** Runs requests for a slice, and measures what each takes with all that runs in between. */
+  private int runRequests() {
+    long fromMs = requestsLeft ? lastRequestMs : roundStartedMs;
+    int count = drainFor(requests, REQUEST_SLICE_MS);
+    lastRequestMs = clock.nowMs();
+    requestsLeft = !requests.isEmpty();
+    msPerRequest = requestsLeft ? (double) (lastRequestMs - fromMs) / Math.max(1, count) : 0;
+    return count;
+  }
+
   /** Runs tasks of a ring until it is empty or the time is over, and at least one. */
   private int drainFor(TaskRing ring, long sliceMs) {
     long endMs = clock.nowMs() + sliceMs;
--- a/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
+++ b/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
@@ -16,6 +16,8 @@
 final class DecisionThreadTest {
   private static final int CAPACITY = 8;
   private static final long REQUEST_MS = 100;
+  private static final long SLOW_ROUND_MS = 250;
+  private static final long SLOW_REQUEST_MS = 10;
 
   private final DecisionThread decisions =
       DecisionThread.create(System::currentTimeMillis, CAPACITY, CAPACITY);
@@ -219,6 +221,35 @@
     assertThat(lags).containsExactly(0L, REQUEST_MS, 0L).inOrder();
   }
 
+  /** Eight requests arrive at once at a thread whose rounds take 250 ms, as on a young process. */
+  @Test
+  void lagCountsTheRequestsThatWaitBehindSlowRounds() throws InterruptedException {
+    AtomicLong nowMs = new AtomicLong();
+    DecisionThread thread = DecisionThread.create(nowMs::get, CAPACITY, CAPACITY);
+    thread.onTick(() -> nowMs.addAndGet(SLOW_ROUND_MS));
+    List<Long> lags = Collections.synchronizedList(new ArrayList<>());
+    List<Long> startsMs = Collections.synchronizedList(new ArrayList<>());
+    CountDownLatch done = new CountDownLatch(CAPACITY);
+    for (int i = 0; i < CAPACITY; i++) {
+      thread.offerRequest(
+          () -> {
+            lags.add(thread.lagMs());
+            startsMs.add(nowMs.get());
+            nowMs.addAndGet(SLOW_REQUEST_MS);
+            done.countDown();
+          });
+    }
+    thread.start();
+    done.await();
+    thread.stop();
+
+    for (int i = 1; i < CAPACITY - 1; i++) {
+      long remainingMs = startsMs.get(CAPACITY - 1) - startsMs.get(i);
+      assertThat(lags.get(i)).isAtLeast(remainingMs);
+    }
+    assertThat(lags.get(CAPACITY - 1)).isAtMost(SLOW_ROUND_MS + SLOW_REQUEST_MS);
+  }
+
   private static void stopQuietly(DecisionThread thread) {
     try {
       thread.stop();
