A request whose time has passed is not sent when its connection opens late

What callers and endpoints saw: on machines that were behind, requests reached endpoints seconds after their callers' deadline, with a time left that had been worked out when the endpoint was chosen.

Cause: deadline and time left were looked at on the decision thread only. Between that and the write lie the connection and a thread of the HTTP client, which on a young process takes its time.

Both are now looked at on the thread that writes, when the connection is open: the time left is worked out there, and a request without any is withdrawn. That fails as EXPIRED, which like NOT_SENT is no run, but tells nothing of the endpoint: it does not count as a failure to connect. A cancelled call is withdrawn there as well.

--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -224,7 +224,7 @@
                 rollouts,
                 SizeCascade.create(),
                 quarantine,
-                RunnerCalls.create(endpointClient, decisions),
+                RunnerCalls.create(endpointClient, decisions, clock),
                 metrics::record,
                 trace));
     RequestIds ids = RequestIds.create(self.getId());
