--- a/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
@@ -74,6 +74,11 @@
     return call;
   }
 
+  /** Ends all calls without a word to either side. */
+  void dropCalls() {
+    endpoints.forEach(e -> e.calls.clear());
+  }
+
   /** Crashes an endpoint for a reason other than its requests. */
   void crash(int number) {
     if (endpoints.get(number).up) {
--- a/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
+++ b/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
@@ -109,7 +109,8 @@
         new CrashingEndpoints(
             events, setup, id -> sentRequest(id).isBad(), this::announceEndpoints);
     names = IntStream.range(0, setup.nodes()).mapToObj(i -> "n" + i).toList();
-    nodes = names.stream().map(name -> new Node(name, seed + names.indexOf(name))).toList();
+    nodes = new ArrayList<>();
+    names.forEach(name -> nodes.add(new Node(name, seed + names.indexOf(name))));
     announceEndpoints();
   }
 
@@ -235,6 +236,13 @@
     run(ms, 0);
   }
 
+  /** Kills all nodes at once and starts them anew. */
+  void restartNodes() {
+    endpoints.dropCalls();
+    nodes.replaceAll(n -> new Node(n.peers.self(), names.indexOf(n.peers.self())));
+    announceEndpoints();
+  }
+
   /** Cuts a node off from the other nodes; it still reaches the endpoints. */
   void cutOff(int node) {
     setCut(names.get(node), true);
--- a/core/src/test/java/org/currantslip/core/fleet/RequestCrashTest.java
+++ b/core/src/test/java/org/currantslip/core/fleet/RequestCrashTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import org.currantslip.core.fleet.ForwardingFleet.Setup;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -88,4 +90,16 @@
     }
     assertThat(fleet.refusedSoundShare()).isAtMost(MAX_REFUSED_SHARE);
   }
+
+  @Tag("known-red")
+  @Test
+  void verdictOutlivesTheRestartOfAllNodes() {
+    ForwardingFleet fleet = new ForwardingFleet(new Setup(6, 8, 8, 2_000, 1, 20, 0), 31);
+    fleet.runPlain(8_000, ForwardingFleet.SAFE_PATH, 1, 400, 1);
+    long thirdCrashMs = fleet.crashesMs(ForwardingFleet.BAD_BODY + 0).get(CRASHES - 1);
+    fleet.restartNodes();
+    fleet.runPlain(RUN_MS, ForwardingFleet.SAFE_PATH, 1, 400, 1);
+    assertThat(fleet.arrivalsAfter(ForwardingFleet.BAD_BODY + 0, thirdCrashMs + CONTACT_MS))
+        .isAtMost(MAX_SENT);
+  }
 }
