A conviction of a request is not lifted because another one explains its crashes

The lift went to all nodes as a success and so erased the crashes of a request that was guilty as well; counting began anew. An explanation still counts before the conviction; after it, a success of the request ends it, as another node or a trial sees it.

--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -292,7 +292,8 @@
   }
 
   /**
-   * Lifts the verdicts of this node that do not hold since this conviction explains the crashes.
+   * Lifts the verdicts of this node on parts that do not hold since this conviction explains the
+   * crashes. One on a request ends by its success only, as a lift ends the suspicion, too.
    */
   private void onExplained(Fingerprint by, List<EndpointCrash> crashes, long nowMs) {
     if (crashes.isEmpty()) {
@@ -308,7 +309,9 @@
                         Map.of()))
             .toList();
     List<Fingerprint> convicted =
-        verdicts.quarantined().stream().filter(judgedEvidence::isConvicted).toList();
+        verdicts.quarantined().stream()
+            .filter(key -> !key.isRequest() && judgedEvidence.isConvicted(key))
+            .toList();
     if (!judgedEvidence.addExplained(by, explained)) {
       return;
     }
