An Error in one task does not end the decision thread

A stack overflow in one task ended the thread that takes all decisions, so that no request of the node was answered any more except by its timeout, and the process lived on. Such a task is now logged as any other that fails; a request whose start ends with an Error gets its 500.

DecisionThreadTest.errorInOneTaskDoesNotEndTheThread failed before: the next task did not run within 20 s.

--- a/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
@@ -53,7 +53,7 @@
     }
     try {
       onDisconnect = requests.start(request, sink);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       EventLog.write(LogEvent.TASK_FAILED, "request=" + request.requestId(), e);
       sink.finish(internalError(request));
     }
--- a/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
+++ b/node/src/main/java/org/currantslip/node/duty/DecisionThread.java
@@ -206,7 +206,7 @@
   private void runSafely(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       EventLog.write(LogEvent.TASK_FAILED, "thread=decision", e);
     }
   }
--- a/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
+++ b/node/src/test/java/org/currantslip/node/duty/DecisionThreadTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -16,6 +17,7 @@
 final class DecisionThreadTest {
   private static final int CAPACITY = 8;
   private static final long REQUEST_MS = 100;
+  private static final long TIMEOUT_S = 20;
 
   private final DecisionThread decisions =
       DecisionThread.create(System::currentTimeMillis, CAPACITY, CAPACITY);
@@ -226,4 +228,17 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  @Test
+  void errorInOneTaskDoesNotEndTheThread() throws InterruptedException {
+    decisions.start();
+    decisions.execute(
+        () -> {
+          throw new StackOverflowError("fault in a task");
+        });
+    CountDownLatch next = new CountDownLatch(1);
+    decisions.execute(next::countDown);
+
+    assertThat(next.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+  }
 }
