A fault in the start, the tick or the stop of a request ends this request only

An exception in one request's tick skipped all requests after it, at every tick; one in its start left it in the engine until its deadline, so that a stop ran to its limit; one in its stop skipped the ends of the others, whose callers then got no answer.

Each of these steps now ends the request with an internal error, as the steps after a future already did. If the refusal fails too, the request is closed and the exception goes on to the log.

--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -49,24 +49,22 @@
 
   /** Checks the request and requests admission. */
   final void start() {
-    try {
-      check();
-    } catch (RefusalException e) {
-      refuse(e);
-      return;
-    }
-    whenComplete(admit(), this::onAdmitted);
+    guard(
+        () -> {
+          check();
+          whenComplete(admit(), this::onAdmitted);
+        });
   }
 
   final void tick(long nowMs) {
     if (!isDone()) {
-      onTick(nowMs);
+      guard(() -> onTick(nowMs));
     }
   }
 
   final void stop() {
     if (!isDone()) {
-      onNodeStop();
+      guard(this::onNodeStop);
     }
   }
 
@@ -86,19 +84,27 @@
   final <T> void whenComplete(
       CompletableFuture<T> future, BiConsumer<@Nullable T, @Nullable Throwable> step) {
     CompletableFuture<T> unused =
-        future.whenComplete(
-            (value, failure) -> {
-              try {
-                step.accept(value, failure);
-              } catch (RuntimeException e) {
-                onInternalError(e);
-              }
-            });
+        future.whenComplete((value, failure) -> guard(() -> step.accept(value, failure)));
   }
 
-  private void onInternalError(RuntimeException e) {
-    if (!isDone()) {
+  /** Runs a step; an exception in it ends this request only. */
+  private void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      onInternalError(e);
+    }
+  }
+
+  private void onInternalError(Throwable e) {
+    if (isDone()) {
+      return;
+    }
+    try {
       refuse(Refusals.of(e));
+    } catch (RuntimeException | Error again) {
+      close(0);
+      throw again;
     }
   }
 
