A step of a tick that fails does not skip the steps after it

An exception in one step of a node's tick, such as the mirrors or the peer links, skipped all later ones at every tick: the planned stop did not advance, and the process was killed with its requests unanswered. Each step is now run by itself and logged with its name as 9001 TASK_FAILED.

The order of the steps is unchanged. Found by reading; TickStepTest shows the guard, no test makes a component of a whole node fail.

--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -34,6 +34,7 @@
 import org.currantslip.node.caller.EntryView;
 import org.currantslip.node.caller.FrontDoor;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.duty.TickStep;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.node.metrics.MetricsHandler;
 import org.currantslip.node.metrics.NodeGauges;
@@ -323,27 +324,41 @@
   }
 
   private void tick() {
-    final long nowMs = clock.nowMs();
-    membership.tick();
-    storeWatchers.pollWatcherChange().ifPresent(this::onWatcherChange);
-    mirrors.tick();
-    mirrorRelay.tick();
-    storeProbe.tick();
-    mirrorGossip.tick();
-    endpointRegistry.tick();
-    quarantine.tick();
-    quarantineLinks.tick(quarantine);
-    requestQueue.tick();
-    requestEngine.tick();
-    rolloutController.tick();
-    peerLinks.tick();
-    plannedStop.tick();
-    logStopPhase();
+    TickStep.run("membership", membership::tick);
+    TickStep.run(
+        "watchers", () -> storeWatchers.pollWatcherChange().ifPresent(this::onWatcherChange));
+    TickStep.run("mirrors", mirrors::tick);
+    TickStep.run("relay", mirrorRelay::tick);
+    TickStep.run("probe", storeProbe::tick);
+    TickStep.run("gossip", mirrorGossip::tick);
+    TickStep.run("endpoints", endpointRegistry::tick);
+    TickStep.run("quarantine", quarantine::tick);
+    TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
+    TickStep.run("queue", requestQueue::tick);
+    TickStep.run("requests", requestEngine::tick);
+    TickStep.run("rollouts", rolloutController::tick);
+    TickStep.run("links", peerLinks::tick);
+    TickStep.run("stop", plannedStop::tick);
+    TickStep.run("stop_log", this::logStopPhase);
+    TickStep.run("serve", this::serveIfConfigured);
+    TickStep.run("reports", this::sendReports);
+    TickStep.run("publish", this::publishIfDue);
+    TickStep.run("superseded", () -> membership.supersededBy().ifPresent(this::onSuperseded));
+    if (superseded || plannedStop.phase() == PlannedStop.Phase.DONE) {
+      stopped.countDown();
+    }
+  }
+
+  private void serveIfConfigured() {
     if (membership.self().getState() == NodeState.JOINING
         && mirrors.routes().current().version() > 0) {
       membership.serve();
       EventLog.write(LogEvent.NODE_SERVING, "");
     }
+  }
+
+  private void sendReports() {
+    long nowMs = clock.nowMs();
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
       sendOutcomeReport();
@@ -355,14 +370,14 @@
       nextPrefillReportMs = nowMs + PREFILL_REPORT_INTERVAL_MS;
       sendPrefillReport();
     }
+  }
+
+  private void publishIfDue() {
+    long nowMs = clock.nowMs();
     if (nowMs >= nextPublishMs) {
       nextPublishMs = nowMs + PUBLISH_INTERVAL_MS;
       publish();
     }
-    membership.supersededBy().ifPresent(this::onSuperseded);
-    if (superseded || plannedStop.phase() == PlannedStop.Phase.DONE) {
-      stopped.countDown();
-    }
   }
 
   /** Logs each phase of a stop with the work that is left when it begins. */
--- a/node/src/main/java/org/currantslip/node/wiring/CoreComponents.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreComponents.java
@@ -33,6 +33,7 @@
 import org.currantslip.core.usage.PeerUsageSpool;
 import org.currantslip.core.usage.UsageOptions;
 import org.currantslip.core.usage.UsageSpool;
+import org.currantslip.node.duty.TickStep;
 import org.currantslip.node.poll.PendingAnswers;
 import org.currantslip.schema.DecisionRecord;
 import org.currantslip.schema.NodeId;
@@ -148,15 +149,15 @@
   }
 
   void tick() {
-    membership.tick();
-    config.tick();
-    admission.tick();
-    rollouts.tick();
-    ledger.tick();
-    usage.tick();
-    engine.tick();
-    decisionLog.tick();
-    burn.tick();
+    TickStep.run("membership", membership::tick);
+    TickStep.run("config", config::tick);
+    TickStep.run("admission", admission::tick);
+    TickStep.run("rollouts", rollouts::tick);
+    TickStep.run("ledger", ledger::tick);
+    TickStep.run("usage", usage::tick);
+    TickStep.run("engine", engine::tick);
+    TickStep.run("decisionLog", decisionLog::tick);
+    TickStep.run("burn", burn::tick);
   }
 
   /** Flushes the decision log, the burn log and the usage spool to durable storage. */
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -22,6 +22,7 @@
 import org.currantslip.node.caller.EntryView;
 import org.currantslip.node.caller.FrontDoor;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.duty.TickStep;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.node.metrics.MetricsHandler;
 import org.currantslip.node.metrics.NodeMetrics;
@@ -226,17 +227,21 @@
     decisionThread.onTick(this::tick);
   }
 
-  private void tick() {
-    core.tick();
-    peerLinks.tick();
-    polls.tick();
-    plannedStop.tick();
+  private void serveIfFresh() {
     if (membership.self().getState() == NodeState.JOINING && core.config().isFresh()) {
       membership.serve();
       EventLog.write(LogEvent.NODE_SERVING, "");
     }
-    publisher.tick();
-    membership.supersededBy().ifPresent(this::onSuperseded);
+  }
+
+  private void tick() {
+    TickStep.run("core", core::tick);
+    TickStep.run("links", peerLinks::tick);
+    TickStep.run("polls", polls::tick);
+    TickStep.run("stop", plannedStop::tick);
+    TickStep.run("serve", this::serveIfFresh);
+    TickStep.run("publish", publisher::tick);
+    TickStep.run("superseded", () -> membership.supersededBy().ifPresent(this::onSuperseded));
     if (superseded || plannedStop.phase() == PlannedStop.Phase.DONE) {
       stopped.countDown();
     }
