--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -549,17 +549,20 @@
 
   @Test
   void streamOfUnreachableEndpointTimesOutSooner() {
-    chooser.onEndpoints(List.of(chooser.endpoints().get(0)));
+    List<EndpointRecord> all = chooser.endpoints();
+    chooser.onEndpoints(List.of(all.get(0)));
     send("stream");
     head(call(0), 200, false);
     event(call(0), 3);
     advance(399);
     send("safe");
+    chooser.onEndpoints(all);
     call(1).listener().onFailure(CallFailure.NOT_SENT, "");
     engine.tick();
     assertThat(calls.cancelled).doesNotContain(call(0));
     advance(1);
     assertThat(calls.cancelled).contains(call(0));
+    assertThat(forwarded(calls.last().request()).lastEventId()).isEqualTo("3");
   }
 
   @Test
@@ -697,7 +700,7 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"NOT_SENT, 503", "NOT_RUN, 503", "BROKEN, 502", "STATUS_500, 502"})
+  @CsvSource({"NOT_SENT, 503", "NOT_RUN, 503", "BROKEN, 502", "STATUS_500, 500"})
   void promptIsNotSentAgainOnceItsPartIsQuarantined(String fault, int status) {
     sendPrompt("stream", "system", "bad", "own");
     quarantine("bad");
@@ -769,11 +772,11 @@
     assertThat(calls.calls).hasSize(2);
   }
 
-  /** Only a break that nothing else explains accuses the parts of the prompt. */
+  /** Only a break that nothing else explains accuses the request, and the parts of its prompt. */
   @ParameterizedTest
-  @CsvSource({"false, 1, true", "true, 1, false", "false, 2, false"})
+  @CsvSource({"false, 1, true, true", "true, 1, false, false", "false, 2, true, false"})
   void brokenStreamIsReportedAsCrashUnlessItsEndpointLeftOrAnswered(
-      boolean leaving, int events, boolean reported) {
+      boolean leaving, int events, boolean requestReported, boolean partsReported) {
     List<EndpointCrash> crashes = new ArrayList<>();
     quarantine.setListener(
         new QuarantineListener() {
@@ -792,6 +795,9 @@
     call(0).listener().onFailure(CallFailure.TRUNCATED, "");
     clock.advance(1_000);
     quarantine.tick();
-    assertThat(crashes.isEmpty()).isEqualTo(!reported);
+    assertThat(crashes.stream().filter(c -> c.getService().isEmpty()).count())
+        .isEqualTo(requestReported ? 1 : 0);
+    assertThat(crashes.stream().filter(c -> c.getService().equals("s")).count())
+        .isEqualTo(partsReported ? 1 : 0);
   }
 }
