An open stream that broke waits for an endpoint until its deadline

A request of which the caller has nothing yet is refused at once as before, so that the caller may try elsewhere. The endpoint is chosen before the retry is paid. An error status in answer to a resumed stream is a failed attempt, since it can't be passed on any more.

--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.request;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.util.HashSet;
 import java.util.Optional;
@@ -60,6 +61,10 @@
   /** Slightly longer than one step of a full batch. */
   private static final long UNREACHABLE_IDLE_TIMEOUT_MS = 400;
 
+  /** What may pass while an open stream waits. */
+  private static final ImmutableSet<RetryObstacle> PASSING_OBSTACLES =
+      ImmutableSet.of(RetryObstacle.DECLINES, RetryObstacle.BUDGET, RetryObstacle.NO_ENDPOINT);
+
   private static final long MAX_BUFFERED_BYTES = 16L << 20;
 
   private final ForwardPorts ports;
@@ -84,6 +89,8 @@
   private boolean escalating;
   private @Nullable Successor successor;
   private long nextSuccessorMs;
+  private boolean retryOwed;
+  private ResultCode failureCode = ResultCode.NO_ENDPOINT;
   private int nextSizeIndex;
   private SizeCascade.@Nullable Answer previousAnswer;
   private boolean deadlineExpired;
@@ -210,12 +217,32 @@
       return;
     }
     Optional<Successor> found = findSuccessor(sizeIndex, triedEndpoints);
-    if (found.isPresent()) {
+    if (found.isEmpty()) {
+      obstacle = RetryObstacle.NO_ENDPOINT;
+      awaitEndpointOrRefuse(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable");
+    } else if (retryOwed && !ports.retryBudget().trySpend(service)) {
+      obstacle = RetryObstacle.BUDGET;
+      awaitEndpointOrRefuse(failureCode, "the retry budget is spent");
+    } else {
       dispatch(found.get());
-      return;
     }
-    obstacle = RetryObstacle.NO_ENDPOINT;
-    refuse(notServedRefusal(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable"));
+  }
+
+  /** Waits until the deadline if a stream has begun that another endpoint may go on with. */
+  private void awaitEndpointOrRefuse(ResultCode code, String detail) {
+    if (response.isStarted() && route().isRepeatable() && PASSING_OBSTACLES.contains(obstacle)) {
+      enter(Stage.CHOOSING);
+      nextSuccessorMs = ports.clock().nowMs() + SUCCESSOR_INTERVAL_MS;
+    } else {
+      refuse(notServedRefusal(code, detail));
+    }
+  }
+
+  /** Chooses again after a wait, for one attempt; endpoints that declined may have room now. */
+  private void chooseAgain() {
+    triedEndpoints.clear();
+    declineCount = MAX_DECLINES;
+    choose();
   }
 
   private Optional<Successor> findSuccessor(int size, Set<String> excluded) {
@@ -345,8 +372,9 @@
   public boolean isFault(Attempt a, EndpointResponseHead head) {
     reportLoad(a, head);
     if (!head.isSuccess()) {
-      return HttpStatus.isEndpointFault(head.status())
-          && isSuccessorPaid(sizeIndex, triedEndpoints);
+      return response.isStarted()
+          || (HttpStatus.isEndpointFault(head.status())
+              && isSuccessorPaid(sizeIndex, triedEndpoints));
     }
     if (!head.authentic()) {
       return true;
@@ -519,7 +547,7 @@
     }
     endRule = fault == Attempt.Fault.SILENT ? silenceRule.name() : fault.name();
     traceFault(a, fault);
-    boolean promptAllows = promptGuard.onFault(fault, hasLeft(a));
+    final boolean promptAllows = promptGuard.onFault(fault, hasLeft(a));
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
     if (notRun) {
       declineCount++;
@@ -536,11 +564,13 @@
       dispatch(next);
       return;
     }
-    obstacle = retryObstacle(fault, promptAllows);
+    retryOwed = fault != Attempt.Fault.NOT_SENT;
+    failureCode = Refusals.codeOf(fault);
+    obstacle = promptAllows ? retryObstacle(!notRun, runCount) : RetryObstacle.QUARANTINE;
     if (obstacle == RetryObstacle.NONE) {
       choose();
     } else {
-      refuse(notServedRefusal(Refusals.codeOf(fault), "endpoint fault: " + fault));
+      awaitEndpointOrRefuse(failureCode, "endpoint fault: " + fault);
     }
   }
 
@@ -577,18 +607,6 @@
                         a.failureDetail()));
   }
 
-  /** Returns what keeps the request from another endpoint; if nothing does, the retry is paid. */
-  private RetryObstacle retryObstacle(Attempt.Fault fault, boolean promptAllows) {
-    boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
-    RetryObstacle unpaid =
-        promptAllows ? retryObstacle(!notRun, runCount) : RetryObstacle.QUARANTINE;
-    boolean paid =
-        unpaid != RetryObstacle.NONE
-            || fault == Attempt.Fault.NOT_SENT
-            || ports.retryBudget().trySpend(service);
-    return paid ? unpaid : RetryObstacle.BUDGET;
-  }
-
   /**
    * Returns what keeps the request from another endpoint, regardless of the retry budget, the
    * quarantine and the endpoints.
@@ -634,6 +652,8 @@
       onDeadline();
     } else if (isIn(Stage.ADMITTING)) {
       promptGuard.refusal(ran).ifPresent(this::refuse);
+    } else if (isIn(Stage.CHOOSING) && nowMs >= nextSuccessorMs) {
+      chooseAgain();
     } else if (isIn(Stage.CALLING) && attempt != null) {
       Attempt current = attempt;
       if (isFirstEventOverdue(current)) {
