A pause of the node does not count as silence of its endpoints

If two ticks are more than 200 ms apart, silence now counts from the later one, and the open calls give no sample of their version.

Requests to the product's own interface, peers and links still judge as before.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -71,6 +71,7 @@
   private long bufferedBytes;
   private int eventCount;
   private long lastEventMs;
+  private long silentFromMs;
   private long firstByteMs = -1;
   private EndpointResponseHead head = EndpointResponseHead.of(0, "", "");
   private String failureDetail = "";
@@ -92,6 +93,7 @@
     this.listener = listener;
     startedMs = clock.nowMs();
     lastEventMs = startedMs;
+    silentFromMs = startedMs;
   }
 
   static Attempt create(
@@ -160,9 +162,14 @@
     return clock.nowMs() - startedMs;
   }
 
+  /** Counts the silence of the endpoint from now on, since this node could not hear it before. */
+  void restartSilence() {
+    silentFromMs = clock.nowMs();
+  }
+
   /** Returns the time since the endpoint last sent something on this call, or since its start. */
   long silentMs() {
-    return clock.nowMs() - lastEventMs;
+    return clock.nowMs() - silentFromMs;
   }
 
   /** Returns for how long the endpoint had sent nothing on any call when this one failed. */
@@ -195,12 +202,12 @@
   /** Returns whether the first-byte timeout or the idle timeout has expired. */
   boolean hasTimedOut(long nowMs) {
     long timeoutMs = hasResponseHead() ? options.idleTimeoutMs() : options.firstByteTimeoutMs();
-    return !ended && nowMs - lastEventMs >= timeoutMs;
+    return !ended && nowMs - silentFromMs >= timeoutMs;
   }
 
   /** Returns whether no event arrived during the last {@code ms} milliseconds. */
   boolean isIdleFor(long ms, long nowMs) {
-    return !ended && nowMs - lastEventMs >= ms;
+    return !ended && nowMs - silentFromMs >= ms;
   }
 
   /** Fails the attempt because the endpoint sent nothing within its timeout. */
@@ -219,6 +226,7 @@
 
   private void recordHeard() {
     lastEventMs = clock.nowMs();
+    silentFromMs = lastEventMs;
     tracker.onHeard();
   }
 
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -646,6 +646,16 @@
     return RefusalException.of(reportedCode, ran, 0, detail);
   }
 
+  @Override
+  void onNodeResumed() {
+    if (isIn(Stage.CALLING) && attempt != null) {
+      attempt.restartSilence();
+      // The times of this call say nothing of its version any more.
+      firstEventRecorded = true;
+      paceRecorded = true;
+    }
+  }
+
   @Override
   void onTick(long nowMs) {
     if (nowMs >= deadlineMs) {
--- a/core/src/main/java/org/currantslip/core/request/RequestEngine.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestEngine.java
@@ -9,15 +9,20 @@
 
 /** Processes requests from admission to the final response. Confined to the decision thread. */
 public final class RequestEngine {
+  /** A longer time without a tick means that this node stood still. */
+  private static final long MAX_TICK_GAP_MS = 200;
+
   private final Clock clock;
   private final BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
+  private long lastTickMs;
   private boolean stopped;
 
   private RequestEngine(
       Clock clock, BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory) {
     this.clock = clock;
     this.flowFactory = flowFactory;
+    lastTickMs = clock.nowMs();
   }
 
   /** Returns an engine for requests to the router's own API, which are subject to the rules. */
@@ -49,6 +54,10 @@
   /** Applies deadlines and removes finished requests; called every few milliseconds. */
   public void tick() {
     long now = clock.nowMs();
+    if (now - lastTickMs > MAX_TICK_GAP_MS) {
+      flows.forEach(RequestFlow::onNodeResumed);
+    }
+    lastTickMs = now;
     List.copyOf(flows).forEach(f -> f.tick(now));
     flows.removeIf(RequestFlow::isDone);
   }
