Silent calls leave half of the retries to broken ones

A silent call may still succeed, a broken one can't. A silent call is now replaced only while the service has used less than half of its retries.

--- a/core/src/main/java/org/currantslip/core/limits/RetryBudget.java
+++ b/core/src/main/java/org/currantslip/core/limits/RetryBudget.java
@@ -17,6 +17,9 @@
   /** Fraction of the bound that is used; the rest covers requests counted in a different window. */
   private static final double SAFETY_FACTOR = 0.7;
 
+  /** Share of the retries that may replace calls which may still succeed. */
+  private static final double SILENCE_SHARE = 0.5;
+
   private static final int WINDOW_BUCKETS = 10;
 
   /**
@@ -52,11 +55,24 @@
 
   /** Spends one retry if the budget allows it, and returns whether it did. */
   public boolean trySpend(String service) {
+    return trySpendShare(service, 1);
+  }
+
+  /**
+   * Spends one retry for a call that is silent but not broken, and returns whether it did. The
+   * calls of an endpoint that pauses fall silent all at once, and must leave retries for calls that
+   * break.
+   */
+  public boolean trySpendOnSilence(String service) {
+    return trySpendShare(service, SILENCE_SHARE);
+  }
+
+  private boolean trySpendShare(String service, double share) {
     // A partitioned node sees fewer peers while the others still spend their parts.
     maxLiveNodes = Math.max(maxLiveNodes, Math.max(1, liveNodes.getAsInt()));
     Window window = window(service);
     double allowed =
-        SAFETY_FACTOR * (bound.ratio() * window.requests() + bound.slack() / maxLiveNodes);
+        share * SAFETY_FACTOR * (bound.ratio() * window.requests() + bound.slack() / maxLiveNodes);
     if (window.retries() + 1 > allowed) {
       return false;
     }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -374,7 +374,7 @@
     if (!head.isSuccess()) {
       return response.isStarted()
           || (HttpStatus.isEndpointFault(head.status())
-              && isSuccessorPaid(sizeIndex, triedEndpoints));
+              && isSuccessorPaid(sizeIndex, triedEndpoints, false));
     }
     if (!head.authentic()) {
       return true;
@@ -382,15 +382,17 @@
     escalating =
         !response.isStarted()
             && shouldEscalate(a, head)
-            && isSuccessorPaid(nextSizeIndex, Set.of());
+            && isSuccessorPaid(nextSizeIndex, Set.of(), false);
     return escalating;
   }
 
   /**
    * Finds and pays for an endpoint that takes over from the current attempt. Returns whether it
    * did; otherwise the attempt is the best that the request has.
+   *
+   * @param forSilence whether the current attempt is merely silent
    */
-  private boolean isSuccessorPaid(int size, Set<String> excluded) {
+  private boolean isSuccessorPaid(int size, Set<String> excluded, boolean forSilence) {
     obstacle = retryObstacle(true, runCount + 1);
     if (obstacle == RetryObstacle.NONE && !promptGuard.mayRepeat()) {
       obstacle = RetryObstacle.QUARANTINE;
@@ -403,7 +405,7 @@
       obstacle = RetryObstacle.NO_ENDPOINT;
     } else if (promptGuard.refusal(ran).isPresent()) {
       obstacle = RetryObstacle.QUARANTINE;
-    } else if (!ports.retryBudget().trySpend(service)) {
+    } else if (!isPaid(forSilence)) {
       obstacle = RetryObstacle.BUDGET;
     } else {
       successor = found.get();
@@ -411,6 +413,12 @@
     return successor != null;
   }
 
+  private boolean isPaid(boolean forSilence) {
+    return forSilence
+        ? ports.retryBudget().trySpendOnSilence(service)
+        : ports.retryBudget().trySpend(service);
+  }
+
   private boolean shouldEscalate(Attempt a, EndpointResponseHead head) {
     Route matchedRoute = route();
     if (previousAnswer != null) {
@@ -674,7 +682,7 @@
       }
       if (nowMs >= nextSuccessorMs && hasTimedOut(current, nowMs)) {
         nextSuccessorMs = nowMs + SUCCESSOR_INTERVAL_MS;
-        if (isSuccessorPaid(sizeIndex, triedEndpoints)) {
+        if (isSuccessorPaid(sizeIndex, triedEndpoints, true)) {
           current.failOnTimeout();
         }
       }
--- a/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
+++ b/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
@@ -254,6 +254,20 @@
     sinks.forEach(PausedEndpointTest::assertWhole);
   }
 
+  @Test
+  void pauseLeavesRetriesForBrokenStreams() {
+    setEndpoints(1, false);
+    IntStream.range(0, 2 * STREAMS).forEach(i -> openStream());
+    setEndpoints(4, false);
+    advance(1_500);
+    for (int i = 0; i < 4; i++) {
+      int sends = calls.calls.size();
+      openStream();
+      calls.last().listener().onFailure(CallFailure.TRUNCATED, "");
+      assertThat(calls.calls.size() - sends).isEqualTo(2);
+    }
+  }
+
   @Test
   void safeRequestWaitsForTheOnlyEndpoint() {
     setEndpoints(1, false);
