A request whose caller has left is not sent, also while the decision thread is behind

In the log of one such node, five requests ended with CALLER_GONE up to 2.0 s after they had been handed to the HTTP client.

Cause: that a caller has left is seen on its connection's thread, but a call is cancelled by the decision thread, which on such a node comes to it late; meanwhile the connection to the endpoint opens and the request is written.

The call now asks the caller's sink itself, on the thread that writes, whether a response can still reach the caller. A request withdrawn for this or for its deadline fails as WITHDRAWN (EXPIRED before): no run, and nothing said of the endpoint.

FrontDoorTest.callerThatLeavesIsNoticedWhileDecisionThreadIsBusy is new with the method it tests.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -268,7 +268,7 @@
     }
     fail(
         switch (failure) {
-          case NOT_SENT, EXPIRED -> Fault.NOT_SENT;
+          case NOT_SENT, WITHDRAWN -> Fault.NOT_SENT;
           case BROKEN -> Fault.BROKEN;
           case TRUNCATED -> Fault.TRUNCATED;
           case MALFORMED -> Fault.TOO_LARGE;
--- a/core/src/main/java/org/currantslip/core/request/CallFailure.java
+++ b/core/src/main/java/org/currantslip/core/request/CallFailure.java
@@ -4,8 +4,8 @@
 public enum CallFailure {
   /** No byte of the request was sent. */
   NOT_SENT,
-  /** The deadline passed before a byte of the request was sent; tells nothing of the endpoint. */
-  EXPIRED,
+  /** Nobody waited for the request any more when it was to be sent; no byte of it was sent. */
+  WITHDRAWN,
   /** The connection broke after bytes were sent. */
   BROKEN,
   /** The response ended before it was complete. */
--- a/core/src/main/java/org/currantslip/core/request/CallerResponse.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerResponse.java
@@ -66,6 +66,11 @@
     return List.copyOf(ruleLines);
   }
 
+  /** Returns whether no response can reach the caller any more; may be called on any thread. */
+  boolean isAbandoned() {
+    return sink.isAbandoned();
+  }
+
   boolean isStarted() {
     return started;
   }
--- a/core/src/main/java/org/currantslip/core/request/CallerSink.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerSink.java
@@ -4,6 +4,11 @@
 
 /** Receives the response to a request. Methods are called in the order head, data, finish. */
 public interface CallerSink {
+  /** Returns whether no response can reach the caller any more; may be called on any thread. */
+  default boolean isAbandoned() {
+    return false;
+  }
+
   /** Starts the response. */
   void head(ResponseHead head);
 
--- a/core/src/main/java/org/currantslip/core/request/ForwardedCall.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedCall.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.request;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * Additional fields of a call that forwards a caller's request unchanged.
@@ -12,6 +13,7 @@
  * @param priority priority at the endpoint; zero is served first
  * @param lastEventId id of the event after which to resume the stream, or empty to start from the
  *     beginning
+ * @param abandoned whether no response can reach the caller any more; may be asked on any thread
  */
 public record ForwardedCall(
     List<HeaderField> fields,
@@ -19,4 +21,5 @@
     String account,
     long remainingMs,
     int priority,
-    String lastEventId) {}
+    String lastEventId,
+    BooleanSupplier abandoned) {}
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -274,7 +274,8 @@
             account.name(),
             Math.max(1, timeLeftMs()),
             priority(),
-            lastEventId()));
+            lastEventId(),
+            response::isAbandoned));
   }
 
   private String lastEventId() {
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -35,8 +35,8 @@
   private final ArrayDeque<Chunk> pending = new ArrayDeque<>();
   private long pendingBytes;
   private boolean writing;
-  private boolean disconnected;
-  private boolean finished;
+  private volatile boolean disconnected;
+  private volatile boolean finished;
   private boolean streaming;
   private boolean truncating;
   private boolean completed;
@@ -74,6 +74,11 @@
     return new ResponseSink(protocol, response, callback, maxPendingBytes, leaving, onDisconnect);
   }
 
+  @Override
+  public boolean isAbandoned() {
+    return disconnected || finished;
+  }
+
   @Override
   public synchronized void head(ResponseHead head) {
     if (finished) {
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -287,6 +287,26 @@
 
     assertThat(response.getStatus()).isEqualTo(504);
     assertThat(response.getHeaders().get("Currantslip-Ran")).isEqualTo("unknown");
+    assertThat(started.sink().isAbandoned()).isTrue();
+  }
+
+  @Test
+  void callerThatLeavesIsNoticedWhileDecisionThreadIsBusy() throws Exception {
+    StartedRequest started;
+    CountDownLatch release;
+    try (Socket socket = openChat(BODY)) {
+      started = startedRequests.take();
+      release = occupyDecisionThread();
+      assertThat(socket.isConnected()).isTrue();
+      assertThat(started.sink().isAbandoned()).isFalse();
+    }
+    long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(RESPONSE_TIMEOUT_S);
+    while (!started.sink().isAbandoned() && System.nanoTime() < endNs) {
+      Thread.onSpinWait();
+    }
+    boolean noticed = started.sink().isAbandoned();
+    release.countDown();
+    assertThat(noticed).isTrue();
   }
 
   @Test
