--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -15,6 +15,7 @@
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.limits.Permit;
 import org.currantslip.core.limits.SlotRequest;
+import org.currantslip.core.quarantine.RequestFingerprints;
 import org.currantslip.core.rollout.OutcomeSample;
 import org.currantslip.core.route.Account;
 import org.currantslip.core.route.Route;
@@ -164,7 +165,16 @@
     }
     promptGuard =
         PromptGuard.create(
-            ports.quarantine(), ports.trace(), request.requestId(), service, forwarded.prompt());
+            ports.quarantine(),
+            ports.trace(),
+            request.requestId(),
+            RequestFingerprints.of(
+                service,
+                forwarded.prompt(),
+                request.method(),
+                request.path(),
+                account.name(),
+                request.body()));
     Optional<RefusalException> quarantined = promptGuard.refusal(ran);
     if (quarantined.isPresent()) {
       throw quarantined.get();
@@ -322,7 +332,8 @@
             account.name(),
             Math.max(1, timeLeftMs()),
             priority(),
-            lastEventId()));
+            lastEventId(),
+            response::isAbandoned));
   }
 
   private String lastEventId() {
--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.currantslip.adapter.caller.CallerProtocol;
@@ -41,6 +42,7 @@
   private final CallerOptions options;
   private final CallerProtocol protocol;
   private final Clock clock;
+  private final CloseLog closeLog;
   private final SlowRequestGuard slowRequestGuard;
   private final DecisionThread decisions;
   private final CallerRequests requests;
@@ -55,6 +57,7 @@
       CallerOptions options,
       CallerProtocol protocol,
       Clock clock,
+      CloseLog closeLog,
       SlowRequestGuard slowRequestGuard,
       DecisionThread decisions,
       CallerRequests requests,
@@ -63,6 +66,7 @@
     this.options = options;
     this.protocol = protocol;
     this.clock = clock;
+    this.closeLog = closeLog;
     this.slowRequestGuard = slowRequestGuard;
     this.decisions = decisions;
     this.requests = requests;
@@ -75,13 +79,22 @@
       CallerOptions options,
       CallerProtocol protocol,
       Clock clock,
+      CloseLog closeLog,
       SlowRequestGuard slowRequestGuard,
       DecisionThread decisions,
       CallerRequests requests,
       Supplier<String> requestIds,
       Supplier<EntryView> entryView) {
     return new CallerHandler(
-        options, protocol, clock, slowRequestGuard, decisions, requests, requestIds, entryView);
+        options,
+        protocol,
+        clock,
+        closeLog,
+        slowRequestGuard,
+        decisions,
+        requests,
+        requestIds,
+        entryView);
   }
 
   int inFlight() {
@@ -107,22 +120,25 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     CallerExchange exchange = CallerExchange.create(decisions, requests);
+    String requestId = requestIds.get();
+    OpenRequest openRequest = closeLog.open(requestId, arrivedMs(request));
+    int requestCount = inFlight.incrementAndGet();
+    Runnable answered = once(inFlight::decrementAndGet);
     ResponseSink sink =
         ResponseSink.create(
             protocol,
             response,
-            callback,
+            afterBody(request, callback, answered),
             options.maxPendingBytes(),
             () -> leaving,
+            rule -> closeLog.record(rule, openRequest),
             exchange::disconnect);
-    String requestId = requestIds.get();
-    int requestCount = inFlight.incrementAndGet();
     Connection connection = request.getConnectionMetaData().getConnection();
-    slowRequestGuard.onHeader(connection);
+    slowRequestGuard.onHeader(connection, openRequest);
     Request.addCompletionListener(
         request,
         failure -> {
-          inFlight.decrementAndGet();
+          answered.run();
           slowRequestGuard.onResponse(connection);
         });
     try {
@@ -133,13 +149,31 @@
         throw RefusalException.notRunRetryable(
             ResultCode.TOO_MANY_IN_FLIGHT, BUSY_RETRY_AFTER_MS, "too many concurrent requests");
       }
-      readBody(request, sink, exchange, requestId, readHead(request));
+      readBody(request, sink, exchange, openRequest, readHead(request));
     } catch (RefusalException refusal) {
       refuse(request, sink, requestId, refusal);
     }
     return true;
   }
 
+  private static Runnable once(Runnable task) {
+    AtomicBoolean done = new AtomicBoolean();
+    return () -> {
+      if (done.compareAndSet(false, true)) {
+        task.run();
+      }
+    };
+  }
+
+  private Callback afterBody(Request request, Callback callback, Runnable answered) {
+    return Callback.from(
+        () -> {
+          answered.run();
+          BodyDrain.completeAfterBody(request, callback, options.maxBodyBytes());
+        },
+        callback::failed);
+  }
+
   private static RefusalException nodeLeaving() {
     return RefusalException.notRunRetryable(
         ResultCode.NODE_LEAVING, BUSY_RETRY_AFTER_MS, "the node is shutting down");
@@ -150,6 +184,10 @@
         ResultCode.OVERLOADED, BUSY_RETRY_AFTER_MS, "the node is behind with its requests");
   }
 
+  private long arrivedMs(Request request) {
+    return clock.nowMs() - NanoTime.millisSince(request.getBeginNanoTime());
+  }
+
   private PendingRequest readHead(Request request) {
     PendingRequest pending =
         protocol.read(
@@ -158,7 +196,7 @@
                 Strings.nullToEmpty(request.getHttpURI().getPath()),
                 Strings.nullToEmpty(request.getHttpURI().getPathQuery()),
                 request.getHeaders(),
-                clock.nowMs() - NanoTime.millisSince(request.getBeginNanoTime())));
+                arrivedMs(request)));
     if (request.getLength() > options.maxBodyBytes()) {
       throw tooLarge();
     }
@@ -169,7 +207,7 @@
       Request request,
       ResponseSink sink,
       CallerExchange exchange,
-      String requestId,
+      OpenRequest openRequest,
       PendingRequest pending) {
     long reservedBytes = request.getLength() < 0 ? options.maxBodyBytes() : request.getLength();
     if (!bodyBudget.tryReserve(reservedBytes)) {
@@ -179,15 +217,15 @@
           "too many bytes of concurrent request bodies");
     }
     Request.addCompletionListener(request, failure -> bodyBudget.release(reservedBytes));
-    request.addFailureListener(failure -> sink.markDisconnected());
+    request.addFailureListener(sink::onFailure);
     Content.Source.asByteArrayAsync(request, options.maxBodyBytes())
         .whenComplete(
             (body, failure) -> {
-              slowRequestGuard.onBody(request.getConnectionMetaData().getConnection());
+              slowRequestGuard.onBody(request.getConnectionMetaData().getConnection(), openRequest);
               if (failure != null) {
-                refuse(request, sink, requestId, bodyRefusal(failure));
+                refuse(request, sink, openRequest.id(), bodyRefusal(failure));
               } else {
-                dispatch(request, sink, exchange, requestId, pending, body);
+                dispatch(request, sink, exchange, openRequest, pending, body);
               }
             });
   }
@@ -196,9 +234,10 @@
       Request request,
       ResponseSink sink,
       CallerExchange exchange,
-      String requestId,
+      OpenRequest openRequest,
       PendingRequest pending,
       byte[] body) {
+    String requestId = openRequest.id();
     if (decisions.lagMs() > MAX_DECISION_LAG_MS) {
       refuse(request, sink, requestId, behind());
       return;
@@ -214,6 +253,7 @@
             request.getConnectionMetaData().getConnection(), sink::markDisconnected));
     try {
       RouterRequest routerRequest = pending.complete(requestId, body);
+      openRequest.setId(routerRequest.requestId());
       endWhenOverdue(request, sink, exchange, routerRequest);
       if (!exchange.offer(routerRequest, sink)) {
         throw RefusalException.notRunRetryable(
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.AppenderBase;
 import com.google.common.base.Strings;
 import com.google.common.util.concurrent.Uninterruptibles;
 import com.google.protobuf.ByteString;
@@ -16,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,6 +28,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
@@ -31,12 +36,13 @@
 import org.currantslip.core.request.ResponseHead;
 import org.currantslip.core.request.RouterRequest;
 import org.currantslip.node.duty.DecisionThread;
+import org.currantslip.node.log.EventLog;
 import org.currantslip.schema.AccountSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.slf4j.LoggerFactory;
 
 /** Tests that no request is left without a response, above all while the server stops. */
 @Timeout(60)
@@ -48,6 +54,8 @@
       "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final long CLOSE_TIMEOUT_MS = 5_000;
+  private static final long SHORT_IDLE_TIMEOUT_MS = 800;
+  private static final long LONG_IDLE_TIMEOUT_MS = 3_000;
   private static final int CALLER_COUNT = 16;
   private static final int WARM_UP_ANSWERS = 500;
 
@@ -335,7 +343,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void deliversRefusalWhileBodyIsStillBeingSent() throws Exception {
     server.refuseRequests();
     byte[] part = new byte[1 << 14];
@@ -399,4 +406,115 @@
 
     awaitCondition(() -> server.inFlight() == 0);
   }
+
+  /** Collects log lines while it is open. */
+  private static final class LogCapture extends AppenderBase<ILoggingEvent>
+      implements AutoCloseable {
+    private final Logger logger = (Logger) LoggerFactory.getLogger(EventLog.class);
+    private final List<String> lines = new CopyOnWriteArrayList<>();
+
+    private LogCapture() {
+      start();
+      logger.addAppender(this);
+    }
+
+    @Override
+    protected void append(ILoggingEvent event) {
+      lines.add(event.getFormattedMessage());
+    }
+
+    @Override
+    public void close() {
+      logger.detachAppender(this);
+    }
+
+    private boolean contains(String pattern) {
+      return lines.stream().anyMatch(line -> Pattern.compile(pattern).matcher(line).find());
+    }
+  }
+
+  @Test
+  void logsWhyConnectionWithRequestIsClosed() throws Exception {
+    try (LogCapture log = new LogCapture();
+        Socket socket = new Socket(HOST, port)) {
+      send(socket, BODY);
+      CallerSink sink = startedRequests.take().sink();
+      sink.head(head(ResultCode.OK, true));
+      sink.data(ByteString.copyFrom(new byte[1 << 17]));
+
+      awaitCondition(
+          () ->
+              log.contains(
+                  "1011 CONNECTION_CUT request=n1.1.1 rule=PENDING_BYTES age_ms=[0-9]+"
+                      + " arrival_version=0 config_version=0"));
+    }
+  }
+
+  private void exchange(Socket socket) throws IOException {
+    send(socket, BODY);
+    assertThat(readResponse(reader(socket))).contains("HTTP/1.1 200 OK");
+  }
+
+  /** A thread without time finds the request and the expired idle timeout at the same moment. */
+  @Test
+  void answersRequestThatWasSentBeforeItsIdleTimeoutExpired() throws Exception {
+    requests = FrontDoorStopTest::respond;
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    CountDownLatch stalled = new CountDownLatch(1);
+    CountDownLatch resumed = new CountDownLatch(1);
+    try (Socket kept = new Socket(HOST, port);
+        Socket idle = new Socket(HOST, port);
+        Socket stalling = new Socket(HOST, port)) {
+      exchange(kept);
+      exchange(idle);
+      onRequestRead =
+          () -> {
+            onRequestRead = () -> {};
+            stalled.countDown();
+            Uninterruptibles.awaitUninterruptibly(resumed);
+          };
+      send(stalling, BODY);
+      stalled.await();
+      send(kept, BODY);
+      assertThat(idle.getInputStream().read()).isEqualTo(-1);
+      resumed.countDown();
+
+      assertThat(readResponse(reader(kept))).contains("HTTP/1.1 200 OK");
+    } finally {
+      resumed.countDown();
+    }
+  }
+
+  private static void assertOpenFor(Socket socket, long startNs, long durationMs)
+      throws IOException {
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    assertThat(Duration.ofNanos(System.nanoTime() - startNs).toMillis()).isAtLeast(durationMs);
+  }
+
+  @Test
+  void keepsOpenConnectionForIdleTimeoutThatWasRaised() throws Exception {
+    requests = FrontDoorStopTest::respond;
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    try (Socket socket = new Socket(HOST, port)) {
+      exchange(socket);
+      final long startNs = System.nanoTime();
+      server.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+
+      assertOpenFor(socket, startNs, LONG_IDLE_TIMEOUT_MS);
+    }
+  }
+
+  @Test
+  void keepsConnectionForIdleTimeoutThatWasRaisedDuringRequest() throws Exception {
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    try (Socket socket = new Socket(HOST, port)) {
+      send(socket, BODY);
+      final StartedRequest started = startedRequests.take();
+      server.setIdleTimeout(LONG_IDLE_TIMEOUT_MS);
+      respond(started.request(), started.sink());
+      assertThat(readResponse(reader(socket))).contains("HTTP/1.1 200 OK");
+
+      assertOpenFor(socket, System.nanoTime(), LONG_IDLE_TIMEOUT_MS);
+    }
+  }
 }
