--- a/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
+++ b/core/src/test/java/org/currantslip/core/fleet/CrashingEndpoints.java
@@ -81,6 +81,11 @@
     }
   }
 
+  /** Makes an endpoint send nothing for a time, after which it goes on. */
+  void pause(int number, long ms) {
+    endpoints.get(number).pausedUntilMs = events.clock().nowMs() + ms;
+  }
+
   private void arrive(EndpointRecord target, Call call) {
     if (call.cancelled) {
       return;
@@ -96,6 +101,7 @@
     private final Set<Call> calls = new LinkedHashSet<>();
     private int instance;
     private long startedMs = events.clock().nowMs();
+    private long pausedUntilMs;
     private boolean up = true;
 
     private Endpoint(int number) {
@@ -125,7 +131,19 @@
       events.after(PREFILL_MS, () -> begin(call));
     }
 
+    /** Returns whether a step has to wait for the end of a pause, after which it is done. */
+    private boolean isDelayed(Runnable step) {
+      long leftMs = pausedUntilMs - events.clock().nowMs();
+      if (leftMs > 0) {
+        events.after(leftMs, step);
+      }
+      return leftMs > 0;
+    }
+
     private void begin(Call call) {
+      if (isDelayed(() -> begin(call))) {
+        return;
+      }
       if (!calls.contains(call)) {
         return;
       }
@@ -138,6 +156,9 @@
     }
 
     private void writeEvent(Call call, int number) {
+      if (isDelayed(() -> writeEvent(call, number))) {
+        return;
+      }
       if (!calls.contains(call)) {
         return;
       }
--- a/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
+++ b/core/src/test/java/org/currantslip/core/fleet/ForwardingFleet.java
@@ -87,6 +87,11 @@
       return new Setup(8, 24, 8, 2_500, 20, 10, 0.06);
     }
 
+    /** A single endpoint has room for all requests of the fleet. */
+    static Setup alone(int nodes) {
+      return new Setup(nodes, 1, 512, 1_500, 1_000, 4, 0);
+    }
+
     /** Endpoints are few and hold most requests of the fleet, so that all of them soon crash. */
     static Setup collapsing() {
       return new Setup(6, 8, 128, 1_500, 1_000, 15, 0.1);
@@ -337,6 +342,10 @@
           && ends.get(0).retryAfterMs() > 0;
     }
 
+    boolean isWhole() {
+      return ends.size() == 1 && ends.get(0).code() == ResultCode.OK;
+    }
+
     boolean isBegun() {
       return heads.stream().anyMatch(h -> h.code() == ResultCode.OK);
     }
