Half a pipelined request is seen when the server stops

Bytes of a second request that were read together with the first counted as read before it. At a stop the connection was closed for sending although the rest of that request was on its way, and the caller got no answer. The guard against slow requests did not count its time either.

FrontDoorStopTest.refusesPipelinedRequestThatIsHalfReadWhenServerStops failed before with an empty response.

--- a/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
+++ b/node/src/main/java/org/currantslip/node/caller/SlowRequestGuard.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.currantslip.core.common.Clock;
 import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +45,13 @@
       startMs = next == Phase.BODY ? nowMs : NOT_STARTED;
     }
 
+    /** Bytes that were read with the request before belong to the next one. */
+    private synchronized void startIfPipelined(boolean pipelined, long nowMs) {
+      if (pipelined && phase == Phase.HEADER) {
+        startMs = nowMs;
+      }
+    }
+
     private synchronized @Nullable OpenRequest request() {
       return request;
     }
@@ -129,6 +137,10 @@
   /** Called when the response is complete and the next request may follow. */
   void onResponse(Connection connection) {
     enter(connection, Phase.HEADER, null);
+    RequestProgress progress = progressByConnection.get(connection);
+    if (progress != null && connection instanceof HttpConnection http) {
+      progress.startIfPipelined(!http.isRequestBufferEmpty(), clock.nowMs());
+    }
   }
 
   /** Logs the requests that are cut off when the server stops. */
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorStopTest.java
@@ -383,6 +383,25 @@
     }
   }
 
+  @Test
+  void refusesPipelinedRequestThatIsHalfReadWhenServerStops() throws Exception {
+    requests = FrontDoorStopTest::respond;
+    byte[] head = requestHead(BODY.length());
+    String text = new String(head, UTF_8) + BODY;
+    int half = head.length / 2;
+    try (Socket socket = new Socket(HOST, port)) {
+      final BufferedReader reader = reader(socket);
+      socket.getOutputStream().write((text + text.substring(0, half)).getBytes(UTF_8));
+      assertThat(readResponse(reader)).contains("HTTP/1.1 200 OK");
+      final CompletableFuture<Void> stopped = stopServer();
+      socket.getOutputStream().write(text.substring(half).getBytes(UTF_8));
+
+      assertThat(readResponse(reader)).contains("Currantslip-Code: 3008");
+      socket.close();
+      stopped.join();
+    }
+  }
+
   @Test
   void answersRequestWhoseStartFails() throws Exception {
     requests =
