A request for the entry nodes counts as complete for the guard

/v1/entry was answered before the guard against slow requests heard of it, so that its header counted as half a request: the kept connection was closed by the header timeout, and a stop waited for it.

FrontDoorTest.keepsConnectionThatListedEntryNodesForItsIdleTimeout failed before: closed after 900 ms with an idle timeout of 3,000 ms.

--- a/node/src/main/java/org/currantslip/node/caller/EntryHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/EntryHandler.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.currantslip.core.common.ResultCode;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -15,14 +16,18 @@
 
   private final Supplier<EntryView> entryView;
   private final long ttlMs;
+  private final SlowRequestGuard slowRequestGuard;
 
-  private EntryHandler(Supplier<EntryView> entryView, long ttlMs) {
+  private EntryHandler(
+      Supplier<EntryView> entryView, long ttlMs, SlowRequestGuard slowRequestGuard) {
     this.entryView = entryView;
     this.ttlMs = ttlMs;
+    this.slowRequestGuard = slowRequestGuard;
   }
 
-  static EntryHandler create(Supplier<EntryView> entryView, long ttlMs) {
-    return new EntryHandler(entryView, ttlMs);
+  static EntryHandler create(
+      Supplier<EntryView> entryView, long ttlMs, SlowRequestGuard slowRequestGuard) {
+    return new EntryHandler(entryView, ttlMs, slowRequestGuard);
   }
 
   @Override
@@ -30,6 +35,8 @@
     if (!PATH.equals(request.getHttpURI().getPath()) || !request.getMethod().equals("GET")) {
       return false;
     }
+    Connection connection = request.getConnectionMetaData().getConnection();
+    Request.addCompletionListener(request, failure -> slowRequestGuard.onResponse(connection));
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
     response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
     response.getHeaders().put(RequestHeaders.CODE, String.valueOf(ResultCode.OK.number()));
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.core.common.Clock;
@@ -73,7 +74,7 @@
         options,
         NativeProtocol.create(options, tokens, clock),
         UriCompliance.DEFAULT,
-        Optional.of(EntryHandler.create(entryView, options.entryTtlMs())),
+        Optional.of(guard -> EntryHandler.create(entryView, options.entryTtlMs(), guard)),
         clock,
         decisions,
         requests,
@@ -109,7 +110,7 @@
       CallerOptions options,
       CallerProtocol protocol,
       UriCompliance uriCompliance,
-      Optional<Handler> firstHandler,
+      Optional<Function<SlowRequestGuard, Handler>> firstHandler,
       Clock clock,
       DecisionThread decisions,
       CallerRequests requests,
@@ -154,7 +155,9 @@
             requestIds,
             entryView);
     server.setHandler(
-        firstHandler.<Handler>map(first -> new Handler.Sequence(first, handler)).orElse(handler));
+        firstHandler
+            .<Handler>map(first -> new Handler.Sequence(first.apply(slowRequestGuard), handler))
+            .orElse(handler));
     server.setErrorHandler(ProtocolErrorHandler.create(protocol, requestIds));
     return new FrontDoor(
         server, connector, handler, slowRequestGuard, clock, options.closeTimeoutMs());
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -51,6 +51,7 @@
   private static final long MAX_TOTAL_BODY_BYTES = 3 * MAX_BODY_BYTES;
   private static final long HEADER_TIMEOUT_MS = 400;
   private static final long BODY_TIMEOUT_MS = 800;
+  private static final long SHORT_IDLE_TIMEOUT_MS = 3_000;
   private static final int BYTE_INTERVAL_MS = 20;
   private static final int SMALL_EVENT_COUNT = 1_500;
   private static final int SHORT_DEADLINE_MS = 300;
@@ -574,6 +575,23 @@
     assertThat(server.inFlight()).isEqualTo(0);
   }
 
+  @Test
+  void keepsConnectionThatListedEntryNodesForItsIdleTimeout() throws Exception {
+    server.setIdleTimeout(SHORT_IDLE_TIMEOUT_MS);
+    try (Socket socket = new Socket("127.0.0.1", server.port())) {
+      final long startNs = System.nanoTime();
+      socket
+          .getOutputStream()
+          .write("GET /v1/entry HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+      while (socket.getInputStream().read() >= 0) {
+        // Reads the response and then waits for the close.
+      }
+
+      assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs))
+          .isAtLeast(SHORT_IDLE_TIMEOUT_MS);
+    }
+  }
+
   @Test
   void closesConnectionsWithSlowBody() throws Exception {
     try (Socket socket = new Socket("127.0.0.1", server.port())) {
