--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -38,8 +38,8 @@
   private final ArrayDeque<Chunk> pending = new ArrayDeque<>();
   private long pendingBytes;
   private boolean writing;
-  private boolean disconnected;
-  private boolean finished;
+  private volatile boolean disconnected;
+  private volatile boolean finished;
   private boolean streaming;
   private boolean truncating;
   private boolean completed;
@@ -82,6 +82,11 @@
         protocol, response, callback, maxPendingBytes, leaving, onClose, onDisconnect);
   }
 
+  @Override
+  public boolean isAbandoned() {
+    return disconnected || finished;
+  }
+
   @Override
   public synchronized void head(ResponseHead head) {
     if (finished) {
