--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -233,7 +233,7 @@
   void startingNodeReadsNoRequestBeforeItKnowsConfiguration() throws Exception {
     try (RehearsalPlatform unconfigured = RehearsalPlatform.withoutConfig()) {
       EdgeSettings other = CdsTrainingRun.edgeSettings("edge-2", unconfigured);
-      EdgeNode starting = EdgeNode.start(other);
+      final EdgeNode starting = EdgeNode.start(other);
       HostAndPort address = HostAndPort.fromString(other.getListen().getCaller());
       assertThat(isOpen(address)).isFalse();
       assertThat(status(other.getListen().getReadiness(), "/api/readiness")).isEqualTo(503);
