An endpoint is ejected once for one pause, and data shows that it is reachable

While an endpoint is ejected, further timeouts no longer prolong it. It counts as unreachable only if it has sent nothing since the connection failed.

PausedEndpointTest.endpointIsEjectedOnceForOnePause and .endpointThatSentSomethingSinceItsLastConnectFailureIsReachable failed before.

--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -50,6 +50,7 @@
   private long failureRateUpdatedMs;
   private long lastConnectFailureMs;
   private long silentSinceMs;
+  private long lastHeardMs;
 
   EndpointState(EndpointRecord endpoint) {
     this.endpoint = endpoint;
@@ -115,7 +116,8 @@
       return;
     }
     consecutiveFailures++;
-    if (result.timedOut() || consecutiveFailures >= EJECTION_FAILURE_THRESHOLD) {
+    boolean ejected = nowMs < ejectedUntilMs;
+    if (!ejected && (result.timedOut() || consecutiveFailures >= EJECTION_FAILURE_THRESHOLD)) {
       ejectedUntilMs = nowMs + ejectionMs;
       ejectionMs = Math.min(MAX_EJECTION_MS, 2 * ejectionMs);
     }
@@ -124,6 +126,7 @@
   /** Records that the endpoint sent something on any call. */
   void onHeard(long nowMs) {
     silentSinceMs = nowMs;
+    lastHeardMs = nowMs;
   }
 
   /** Returns for how long all open calls have been silent, or zero if there are none. */
@@ -137,9 +140,10 @@
     ejectedUntilMs = Math.max(ejectedUntilMs, nowMs + MIN_EJECTION_MS);
   }
 
-  /** Returns whether a recent connection failed and no request has succeeded since. */
+  /** Returns whether a recent connection failed and the endpoint has sent nothing since. */
   boolean isUnreachable(long nowMs) {
-    return lastConnectFailureMs > 0 && nowMs - lastConnectFailureMs < UNREACHABLE_TIMEOUT_MS;
+    return lastConnectFailureMs > lastHeardMs
+        && nowMs - lastConnectFailureMs < UNREACHABLE_TIMEOUT_MS;
   }
 
   /** Returns whether requests may be sent; an ejected endpoint gets one probe at a time. */
--- a/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
+++ b/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
@@ -29,6 +29,7 @@
 import org.currantslip.core.route.RouteTable;
 import org.currantslip.core.route.WeightedService;
 import org.currantslip.core.routing.EndpointNotice;
+import org.currantslip.core.routing.EndpointQuery;
 import org.currantslip.core.routing.ExpectedWaitChooser;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.NodeId;
@@ -49,6 +50,12 @@
   private static final RetryBudget.Bound MANY_RETRIES = new RetryBudget.Bound(0.5, 5_000, 10_000);
   private static final int FLEET_NODES = 23;
 
+  /** Bound on the retries of a node, of which the budget spends seven tenths. */
+  private static final int NODE_RETRIES = 100;
+
+  private static final RetryBudget.Bound NODE_BOUND =
+      new RetryBudget.Bound(0, NODE_RETRIES * FLEET_NODES, 10_000);
+
   private final ManualClock clock = ManualClock.startingAt(1_000_000);
   private final RouteHolder routes = RouteHolder.create();
   private final FakeEndpointClient calls = new FakeEndpointClient();
@@ -327,4 +334,36 @@
     calls.last().listener().onEnd(EndpointUsage.none());
     assertWhole(sink);
   }
+
+  private boolean isEndpointUsable() {
+    return chooser.choose(EndpointQuery.ofService("s", "v1", "", List.of(), Set.of())).isPresent();
+  }
+
+  @Test
+  void endpointIsEjectedOnceForOnePause() {
+    engine = engine(NODE_BOUND);
+    setEndpoints(1, false);
+    IntStream.range(0, STREAMS).forEach(i -> openStream());
+    setEndpoints(4, false);
+    advance(1_200);
+    assertThat(calls.cancelled).hasSize(STREAMS);
+    setEndpoints(1, false);
+    advance(1_500);
+    assertThat(isEndpointUsable()).isTrue();
+  }
+
+  @Test
+  void endpointThatSentSomethingSinceItsLastConnectFailureIsReachable() {
+    engine = engine(NODE_BOUND);
+    setEndpoints(1, false);
+    openStream();
+    final FakeEndpointClient.Call open = calls.last();
+    send("safe");
+    calls.last().listener().onFailure(CallFailure.NOT_SENT, "");
+    advance(100);
+    events(open, 3, 3);
+    setEndpoints(4, false);
+    advance(500);
+    assertThat(calls.cancelled).doesNotContain(open);
+  }
 }
