An endpoint is not blamed for a deadline, a withdrawn request or long ticks

A stream that reached its route's time-out while its events came counted as silent and ejected its endpoint; a request that was withdrawn before it was sent counted as a failure of the endpoint and, if its caller had left, was chosen for further ones. The restart of silence at each gap between ticks had the opposite fault: a node with gaps of 250 ms never noticed an endpoint that hangs.

A timeout is held against the endpoint only if it has been silent for 400 ms or has sent nothing. A withdrawn request says nothing of the endpoint. Of a gap between ticks, only what is beyond 200 ms is left out of the silence.

PausedEndpointTest.endpointOfStreamThatReachesItsTimeoutStaysUsable, .withdrawnRequestsLeaveTheirEndpointUsable and .hungEndpointIsNoticedDespiteLongTicks failed before.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -53,6 +53,9 @@
   /** Fewer events give no meaningful mean interval. */
   private static final int MIN_INTERVAL_EVENTS = 4;
 
+  /** Shortest silence of an open stream that is held against its endpoint. */
+  private static final long MIN_UNHEARD_MS = 400;
+
   /** An open stream is judged over this many intervals, so that one pause does not make it slow. */
   private static final int MIN_OPEN_INTERVALS = 8;
 
@@ -162,9 +165,9 @@
     return clock.nowMs() - startedMs;
   }
 
-  /** Counts the silence of the endpoint from now on, since this node could not hear it before. */
-  void restartSilence() {
-    silentFromMs = clock.nowMs();
+  /** Leaves out a time in which this node could not hear the endpoint. */
+  void leaveOutPause(long pauseMs) {
+    silentFromMs = Math.min(clock.nowMs(), silentFromMs + pauseMs);
   }
 
   /** Returns the time since the endpoint last sent something on this call, or since its start. */
@@ -289,6 +292,10 @@
     failureDetail = detail;
     if (failure == CallFailure.NOT_SENT) {
       tracker.onConnectFailure();
+    } else if (failure == CallFailure.WITHDRAWN) {
+      finish(result(false, false, true));
+      listener.onFault(this, Fault.NOT_SENT);
+      return;
     }
     fail(
         switch (failure) {
@@ -301,10 +308,15 @@
 
   private void fail(Fault fault) {
     endpointSilentMs = tracker.endpointSilentMs();
-    finish(result(false, fault == Fault.SILENT, fault == Fault.NOT_RUN));
+    finish(result(false, fault == Fault.SILENT && isUnheard(), fault == Fault.NOT_RUN));
     listener.onFault(this, fault);
   }
 
+  /** Returns whether the endpoint is silent, and not only late with the end of its response. */
+  private boolean isUnheard() {
+    return !hasResponseHead() || silentMs() >= MIN_UNHEARD_MS;
+  }
+
   private void finish(CallResult result) {
     ended = true;
     if (call != null) {
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -634,7 +634,7 @@
    * @param runs number of attempts that may have run
    */
   private RetryObstacle retryObstacle(boolean mayHaveRun, int runs) {
-    if (callerDisconnected) {
+    if (callerDisconnected || response.isAbandoned()) {
       return RetryObstacle.CALLER_GONE;
     }
     if (deadlineExpired || timeLeftMs() < MIN_RETRY_TIME_LEFT_MS) {
@@ -666,9 +666,9 @@
   }
 
   @Override
-  void onNodeResumed() {
+  void onNodeResumed(long pauseMs) {
     if (isIn(Stage.CALLING) && attempt != null) {
-      attempt.restartSilence();
+      attempt.leaveOutPause(pauseMs);
       // The times of this call say nothing of its version any more.
       firstEventRecorded = true;
       paceRecorded = true;
--- a/core/src/main/java/org/currantslip/core/request/RequestEngine.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestEngine.java
@@ -54,8 +54,9 @@
   /** Applies deadlines and removes finished requests; called every few milliseconds. */
   public void tick() {
     long now = clock.nowMs();
-    if (now - lastTickMs > MAX_TICK_GAP_MS) {
-      flows.forEach(RequestFlow::onNodeResumed);
+    long pauseMs = now - lastTickMs - MAX_TICK_GAP_MS;
+    if (pauseMs > 0) {
+      flows.forEach(f -> f.onNodeResumed(pauseMs));
     }
     lastTickMs = now;
     List.copyOf(flows).forEach(f -> f.tick(now));
--- a/core/src/main/java/org/currantslip/core/request/RequestFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestFlow.java
@@ -44,8 +44,11 @@
   /** Ends a request that is not done, since the node cannot wait for it any longer. */
   abstract void onNodeStop();
 
-  /** Called when this node goes on after it stood still, before it has read what has arrived. */
-  void onNodeResumed() {}
+  /**
+   * Called when this node goes on after it stood still for {@code pauseMs}, before it has read what
+   * has arrived.
+   */
+  void onNodeResumed(long pauseMs) {}
 
   /** Applies the deadline and the timeouts to a request that is not done. */
   abstract void onTick(long nowMs);
--- a/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
+++ b/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
@@ -339,6 +339,41 @@
     return chooser.choose(EndpointQuery.ofService("s", "v1", "", List.of(), Set.of())).isPresent();
   }
 
+  @Test
+  void endpointOfStreamThatReachesItsTimeoutStaysUsable() {
+    setEndpoints(1, false);
+    openStream();
+    for (int id = 3; clock.nowMs() < 1_000_000 + TIMEOUT_MS; id++) {
+      events(calls.last(), id, id);
+      advance(100);
+    }
+    assertThat(calls.cancelled).contains(calls.last());
+    assertThat(isEndpointUsable()).isTrue();
+  }
+
+  @Test
+  void withdrawnRequestsLeaveTheirEndpointUsable() {
+    setEndpoints(1, false);
+    for (int i = 0; i < 3; i++) {
+      send("safe");
+      calls.last().listener().onFailure(CallFailure.WITHDRAWN, "");
+    }
+    assertThat(isEndpointUsable()).isTrue();
+  }
+
+  @Test
+  void hungEndpointIsNoticedDespiteLongTicks() {
+    engine = engine(NODE_BOUND);
+    setEndpoints(4, false);
+    openStream();
+    final FakeEndpointClient.Call hung = calls.last();
+    for (int i = 0; i < 10; i++) {
+      clock.advance(250);
+      engine.tick();
+    }
+    assertThat(calls.cancelled).contains(hung);
+  }
+
   @Test
   void endpointIsEjectedOnceForOnePause() {
     engine = engine(NODE_BOUND);
