A request that left a silent endpoint waits for an endpoint until its deadline

A request that had left a paused endpoint for one that was full ended with 502, although the first went on half a second later. It now waits as an open stream does, and the endpoint that declined last is asked last.

Waiting requests paid for each further send from the whole budget, up to four a second each, which is what broken calls need; they now use the half that silent calls have.

PausedEndpointTest.pausedRequestOutlastsSuccessorThatDeclines (stream and safe) and .waitingStreamsLeaveRetriesToBrokenRequests failed before.

--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -91,6 +91,8 @@
   private @Nullable Successor successor;
   private long nextSuccessorMs;
   private boolean retryOwed;
+  private boolean letGo;
+  private boolean waited;
   private ResultCode failureCode = ResultCode.NO_ENDPOINT;
   private int nextSizeIndex;
   private SizeCascade.@Nullable Answer previousAnswer;
@@ -230,7 +232,7 @@
     if (found.isEmpty()) {
       obstacle = RetryObstacle.NO_ENDPOINT;
       awaitEndpointOrRefuse(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable");
-    } else if (retryOwed && !ports.retryBudget().trySpend(service)) {
+    } else if (retryOwed && !isPaid(waited)) {
       obstacle = RetryObstacle.BUDGET;
       awaitEndpointOrRefuse(failureCode, "the retry budget is spent");
     } else {
@@ -238,9 +240,13 @@
     }
   }
 
-  /** Waits until the deadline if a stream has begun that another endpoint may go on with. */
+  /**
+   * Waits until the deadline if an answer that has begun, or that was let go while it was still to
+   * come, may be had from another endpoint.
+   */
   private void awaitEndpointOrRefuse(ResultCode code, String detail) {
-    if (response.isStarted() && route().isRepeatable() && PASSING_OBSTACLES.contains(obstacle)) {
+    boolean begun = response.isStarted() || letGo;
+    if (begun && route().isRepeatable() && PASSING_OBSTACLES.contains(obstacle)) {
       enter(Stage.CHOOSING);
       nextSuccessorMs = ports.clock().nowMs() + SUCCESSOR_INTERVAL_MS;
     } else {
@@ -248,10 +254,17 @@
     }
   }
 
-  /** Chooses again after a wait, for one attempt; endpoints that declined may have room now. */
+  /** Chooses again after a wait, for one attempt; the endpoint that declined last comes last. */
   private void chooseAgain() {
     triedEndpoints.clear();
+    if (attempt != null) {
+      triedEndpoints.add(attempt.endpoint().getId());
+      if (findSuccessor(sizeIndex, triedEndpoints).isEmpty()) {
+        triedEndpoints.clear();
+      }
+    }
     declineCount = MAX_DECLINES;
+    waited = true;
     choose();
   }
 
@@ -580,6 +593,7 @@
       }
     }
     if (next != null) {
+      letGo = true;
       dispatch(next);
       return;
     }
--- a/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
+++ b/core/src/test/java/org/currantslip/core/request/PausedEndpointTest.java
@@ -361,6 +361,25 @@
     assertThat(isEndpointUsable()).isTrue();
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"stream", "safe"})
+  void pausedRequestOutlastsSuccessorThatDeclines(String routeName) {
+    engine = engine(NODE_BOUND);
+    setEndpoints(2, false);
+    final ForwardedResponseSink sink = send(routeName);
+    FakeEndpointClient.Call paused = calls.last();
+    for (int t = 0; t < 3_000; t += TICK_MS) {
+      advance(TICK_MS);
+      calls.calls.stream()
+          .filter(call -> !call.endpoint().getId().equals(paused.endpoint().getId()))
+          .toList()
+          .forEach(this::decline);
+    }
+    assertThat(calls.last().endpoint().getId()).isEqualTo(paused.endpoint().getId());
+    finishStream(calls.last());
+    assertWhole(sink);
+  }
+
   @Test
   void hungEndpointIsNoticedDespiteLongTicks() {
     engine = engine(NODE_BOUND);
@@ -401,4 +420,20 @@
     advance(500);
     assertThat(calls.cancelled).doesNotContain(open);
   }
+
+  @Test
+  void waitingStreamsLeaveRetriesToBrokenRequests() {
+    engine = engine(NODE_BOUND);
+    setEndpoints(4, false);
+    IntStream.range(0, STREAMS).forEach(i -> openStream());
+    List.copyOf(calls.calls).forEach(call -> call.listener().onFailure(CallFailure.TRUNCATED, ""));
+    for (int t = 0; t < 3_000; t += TICK_MS) {
+      calls.calls.stream().skip(STREAMS).toList().forEach(this::decline);
+      advance(TICK_MS);
+    }
+    final int sends = calls.calls.size();
+    send("safe");
+    calls.last().listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(calls.calls).hasSize(sends + 2);
+  }
 }
