Soak with pausing endpoints and series of changes

--pauses: an endpoint, or all, fall silent for 0.6 to 2 s and go on. NOT_SERVED: two fifths of the requests are served after the faults.

--- a/standin/src/main/java/org/currantslip/standin/http/EventStream.java
+++ b/standin/src/main/java/org/currantslip/standin/http/EventStream.java
@@ -35,6 +35,15 @@
     this.faults = faults;
   }
 
+  /** Sends the head of the response before its first event. */
+  public void open() {
+    synchronized (this) {
+      writing = true;
+    }
+    response.write(
+        false, ByteBuffer.allocate(0), Callback.from(() -> written(false), this::writeFailed));
+  }
+
   /** Sends one event; returns false if the stream has ended or its connection is closed. */
   public boolean send(String payload) {
     synchronized (this) {
--- a/standin/src/main/java/org/currantslip/standin/http/Exchange.java
+++ b/standin/src/main/java/org/currantslip/standin/http/Exchange.java
@@ -14,6 +14,7 @@
 /** A request with its body and the means to answer it, subject to the active faults. */
 public final class Exchange {
   private static final String JSON = "application/json";
+  private static final int OK = 200;
 
   private final Request request;
   private final Response response;
@@ -98,9 +99,16 @@
     }
   }
 
+  /** Sends the head and the first half of the body of an answer that is never completed. */
+  public void replyInPart(String contentType, Map<String, String> headers, byte[] content) {
+    putHead(OK, contentType, headers, content.length);
+    response.write(
+        false, ByteBuffer.wrap(Arrays.copyOf(content, content.length / 2)), Callback.NOOP);
+  }
+
   /** Starts a response of server-sent events. */
   public EventStream stream(Map<String, String> headers) {
-    response.setStatus(200);
+    response.setStatus(OK);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
     headers.forEach((name, value) -> response.getHeaders().put(name, value));
     return new EventStream(this, response, callback, faults);
@@ -113,12 +121,7 @@
   }
 
   private void write(int status, String contentType, Map<String, String> headers, byte[] content) {
-    response.setStatus(status);
-    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, content.length);
-    if (content.length > 0) {
-      response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
-    }
-    headers.forEach((name, value) -> response.getHeaders().put(name, value));
+    putHead(status, contentType, headers, content.length);
     if (!faults.truncate() && !faults.freeze()) {
       response.write(true, ByteBuffer.wrap(content), callback);
       return;
@@ -127,4 +130,14 @@
     Callback onWritten = faults.freeze() ? Callback.NOOP : Callback.from(this::abort);
     response.write(false, ByteBuffer.wrap(firstHalf), onWritten);
   }
+
+  private void putHead(
+      int status, String contentType, Map<String, String> headers, int contentLength) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, contentLength);
+    if (contentLength > 0) {
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+    }
+    headers.forEach((name, value) -> response.getHeaders().put(name, value));
+  }
 }
--- a/standin/src/main/java/org/currantslip/standin/soak/FaultProxy.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/FaultProxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -30,34 +31,38 @@
   }
 
   private static final int BUFFER_BYTES = 16 << 10;
+  private static final int BACKLOG = 128;
   private static final long DELAY_MS = 150;
   private static final long POLL_MS = 5;
 
-  private final ServerSocket listener;
+  private final int port;
   private final int target;
   private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
+  private volatile ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
+  private volatile boolean down;
   private volatile long lastChangedMs = System.currentTimeMillis();
 
   private FaultProxy(ServerSocket listener, int target) {
     this.listener = listener;
+    port = listener.getLocalPort();
     this.target = target;
   }
 
   static FaultProxy to(int target) throws IOException {
-    ServerSocket listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
+    ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     FaultProxy proxy = new FaultProxy(listener, target);
     start(proxy::accept);
     return proxy;
   }
 
   int port() {
-    return listener.getLocalPort();
+    return port;
   }
 
   /** Returns whether no fault was active since a time. */
   boolean isUndisturbedSince(long atMs) {
-    return mode == Mode.PASS && lastChangedMs <= atMs;
+    return mode == Mode.PASS && !down && lastChangedMs <= atMs;
   }
 
   void set(Mode next) {
@@ -68,10 +73,31 @@
     }
   }
 
+  /** Closes the port and resets all connections, as if the server had crashed. */
+  void goDown() {
+    down = true;
+    lastChangedMs = System.currentTimeMillis();
+    stopListening();
+    openSockets.forEach(FaultProxy::reset);
+  }
+
+  boolean isDown() {
+    return down;
+  }
+
+  /** Opens the same port again. */
+  void comeBack() throws IOException {
+    listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+    lastChangedMs = System.currentTimeMillis();
+    down = false;
+    start(this::accept);
+  }
+
   private void accept() {
-    while (!listener.isClosed()) {
+    ServerSocket current = listener;
+    while (!current.isClosed()) {
       try {
-        Socket client = listener.accept();
+        Socket client = current.accept();
         if (mode == Mode.RESET) {
           reset(client);
           continue;
@@ -79,6 +105,10 @@
         Socket server = new Socket(InetAddress.getLoopbackAddress(), target);
         openSockets.add(client);
         openSockets.add(server);
+        if (down) {
+          reset(client);
+          reset(server);
+        }
         start(() -> pump(client, server, Mode.STALL_TO_SERVER));
         start(() -> pump(server, client, Mode.STALL_TO_CLIENT));
       } catch (IOException e) {
@@ -123,6 +153,14 @@
     }
   }
 
+  private void stopListening() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException("port " + port + " cannot be closed", e);
+    }
+  }
+
   private static void start(Runnable task) {
     Thread thread = new Thread(task, "proxy");
     thread.setDaemon(true);
--- a/standin/src/main/java/org/currantslip/standin/soak/NodeProcess.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/NodeProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.currantslip.adapter.http.FreePorts;
@@ -24,7 +25,7 @@
       [store]
       address = "127.0.0.1:%d"
       [stop]
-      grace_s = 8
+      grace_s = %d
       [log]
       format = "json"
       level = "debug"
@@ -32,15 +33,25 @@
 
   private static final int PORT_COUNT = 5;
   private static final long GRACE_MS = 8_000;
+  private static final int[] GRACE_S = {8, 7};
+
+  /** Time after the launch until the process handles signals. */
+  private static final long LAUNCH_MS = 5_000;
 
   private final String name;
   private final Path jar;
   private final Path dir;
   private final int storePort;
   private final List<Integer> ports;
-  private Process process;
+  private volatile Process process;
+  private volatile long launchedMs;
   private volatile long lastDisturbedMs;
+
+  /** Time of the last fault other than a planned stop or start. */
+  private volatile long lastUnplannedMs;
+
   private volatile boolean stopping;
+  private volatile int graceIndex;
 
   private NodeProcess(String name, Path jar, Path dir, int storePort) throws IOException {
     this.name = name;
@@ -56,11 +67,7 @@
   }
 
   private Process launch() throws IOException {
-    Path settings = dir.resolve(name + ".toml");
-    Files.writeString(
-        settings,
-        SETTINGS.formatted(
-            name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), ports.get(4), storePort));
+    Path settings = writeSettings();
     ProcessBuilder builder =
         new ProcessBuilder(
             "java",
@@ -75,10 +82,30 @@
     builder.environment().put("SOAK_SETTINGS", settings.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve(name + ".log").toFile()));
-    lastDisturbedMs = System.currentTimeMillis();
+    launchedMs = System.currentTimeMillis();
+    lastDisturbedMs = launchedMs;
     return builder.start();
   }
 
+  private Path writeSettings() throws IOException {
+    synchronized (ports) {
+      Path settings = dir.resolve(name + ".toml");
+      Path written = dir.resolve(name + ".new");
+      Files.writeString(
+          written,
+          SETTINGS.formatted(
+              name,
+              ports.get(0),
+              ports.get(1),
+              ports.get(2),
+              ports.get(3),
+              ports.get(4),
+              storePort,
+              GRACE_S[graceIndex]));
+      return Files.move(written, settings, StandardCopyOption.ATOMIC_MOVE);
+    }
+  }
+
   String name() {
     return name;
   }
@@ -92,6 +119,11 @@
     return !stopping && lastDisturbedMs <= atMs;
   }
 
+  /** Returns whether planned stops and starts were the only faults since a time. */
+  boolean isPlannedOnlySince(long atMs) {
+    return lastUnplannedMs <= atMs;
+  }
+
   /** Returns whether the process exited without being stopped. */
   boolean hasExitedUnexpectedly() {
     return !stopping && !process.isAlive();
@@ -103,6 +135,8 @@
     if (graceful) {
       process.destroy();
       process.waitFor(GRACE_MS, TimeUnit.MILLISECONDS);
+    } else {
+      lastUnplannedMs = System.currentTimeMillis();
     }
     process.destroyForcibly();
     process.waitFor();
@@ -113,10 +147,21 @@
   /** Suspends the process with SIGSTOP for a while. */
   void pause(long forMs) throws IOException, InterruptedException {
     lastDisturbedMs = Long.MAX_VALUE;
+    lastUnplannedMs = Long.MAX_VALUE;
     signal("STOP");
     Thread.sleep(forMs);
     signal("CONT");
     lastDisturbedMs = System.currentTimeMillis();
+    lastUnplannedMs = lastDisturbedMs;
+  }
+
+  /** Changes the settings file and sends SIGHUP, also while the process stops. */
+  void reload() throws IOException, InterruptedException {
+    if (process.isAlive() && launchedMs + LAUNCH_MS < System.currentTimeMillis()) {
+      graceIndex = 1 - graceIndex;
+      writeSettings();
+      signal("HUP");
+    }
   }
 
   private void signal(String signalName) throws IOException, InterruptedException {
--- a/standin/src/main/java/org/currantslip/standin/soak/Soak.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/Soak.java
@@ -1,18 +1,14 @@
 package org.currantslip.standin.soak;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import org.currantslip.platform.RehearsalConfig;
 import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.standin.http.StandinServer;
 import org.currantslip.standin.object.ObjectApi;
@@ -38,7 +34,27 @@
   private static final int RECOVERY_CALLS = 50;
   private static final long POLL_MS = 50;
   private static final int OK = 200;
-  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Least share of the requests that is served; the gate of the sites. */
+  private static final double MIN_SERVED_SHARE = 0.4;
+
+  private static final int ADDED_ENDPOINTS = 6;
+  private static final int ADDED_CALLERS = 32;
+  private static final int MIN_PAUSE_MS = 600;
+  private static final int MAX_PAUSE_MS = 2_000;
+  private static final int MIN_PAUSE_GAP_MS = 500;
+  private static final int MAX_SERIES = 4;
+  private static final int MAX_SERIES_GAP_MS = 200;
+  private static final int MAX_CHANGE_MS = 1_000;
+  private static final int MIN_IDLE_TIMEOUT_MS = 1_000;
+  private static final List<String> SPARE_PATHS = List.of(SoakCallers.SPARE_PATH);
+  private static final SoakOptions PROBE = new SoakOptions(0, 0, true, false, false);
+
+  /** Factors that give each added kind of fault its own generator. */
+  private static final long PAUSE_FACTOR = 31;
+
+  private static final long CHANGE_FACTOR = 37;
+  private static final String ENDPOINT_KIND = "servers";
   private static final String CONFIG_KIND = "config";
   private static final String CONFIG_NAME = "main";
   private static final String LATE_PATH = "/late/";
@@ -48,46 +64,71 @@
   /** A generator of its own keeps the other faults of a seed as they are. */
   private final Random restores;
 
+  private final Random pauses;
+  private final Random changes;
+  private final SoakOptions options;
   private final SoakRecorder recorder = new SoakRecorder();
   private final StandinServer server = StandinServer.start();
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<NodeProcess> nodes = new ArrayList<>();
   private final List<FaultProxy> proxies = new ArrayList<>();
-  private final List<Thread> faults = new ArrayList<>();
+  private final List<SoakEndpoint> endpoints = new ArrayList<>();
+
+  /** Current id of each endpoint. */
+  private final List<String> names = new CopyOnWriteArrayList<>();
+
+  private final List<Thread> faults = new CopyOnWriteArrayList<>();
   private final ObjectApi objectApi;
-  private final int storePort;
+  private final SoakStore store;
   private final FaultProxy storeProxy;
+  private final SoakFleet fleet;
   private long configVersion = 1;
+  private long timeoutMs = RehearsalPlatform.TIMEOUT_MS;
+  private long idleTimeoutMs;
+  private boolean spareRoute;
+  private boolean spareKey;
 
-  private Soak(long seed, int nodeCount, Path jar, Path dir) throws Exception {
+  private Soak(long seed, SoakOptions options, Path jar, Path dir) throws Exception {
+    this.options = options;
     random = new Random(seed);
     restores = new Random(~seed);
+    pauses = new Random(seed * PAUSE_FACTOR);
+    changes = new Random(seed * CHANGE_FACTOR);
     objectApi = ObjectApi.create(server.delays(), 0, 0);
-    storePort = server.add("127.0.0.1", 0, objectApi, seed);
-    for (int i = 0; i < ENDPOINTS; i++) {
-      SoakEndpoint endpoint = SoakEndpoint.create(recorder, server.delays(), seed + i);
-      FaultProxy proxy = FaultProxy.to(server.add("127.0.0.1", 0, endpoint, seed));
-      proxies.add(proxy);
-      create("servers", "i-" + i, RehearsalPlatform.endpointEntry(proxy.port()));
+    int storePort = server.add("127.0.0.1", 0, objectApi, seed);
+    store = SoakStore.at(http, storePort);
+    int endpointCount = options.isExtended() ? ADDED_ENDPOINTS : ENDPOINTS;
+    for (int i = 0; i < endpointCount; i++) {
+      SoakEndpoint endpoint =
+          SoakEndpoint.create(String.valueOf(i), recorder, server.delays(), seed + i);
+      endpoints.add(endpoint);
+      proxies.add(FaultProxy.to(server.add("127.0.0.1", 0, endpoint, seed)));
+      names.add("i-" + i);
+      register(i);
     }
-    create(CONFIG_KIND, CONFIG_NAME, config(RehearsalPlatform.ONCE_PATH));
+    store.create(CONFIG_KIND, CONFIG_NAME, config(RehearsalPlatform.ONCE_PATH));
     Files.createDirectories(dir);
     // All nodes share one proxy: with different store addresses they do not accept each other.
     storeProxy = FaultProxy.to(storePort);
     proxies.add(storeProxy);
-    for (int i = 0; i < nodeCount; i++) {
+    fleet = new SoakFleet(nodes, List.copyOf(proxies.subList(0, endpointCount)), storeProxy);
+    for (int i = 0; i < options.nodes(); i++) {
       nodes.add(NodeProcess.start("node-" + i, jar, dir, storeProxy.port()));
     }
   }
 
-  /** Runs one seed with faults for {@code seconds} and returns the violated guarantees. */
-  static List<String> runSeed(long seed, int seconds, int nodes, Path jar, Path dir)
-      throws Exception {
-    try (Soak soak = new Soak(seed, nodes, jar, dir)) {
+  /** Runs one seed and returns the violated guarantees. */
+  static List<String> runSeed(long seed, SoakOptions options, Path jar, Path dir) throws Exception {
+    try (Soak soak = new Soak(seed, options, jar, dir)) {
       soak.awaitServing(MAX_RECOVERY_MS + MAX_RECOVERY_MS);
       SoakCallers callers =
-          SoakCallers.start(soak.nodes, soak.proxies, soak.recorder, CALLERS, seed);
-      soak.injectFaults(seconds);
+          SoakCallers.start(
+              soak.fleet,
+              soak.recorder,
+              options,
+              options.isExtended() ? ADDED_CALLERS : CALLERS,
+              seed);
+      soak.injectFaults(options.seconds());
       soak.awaitServing(MAX_RECOVERY_MS);
       soak.checkRecovered(callers);
       callers.stop();
@@ -97,46 +138,44 @@
   }
 
   private String config(String... oncePaths) {
-    return RehearsalPlatform.config(configVersion, List.of(oncePaths));
-  }
-
-  private void create(String kind, String name, String spec) throws Exception {
-    ObjectNode object = object(name, spec);
-    callStore("POST", kind, object.toString());
+    if (!options.isExtended()) {
+      return RehearsalPlatform.config(configVersion, List.of(oncePaths));
+    }
+    return new RehearsalConfig(
+            configVersion,
+            timeoutMs,
+            idleTimeoutMs,
+            Stream.concat(Stream.of(oncePaths), spareRoute ? SPARE_PATHS.stream() : Stream.of())
+                .toList(),
+            true,
+            spareKey
+                ? List.of(RehearsalPlatform.API_KEY, SoakCallers.SPARE_KEY)
+                : List.of(RehearsalPlatform.API_KEY))
+        .json();
   }
 
   private synchronized void replaceConfig(String... oncePaths) throws Exception {
     configVersion++;
-    String path = CONFIG_KIND + "/" + CONFIG_NAME;
-    JsonNode current = JSON.readTree(callStore("GET", path, ""));
-    ObjectNode object = object(CONFIG_NAME, config(oncePaths));
-    object.withObject("/metadata").set("rev", current.path("metadata").path("rev"));
-    callStore("PUT", path, object.toString());
-  }
-
-  private static ObjectNode object(String name, String spec) throws IOException {
-    ObjectNode object = JSON.createObjectNode();
-    object.putObject("metadata").put("name", name);
-    object.set("spec", JSON.readTree(spec));
-    return object;
+    store.replace(CONFIG_KIND, CONFIG_NAME, config(oncePaths));
   }
 
-  private String callStore(String method, String path, String body) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + storePort + "/api/objects/" + path))
-            .method(method, HttpRequest.BodyPublishers.ofString(body))
-            .header("Content-Type", "application/json")
-            .build();
-    HttpResponse<String> answer = http.send(request, HttpResponse.BodyHandlers.ofString());
-    if (answer.statusCode() != OK) {
-      throw new IOException("the object API answers " + answer.statusCode() + " " + answer.body());
-    }
-    return answer.body();
+  private void register(int index) throws Exception {
+    String entry = RehearsalPlatform.endpointEntry(proxies.get(index).port());
+    store.create(ENDPOINT_KIND, names.get(index), entry);
   }
 
   private void injectFaults(int seconds) throws Exception {
     long endMs = System.currentTimeMillis() + seconds * 1_000L;
-    while (System.currentTimeMillis() < endMs) {
+    if (options.pauses()) {
+      startFault(pauses, () -> pauseEndpoints(endMs));
+    }
+    if (options.changes()) {
+      startFault(changes, () -> makeChanges(endMs));
+    }
+    if (options.calm()) {
+      Thread.sleep(seconds * 1_000L);
+    }
+    while (!options.calm() && System.currentTimeMillis() < endMs) {
       Thread.sleep(random.nextInt(MAX_FAULT_GAP_MS));
       NodeProcess node = nodes.get(random.nextInt(nodes.size()));
       FaultProxy proxy = proxies.get(random.nextInt(proxies.size()));
@@ -155,11 +194,55 @@
       }
       recordExitedNodes();
     }
-    for (Thread fault : faults) {
+    for (Thread fault : List.copyOf(faults)) {
       fault.join();
     }
   }
 
+  /** Lets one endpoint or all of them fall silent and go on. */
+  private void pauseEndpoints(long endMs) throws InterruptedException {
+    while (System.currentTimeMillis() < endMs) {
+      Thread.sleep(MIN_PAUSE_GAP_MS + pauses.nextInt(MAX_FAULT_GAP_MS));
+      int forMs = MIN_PAUSE_MS + pauses.nextInt(MAX_PAUSE_MS - MIN_PAUSE_MS);
+      int drawn = pauses.nextInt(endpoints.size());
+      (pauses.nextBoolean() ? endpoints : endpoints.subList(drawn, drawn + 1))
+          .forEach(e -> e.pause(forMs));
+      Thread.sleep(forMs);
+    }
+  }
+
+  /** Changes the configuration, reloads settings and stops nodes, in series that overlap. */
+  private void makeChanges(long endMs) throws Exception {
+    while (System.currentTimeMillis() < endMs) {
+      Thread.sleep(changes.nextInt(MAX_FAULT_GAP_MS));
+      int count = 1 + changes.nextInt(MAX_SERIES);
+      NodeProcess node = nodes.get(changes.nextInt(nodes.size()));
+      switch (changes.nextInt(4)) {
+        case 0 -> startFault(node, () -> node.restart(true));
+        case 1 -> {
+          for (int i = 0; i < count; i++) {
+            nodes.get(changes.nextInt(nodes.size())).reload();
+            Thread.sleep(changes.nextInt(MAX_SERIES_GAP_MS));
+          }
+        }
+        default -> {
+          for (int i = 0; i < count; i++) {
+            changeConfig();
+            Thread.sleep(changes.nextInt(MAX_SERIES_GAP_MS));
+          }
+        }
+      }
+    }
+  }
+
+  private synchronized void changeConfig() throws Exception {
+    timeoutMs = SoakCallers.MIN_TIMEOUT_MS + changes.nextInt(MAX_CHANGE_MS);
+    idleTimeoutMs = MIN_IDLE_TIMEOUT_MS + changes.nextInt(MAX_CHANGE_MS);
+    spareRoute = changes.nextBoolean();
+    spareKey = changes.nextBoolean();
+    replaceConfig(RehearsalPlatform.ONCE_PATH);
+  }
+
   /** Loses what is written to the store for a while; the operator then writes its part again. */
   private void restoreStore(int forMs) throws Exception {
     objectApi.takeCopy();
@@ -171,6 +254,9 @@
       storeProxy.set(FaultProxy.Mode.PASS);
       Thread.sleep(STORE_RESTORE_MS);
       replaceConfig(RehearsalPlatform.ONCE_PATH);
+      for (int i = 0; i < names.size(); i++) {
+        register(i);
+      }
     }
   }
 
@@ -210,9 +296,9 @@
   }
 
   private void awaitServing(long timeoutMs) throws InterruptedException {
-    SoakCallers probe = SoakCallers.start(nodes, proxies, new SoakRecorder(), 0, 0);
+    SoakCallers probe = SoakCallers.start(fleet, new SoakRecorder(), PROBE, 0, 0);
     for (NodeProcess node : nodes) {
-      if (!await(timeoutMs, () -> probe.call(http, node, false) == OK)) {
+      if (!await(timeoutMs, () -> probe.call(http, node, RehearsalPlatform.ONCE_PATH) == OK)) {
         recorder.addViolation("NOT_RECOVERED", node.name() + " does not serve requests");
       }
     }
@@ -220,14 +306,20 @@
 
   /** Checks that requests are served without faults and that all nodes load a new route. */
   private void checkRecovered(SoakCallers callers) throws Exception {
+    int served = 0;
     for (int i = 0; i < RECOVERY_CALLS; i++) {
       NodeProcess node = nodes.get(i % nodes.size());
-      int status = callers.call(http, node, false);
+      int status = callers.call(http, node, RehearsalPlatform.ONCE_PATH);
+      served += status == OK ? 1 : 0;
       if (status == 0 || status == 404 || status == 401) {
         recorder.addViolation(
             "NOT_RECOVERED", node.name() + " answers " + status + " after recovery");
       }
     }
+    if (served < MIN_SERVED_SHARE * RECOVERY_CALLS) {
+      recorder.addViolation(
+          "NOT_SERVED", served + " of " + RECOVERY_CALLS + " requests were served after recovery");
+    }
     replaceConfig(RehearsalPlatform.ONCE_PATH, LATE_PATH);
     for (NodeProcess node : nodes) {
       if (!await(MAX_CONFIG_MS, () -> callers.call(http, node, LATE_PATH) != 404)) {
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakCallers.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakCallers.java
@@ -1,6 +1,8 @@
 package org.currantslip.standin.soak;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,42 +25,62 @@
   /** Time after a fault during which requests may still fail because of it. */
   private static final long FAULT_EFFECT_MS = 3_000;
 
-  private static final long RETRY_PAUSE_MS = 20;
+  /** Smallest timeout of the configured routes. */
+  static final int MIN_TIMEOUT_MS = 4_000;
+
+  /** Maximum time between sending a request and a close that it crosses. */
+  private static final long LOSS_SLACK_MS = 200;
+
+  /** API key and path prefix that only some configurations have. */
+  static final String SPARE_KEY = "spare";
+
+  static final String SPARE_PATH = "/spare/";
+
+  private static final double REPEATED_SHARE = 0.7;
+  private static final double SPARE_SHARE = 0.1;
+  private static final double IDLE_SHARE = 0.05;
+
+  /** Maximum pause between two requests of a connection: four fifths of the least idle limit. */
+  private static final int MAX_IDLE_MS = 800;
+
   private static final double STREAM_SHARE = 0.3;
   private static final int OK = 200;
+  private static final int BAD_GATEWAY = 502;
+  private static final int GATEWAY_TIMEOUT = 504;
 
   /** Counts the requests of all callers in this process, to make their ids unique. */
   private static final AtomicLong REQUEST_COUNTER = new AtomicLong();
 
-  private final List<NodeProcess> nodes;
-  private final List<FaultProxy> proxies;
+  private final SoakFleet fleet;
   private final SoakRecorder recorder;
+  private final SoakOptions options;
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean stopped;
 
-  private SoakCallers(List<NodeProcess> nodes, List<FaultProxy> proxies, SoakRecorder recorder) {
-    this.nodes = nodes;
-    this.proxies = proxies;
+  private SoakCallers(SoakFleet fleet, SoakRecorder recorder, SoakOptions options) {
+    this.fleet = fleet;
     this.recorder = recorder;
+    this.options = options;
   }
 
   static SoakCallers start(
-      List<NodeProcess> nodes,
-      List<FaultProxy> proxies,
-      SoakRecorder recorder,
-      int count,
-      long seed) {
-    SoakCallers callers = new SoakCallers(nodes, proxies, recorder);
+      SoakFleet fleet, SoakRecorder recorder, SoakOptions options, int count, long seed) {
+    SoakCallers callers = new SoakCallers(fleet, recorder, options);
     for (int i = 0; i < count; i++) {
       Random random = new Random(seed + i);
-      Thread thread = new Thread(() -> callers.run(random), "caller-" + i);
-      thread.setDaemon(true);
-      thread.start();
-      callers.threads.add(thread);
+      Random added = new Random(~(seed + i));
+      callers.start("caller-" + i, () -> callers.run(random, added));
     }
     return callers;
   }
 
+  private void start(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+    threads.add(thread);
+  }
+
   void stop() throws InterruptedException {
     stopped = true;
     for (Thread thread : threads) {
@@ -66,70 +88,125 @@
     }
   }
 
-  private void run(Random random) {
-    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    NodeProcess node = nodes.get(random.nextInt(nodes.size()));
+  /**
+   * Sends one request after another.
+   *
+   * @param added draws what the options add, so that the other draws of a seed stay
+   */
+  private void run(Random random, Random added) {
+    HttpClient client = newClient();
+    NodeProcess node = drawNode(random);
     while (!stopped) {
-      boolean served = call(client, node, random.nextDouble() < STREAM_SHARE) == OK;
-      if (!served) {
-        node = nodes.get(random.nextInt(nodes.size()));
-        pause();
+      boolean stream = random.nextDouble() < STREAM_SHARE;
+      String path = stream ? RehearsalPlatform.STREAM_PATH : RehearsalPlatform.ONCE_PATH;
+      String key = RehearsalPlatform.API_KEY;
+      if (options.isExtended() && added.nextDouble() < REPEATED_SHARE) {
+        path = stream ? RehearsalPlatform.RESUMED_PATH : RehearsalPlatform.SAFE_PATH;
+      }
+      if (options.changes() && added.nextDouble() < SPARE_SHARE) {
+        path = stream ? path : SPARE_PATH;
+        key = SPARE_KEY;
+      }
+      String id = newId(path, node);
+      if (call(client, node, path, id, key, id) != OK) {
+        node = drawNode(random);
+      }
+      if (options.changes() && added.nextDouble() < IDLE_SHARE) {
+        pause(added.nextInt(MAX_IDLE_MS));
       }
     }
   }
 
-  private static void pause() {
-    try {
-      Thread.sleep(RETRY_PAUSE_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  private static HttpClient newClient() {
+    return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   }
 
-  /** Sends a request and checks its answer; returns the status, or 0 without an answer. */
-  int call(HttpClient client, NodeProcess node, boolean stream) {
-    String path = stream ? RehearsalPlatform.STREAM_PATH : RehearsalPlatform.ONCE_PATH;
-    return call(client, node, path);
+  private NodeProcess drawNode(Random random) {
+    return fleet.nodes().get(random.nextInt(fleet.nodes().size()));
   }
 
+  private static void pause(long forMs) {
+    Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(forMs));
+  }
+
+  private static String newId(String path, NodeProcess node) {
+    return path + node.name() + "-" + REQUEST_COUNTER.incrementAndGet();
+  }
+
+  /** Sends a request and checks its answer; returns the status, or 0 without an answer. */
   int call(HttpClient client, NodeProcess node, String path) {
-    String id = path + node.name() + "-" + REQUEST_COUNTER.incrementAndGet();
+    String id = newId(path, node);
+    return call(client, node, path, id, RehearsalPlatform.API_KEY, id);
+  }
+
+  private int call(
+      HttpClient client, NodeProcess node, String path, String id, String key, String body) {
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create(node.callerAddress() + path))
             .timeout(Duration.ofMillis(ANSWER_TIMEOUT_MS))
-            .POST(HttpRequest.BodyPublishers.ofString(id));
-    RehearsalPlatform.callerFields(id).forEach(request::setHeader);
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    RehearsalPlatform.callerFields(id, key).forEach(request::setHeader);
     long sentMs = System.currentTimeMillis();
     try {
       HttpResponse<String> answer =
           client.send(request.build(), HttpResponse.BodyHandlers.ofString());
-      check(id, answer, path.equals(RehearsalPlatform.STREAM_PATH));
+      recorder.addOutcome("status " + answer.statusCode());
+      check(id, answer, path.startsWith(RehearsalPlatform.STREAM_PATH));
+      checkNotGivenUp(id, node, sentMs, answer.statusCode());
       return answer.statusCode();
     } catch (HttpTimeoutException e) {
       recorder.addOutcome("no answer");
-      if (isUndisturbed(node, sentMs)) {
+      if (fleet.isUndisturbedSince(node, sentMs - FAULT_EFFECT_MS)) {
         recorder.addViolation("HELD", id + " got no answer within " + ANSWER_TIMEOUT_MS + " ms");
       }
     } catch (IOException e) {
       recorder.addOutcome("connection lost");
-      if (isUndisturbed(node, sentMs) && recorder.runs(id) > 0) {
-        recorder.addViolation("LOST", id + " ran, but its connection was lost: " + e);
-      }
+      checkNotLost(id, node, sentMs, e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
     return 0;
   }
 
-  /** Returns whether no fault since shortly before the request can have affected it. */
-  private boolean isUndisturbed(NodeProcess node, long sentMs) {
+  /** Checks that an answer that an endpoint still makes is not replaced by a failure. */
+  private void checkNotGivenUp(String id, NodeProcess node, long sentMs, int status) {
+    boolean failure = status == BAD_GATEWAY || status == GATEWAY_TIMEOUT;
+    if (failure
+        && System.currentTimeMillis() - sentMs < MIN_TIMEOUT_MS
+        && fleet.isUndisturbedSince(node, sentMs - FAULT_EFFECT_MS)) {
+      recorder.addFailure(id, status);
+    }
+  }
+
+  /** Checks whether the loss of a connection is allowed. */
+  private void checkNotLost(String id, NodeProcess node, long sentMs, IOException cause) {
+    long ageMs = System.currentTimeMillis() - sentMs;
     long fromMs = sentMs - FAULT_EFFECT_MS;
-    return node.isUndisturbedSince(fromMs)
-        && proxies.stream().allMatch(p -> p.isUndisturbedSince(fromMs));
+    List<String> endpoints = recorder.runs(id);
+    boolean passedOn = !endpoints.isEmpty();
+    boolean read = passedOn || (ageMs > LOSS_SLACK_MS && !(cause instanceof ConnectException));
+    if (recorder.isAborted(id) && endpoints.size() > 1) {
+      return;
+    }
+    String detail =
+        "%s ran at %s, but its connection was lost after %d ms: %s"
+            .formatted(id, endpoints, ageMs, cause);
+    if (fleet.isUndisturbedSince(node, fromMs) ? read : passedOn && isPlanned(node, fromMs)) {
+      recorder.addViolation("LOST", detail);
+    } else if (passedOn && ageMs < MIN_TIMEOUT_MS && fleet.isSound(node, endpoints, fromMs)) {
+      recorder.addLost(detail);
+    }
+  }
+
+  /** Returns whether planned stops were the only faults since a time. */
+  private boolean isPlanned(NodeProcess node, long fromMs) {
+    return options.changes()
+        && node.isPlannedOnlySince(fromMs)
+        && fleet.store().isUndisturbedSince(fromMs)
+        && fleet.endpoints().stream().allMatch(p -> p.isUndisturbedSince(fromMs));
   }
 
   private void check(String id, HttpResponse<String> answer, boolean stream) {
-    recorder.addOutcome("status " + answer.statusCode());
     answer
         .headers()
         .firstValue(RehearsalPlatform.NOT_RUN)
@@ -139,7 +216,7 @@
     }
     String expected =
         stream
-            ? IntStream.rangeClosed(1, SoakEndpoint.EVENTS_PER_STREAM)
+            ? IntStream.rangeClosed(1, SoakEndpoint.eventCount(id))
                 .mapToObj(n -> "data: " + SoakEndpoint.eventText(id, n) + "\n\n")
                 .collect(Collectors.joining("", "", "data: [DONE]\n\n"))
             : SoakEndpoint.answerText(id);
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakEndpoint.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakEndpoint.java
@@ -1,5 +1,6 @@
 package org.currantslip.standin.soak;
 
+import com.google.common.primitives.Ints;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Random;
@@ -11,8 +12,8 @@
 
 /** Endpoint that answers with the request id; some answers fail, are aborted or delayed. */
 final class SoakEndpoint implements StandinApp {
-  /** Number of events of a streamed answer. */
-  static final int EVENTS_PER_STREAM = 4;
+  private static final int EVENTS_PER_STREAM = 4;
+  private static final int EVENTS_PER_RESUMED_STREAM = 20;
 
   private static final int MAX_WORK_MS = 60;
   private static final long EVENT_INTERVAL_MS = 40;
@@ -20,19 +21,23 @@
   private static final double ABORT_SHARE = 0.02;
   private static final int OK = 200;
   private static final int INTERNAL_ERROR = 500;
+  private static final String TEXT = "text/plain";
 
+  private final String name;
   private final SoakRecorder recorder;
   private final Delays delays;
   private final Random random;
+  private volatile long pausedUntilMs;
 
-  private SoakEndpoint(SoakRecorder recorder, Delays delays, long seed) {
+  private SoakEndpoint(String name, SoakRecorder recorder, Delays delays, long seed) {
+    this.name = name;
     this.recorder = recorder;
     this.delays = delays;
     random = new Random(seed);
   }
 
-  static SoakEndpoint create(SoakRecorder recorder, Delays delays, long seed) {
-    return new SoakEndpoint(recorder, delays, seed);
+  static SoakEndpoint create(String name, SoakRecorder recorder, Delays delays, long seed) {
+    return new SoakEndpoint(name, recorder, delays, seed);
   }
 
   /** Returns the complete answer to an at-most-once request. */
@@ -40,42 +45,68 @@
     return "ran " + id + " " + "x".repeat(Math.floorMod(id.hashCode(), 4_000)) + " end";
   }
 
+  /** Returns the number of events of a streamed answer. */
+  static int eventCount(String id) {
+    return id.startsWith(RehearsalPlatform.RESUMED_PATH)
+        ? EVENTS_PER_RESUMED_STREAM
+        : EVENTS_PER_STREAM;
+  }
+
   /** Returns one event of a streamed answer. */
   static String eventText(String id, int index) {
-    return id + " " + index;
+    return id + " " + index + "\nid: " + index;
+  }
+
+  /** Sends nothing for a while, on no connection, and goes on afterwards. */
+  void pause(long forMs) {
+    pausedUntilMs = System.currentTimeMillis() + forMs;
+  }
+
+  private void runAwake(Runnable task) {
+    long leftMs = pausedUntilMs - System.currentTimeMillis();
+    if (leftMs > 0) {
+      delays.after(leftMs, () -> runAwake(task));
+    } else {
+      task.run();
+    }
   }
 
   @Override
   public void handle(Exchange exchange) {
     String id = exchange.header(RehearsalPlatform.REQUEST_ID);
-    recorder.addRun(id);
+    recorder.addRun(id, name);
     double draw;
     int workMs;
     synchronized (random) {
       draw = random.nextDouble();
       workMs = random.nextInt(MAX_WORK_MS);
     }
-    delays.after(workMs, () -> answer(exchange, id, draw));
+    delays.after(workMs, () -> runAwake(() -> answer(exchange, id, draw)));
   }
 
   private void answer(Exchange exchange, String id, double draw) {
     Map<String, String> fields = RehearsalPlatform.answerFields(id);
     if (draw < ABORT_SHARE) {
+      recorder.addAborted(id);
       exchange.abort();
     } else if (id.startsWith(RehearsalPlatform.STREAM_PATH)) {
-      sendFrom(exchange.stream(fields), id, 1);
+      Integer last = Ints.tryParse(exchange.header(RehearsalPlatform.LAST_EVENT_ID));
+      sendFrom(exchange.stream(fields), id, last == null ? 1 : last + 1);
     } else {
       int status = draw < ABORT_SHARE + ERROR_SHARE ? INTERNAL_ERROR : OK;
-      byte[] body = answerText(id).getBytes(StandardCharsets.UTF_8);
-      exchange.reply(status, "text/plain", fields, body);
+      exchange.reply(status, TEXT, fields, answerBytes(id));
     }
   }
 
+  private static byte[] answerBytes(String id) {
+    return answerText(id).getBytes(StandardCharsets.UTF_8);
+  }
+
   private void sendFrom(EventStream stream, String id, int index) {
-    if (index > EVENTS_PER_STREAM) {
+    if (index > eventCount(id)) {
       stream.end();
     } else if (stream.send(eventText(id, index))) {
-      delays.after(EVENT_INTERVAL_MS, () -> sendFrom(stream, id, index + 1));
+      delays.after(EVENT_INTERVAL_MS, () -> runAwake(() -> sendFrom(stream, id, index + 1)));
     }
   }
 }
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakRecorder.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakRecorder.java
@@ -3,24 +3,53 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Records executions and answers, and finds those that violate a guarantee. */
 final class SoakRecorder {
-  private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+  /** Maximum number of lost answers in a run beside faults elsewhere. */
+  private static final int MAX_LOST = 3;
+
+  /** Endpoints that began to run each request. */
+  private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+
+  private final Set<String> aborted = ConcurrentHashMap.newKeySet();
+  private final ConcurrentLinkedQueue<String> lost = new ConcurrentLinkedQueue<>();
+  private final Map<String, Integer> failures = new ConcurrentHashMap<>();
   private final Map<String, String> notRunAnswers = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
   private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
 
-  void addRun(String id) {
-    runs.computeIfAbsent(id, k -> new AtomicInteger()).incrementAndGet();
+  void addRun(String id, String endpoint) {
+    runs.computeIfAbsent(id, k -> new CopyOnWriteArrayList<>()).add(endpoint);
+  }
+
+  /** Returns the endpoints that began to run a request. */
+  List<String> runs(String id) {
+    return runs.getOrDefault(id, List.of());
+  }
+
+  /** Records that an endpoint closed the connection of a request. */
+  void addAborted(String id) {
+    aborted.add(id);
   }
 
-  int runs(String id) {
-    AtomicInteger count = runs.get(id);
-    return count == null ? 0 : count.get();
+  boolean isAborted(String id) {
+    return aborted.contains(id);
+  }
+
+  /** Records that the answer of an undisturbed endpoint was lost beside faults elsewhere. */
+  void addLost(String detail) {
+    lost.add(detail);
+  }
+
+  /** Records that a node without faults answered with a failure before the timeout. */
+  void addFailure(String id, int status) {
+    failures.put(id, status);
   }
 
   /** Records that a caller was told that its request did not run. */
@@ -46,17 +75,26 @@
   List<String> allViolations(String oncePath) {
     List<String> all = new ArrayList<>(violations);
     runs.forEach(
-        (id, count) -> {
-          if (id.startsWith(oncePath) && count.get() > 1) {
-            all.add("TWICE " + id + " ran " + count + " times");
+        (id, endpoints) -> {
+          if (id.startsWith(oncePath) && endpoints.size() > 1) {
+            all.add("TWICE " + id + " ran " + endpoints.size() + " times");
           }
         });
     notRunAnswers.forEach(
         (id, answer) -> {
-          if (runs(id) > 0) {
+          if (!runs(id).isEmpty()) {
             all.add("FALSE_NOT_RUN " + id + " ran, but its caller was told " + answer);
           }
         });
+    failures.forEach(
+        (id, status) -> {
+          if (!runs(id).isEmpty() && !isAborted(id)) {
+            all.add("GIVEN_UP " + id + " ran, but its caller was told " + status);
+          }
+        });
+    if (lost.size() > MAX_LOST) {
+      lost.forEach(detail -> all.add("LOST " + detail));
+    }
     return all;
   }
 }
--- /dev/null
+++ b/standin/src/test/java/org/currantslip/standin/soak/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the checks of the soak. */
+@NullMarked
+package org.currantslip.standin.soak;
+
+import org.jspecify.annotations.NullMarked;
