Soak with requests that crash each endpoint that begins them

BUDGET allows three sends by nodes in touch later than 3 s after the third crash. Callers repeat sound requests with the same body, which must not be taken for one that crashes.

The kind is off by default.

--- a/standin/src/main/java/org/currantslip/standin/soak/Soak.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/Soak.java
@@ -39,6 +39,8 @@
   private static final double MIN_SERVED_SHARE = 0.4;
 
   private static final int ADDED_ENDPOINTS = 6;
+  private static final int MIN_DOWN_MS = 1_500;
+  private static final int MAX_DOWN_MS = 2_000;
   private static final int ADDED_CALLERS = 32;
   private static final int MIN_PAUSE_MS = 600;
   private static final int MAX_PAUSE_MS = 2_000;
@@ -48,12 +50,13 @@
   private static final int MAX_CHANGE_MS = 1_000;
   private static final int MIN_IDLE_TIMEOUT_MS = 1_000;
   private static final List<String> SPARE_PATHS = List.of(SoakCallers.SPARE_PATH);
-  private static final SoakOptions PROBE = new SoakOptions(0, 0, true, false, false);
+  private static final SoakOptions PROBE = new SoakOptions(0, 0, true, false, false, false);
 
   /** Factors that give each added kind of fault its own generator. */
   private static final long PAUSE_FACTOR = 31;
 
   private static final long CHANGE_FACTOR = 37;
+  private static final long RESTART_FACTOR = 41;
   private static final String ENDPOINT_KIND = "servers";
   private static final String CONFIG_KIND = "config";
   private static final String CONFIG_NAME = "main";
@@ -66,6 +69,7 @@
 
   private final Random pauses;
   private final Random changes;
+  private final Random restarts;
   private final SoakOptions options;
   private final SoakRecorder recorder = new SoakRecorder();
   private final StandinServer server = StandinServer.start();
@@ -94,13 +98,15 @@
     restores = new Random(~seed);
     pauses = new Random(seed * PAUSE_FACTOR);
     changes = new Random(seed * CHANGE_FACTOR);
+    restarts = new Random(seed * RESTART_FACTOR);
     objectApi = ObjectApi.create(server.delays(), 0, 0);
     int storePort = server.add("127.0.0.1", 0, objectApi, seed);
     store = SoakStore.at(http, storePort);
     int endpointCount = options.isExtended() ? ADDED_ENDPOINTS : ENDPOINTS;
     for (int i = 0; i < endpointCount; i++) {
       SoakEndpoint endpoint =
-          SoakEndpoint.create(String.valueOf(i), recorder, server.delays(), seed + i);
+          SoakEndpoint.create(
+              String.valueOf(i), recorder, server.delays(), seed + i, new EndpointHost(i));
       endpoints.add(endpoint);
       proxies.add(FaultProxy.to(server.add("127.0.0.1", 0, endpoint, seed)));
       names.add("i-" + i);
@@ -133,6 +139,7 @@
       soak.checkRecovered(callers);
       callers.stop();
       System.out.println("seed " + seed + " " + soak.recorder.outcomes());
+      soak.recorder.crashes().summary().forEach(c -> System.out.println("seed " + seed + " " + c));
       return soak.recorder.allViolations(RehearsalPlatform.ONCE_PATH);
     }
   }
@@ -164,6 +171,46 @@
     store.create(ENDPOINT_KIND, names.get(index), entry);
   }
 
+  /** An endpoint that comes back under a new id after each crash. */
+  private final class EndpointHost implements SoakEndpoint.Host {
+    private final int index;
+    private int boot;
+
+    EndpointHost(int index) {
+      this.index = index;
+    }
+
+    @Override
+    public void onCrashOrder(CrashOrder order, String id) {
+      long nowMs = System.currentTimeMillis();
+      long fromMs = nowMs - CrashLog.CONTACT_MS;
+      if (fleet.nodeOf(id).stream().allMatch(n -> fleet.isInTouchSince(n, fromMs))) {
+        recorder.crashes().addSend(order.mark(), nowMs);
+      }
+    }
+
+    @Override
+    public void crash(CrashOrder order) {
+      FaultProxy proxy = proxies.get(index);
+      if (proxy.isDown()) {
+        return;
+      }
+      recorder.crashes().addCrash(order.mark(), System.currentTimeMillis());
+      proxy.goDown();
+      int downMs = MIN_DOWN_MS + restarts.nextInt(MAX_DOWN_MS - MIN_DOWN_MS);
+      startFault(this, () -> comeBack(downMs));
+    }
+
+    private void comeBack(int downMs) throws Exception {
+      Thread.sleep(downMs);
+      String old = names.get(index);
+      names.set(index, "i-%d-%d".formatted(index, ++boot));
+      proxies.get(index).comeBack();
+      store.delete(ENDPOINT_KIND, old);
+      register(index);
+    }
+  }
+
   private void injectFaults(int seconds) throws Exception {
     long endMs = System.currentTimeMillis() + seconds * 1_000L;
     if (options.pauses()) {
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakCallers.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakCallers.java
@@ -36,6 +36,11 @@
 
   static final String SPARE_PATH = "/spare/";
 
+  private static final List<String> CRASHING_PATHS =
+      List.of(
+          RehearsalPlatform.RESUMED_PATH, RehearsalPlatform.SAFE_PATH, RehearsalPlatform.ONCE_PATH);
+
+  private static final String QUARANTINED = "QUARANTINED";
   private static final double REPEATED_SHARE = 0.7;
   private static final double SPARE_SHARE = 0.1;
   private static final double IDLE_SHARE = 0.05;
@@ -43,6 +48,13 @@
   /** Maximum pause between two requests of a connection: four fifths of the least idle limit. */
   private static final int MAX_IDLE_MS = 800;
 
+  /** Maximum number of times that a sound request is sent, with the same body. */
+  private static final int MAX_SENDS = 4;
+
+  private static final int MAX_SENDS_AT_ONCE = 3;
+  private static final int MAX_DELAY_MS = 50;
+  private static final int MAX_CRASHING_GAP_MS = 400;
+  private static final long RETRY_PAUSE_MS = 20;
   private static final double STREAM_SHARE = 0.3;
   private static final int OK = 200;
   private static final int BAD_GATEWAY = 502;
@@ -71,6 +83,12 @@
       Random added = new Random(~(seed + i));
       callers.start("caller-" + i, () -> callers.run(random, added));
     }
+    if (options.crashingRequests()) {
+      for (String path : CRASHING_PATHS) {
+        Random random = new Random(seed ^ path.hashCode());
+        callers.start("crashing-caller", () -> callers.runCrashing(random, path));
+      }
+    }
     return callers;
   }
 
@@ -107,9 +125,15 @@
         path = stream ? path : SPARE_PATH;
         key = SPARE_KEY;
       }
-      String id = newId(path, node);
-      if (call(client, node, path, id, key, id) != OK) {
+      String body = "";
+      for (int i = 0; i < (options.crashingRequests() ? MAX_SENDS : 1); i++) {
+        String id = newId(path, node);
+        body = body.isEmpty() ? id : body;
+        if (call(client, node, path, id, key, body) == OK) {
+          break;
+        }
         node = drawNode(random);
+        pause(RETRY_PAUSE_MS);
       }
       if (options.changes() && added.nextDouble() < IDLE_SHARE) {
         pause(added.nextInt(MAX_IDLE_MS));
@@ -117,6 +141,37 @@
     }
   }
 
+  /** Sends the same crashing request again and again, at times to several nodes at once. */
+  private void runCrashing(Random random, String path) {
+    HttpClient client = newClient();
+    CrashOrder.Stage[] stages = CrashOrder.Stage.values();
+    CrashOrder order = new CrashOrder(path, stages[random.nextInt(stages.length)]);
+    while (!stopped) {
+      List<Thread> sends = new ArrayList<>();
+      for (int i = random.nextInt(MAX_SENDS_AT_ONCE); i >= 0; i--) {
+        NodeProcess node = drawNode(random);
+        int delayMs = random.nextInt(MAX_DELAY_MS);
+        Thread send =
+            new Thread(
+                () -> {
+                  pause(delayMs);
+                  call(
+                      client,
+                      node,
+                      path,
+                      newId(path, node),
+                      RehearsalPlatform.API_KEY,
+                      order.body());
+                });
+        send.setDaemon(true);
+        send.start();
+        sends.add(send);
+      }
+      sends.forEach(Uninterruptibles::joinUninterruptibly);
+      pause(random.nextInt(MAX_CRASHING_GAP_MS));
+    }
+  }
+
   private static HttpClient newClient() {
     return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   }
@@ -146,22 +201,30 @@
             .timeout(Duration.ofMillis(ANSWER_TIMEOUT_MS))
             .POST(HttpRequest.BodyPublishers.ofString(body));
     RehearsalPlatform.callerFields(id, key).forEach(request::setHeader);
+    boolean crashing = CrashOrder.parse(body).isPresent();
+    String kind = crashing ? "crashing: " : "";
     long sentMs = System.currentTimeMillis();
     try {
       HttpResponse<String> answer =
           client.send(request.build(), HttpResponse.BodyHandlers.ofString());
-      recorder.addOutcome("status " + answer.statusCode());
+      boolean quarantined = answer.body().contains(QUARANTINED);
+      recorder.addOutcome(
+          kind + "status " + answer.statusCode() + (quarantined ? " " + QUARANTINED : ""));
       check(id, answer, path.startsWith(RehearsalPlatform.STREAM_PATH));
-      checkNotGivenUp(id, node, sentMs, answer.statusCode());
+      if (!crashing) {
+        checkNotGivenUp(id, node, sentMs, answer.statusCode());
+      }
       return answer.statusCode();
     } catch (HttpTimeoutException e) {
-      recorder.addOutcome("no answer");
+      recorder.addOutcome(kind + "no answer");
       if (fleet.isUndisturbedSince(node, sentMs - FAULT_EFFECT_MS)) {
         recorder.addViolation("HELD", id + " got no answer within " + ANSWER_TIMEOUT_MS + " ms");
       }
     } catch (IOException e) {
-      recorder.addOutcome("connection lost");
-      checkNotLost(id, node, sentMs, e);
+      recorder.addOutcome(kind + "connection lost");
+      if (!crashing) {
+        checkNotLost(id, node, sentMs, e);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakCommand.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakCommand.java
@@ -24,6 +24,7 @@
     parser.addArgument("--nodes").type(Integer.class).setDefault(3).help("number of nodes");
     addFlag(parser, "--calm", "leave out the default faults of processes and connections");
     addFlag(parser, "--pauses", "let endpoints fall silent and go on");
+    addFlag(parser, "--crashing-requests", "send requests that crash each endpoint");
     addFlag(parser, "--changes", "change the configuration, settings and processes in series");
     parser.addArgument("--node-jar").required(true).help("jar file of the node");
     parser.addArgument("--out").required(true).help("directory for settings and logs");
@@ -43,6 +44,7 @@
             args.getInt("nodes"),
             args.getBoolean("calm"),
             args.getBoolean("pauses"),
+            args.getBoolean("crashing_requests"),
             args.getBoolean("changes"));
     boolean violated = false;
     for (long seed : LongStream.range(first, first + args.getInt("seeds")).toArray()) {
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakEndpoint.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakEndpoint.java
@@ -3,6 +3,7 @@
 import com.google.common.primitives.Ints;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.standin.http.Delays;
@@ -12,6 +13,15 @@
 
 /** Endpoint that answers with the request id; some answers fail, are aborted or delayed. */
 final class SoakEndpoint implements StandinApp {
+  /** The machine of an endpoint. */
+  interface Host {
+    /** Called for each request that will crash the endpoint. */
+    void onCrashOrder(CrashOrder order, String id);
+
+    /** Crashes the endpoint and starts it again. */
+    void crash(CrashOrder order);
+  }
+
   private static final int EVENTS_PER_STREAM = 4;
   private static final int EVENTS_PER_RESUMED_STREAM = 20;
 
@@ -23,21 +33,29 @@
   private static final int INTERNAL_ERROR = 500;
   private static final String TEXT = "text/plain";
 
+  /** Time for the beginning of an answer to pass the proxy before a crash. */
+  private static final long CRASH_DELAY_MS = 30;
+
+  private static final int EVENTS_BEFORE_CRASH = 2;
+
   private final String name;
   private final SoakRecorder recorder;
   private final Delays delays;
   private final Random random;
+  private final Host host;
   private volatile long pausedUntilMs;
 
-  private SoakEndpoint(String name, SoakRecorder recorder, Delays delays, long seed) {
+  private SoakEndpoint(String name, SoakRecorder recorder, Delays delays, long seed, Host host) {
     this.name = name;
     this.recorder = recorder;
     this.delays = delays;
     random = new Random(seed);
+    this.host = host;
   }
 
-  static SoakEndpoint create(String name, SoakRecorder recorder, Delays delays, long seed) {
-    return new SoakEndpoint(name, recorder, delays, seed);
+  static SoakEndpoint create(
+      String name, SoakRecorder recorder, Delays delays, long seed, Host host) {
+    return new SoakEndpoint(name, recorder, delays, seed, host);
   }
 
   /** Returns the complete answer to an at-most-once request. */
@@ -75,13 +93,22 @@
   public void handle(Exchange exchange) {
     String id = exchange.header(RehearsalPlatform.REQUEST_ID);
     recorder.addRun(id, name);
+    Optional<CrashOrder> order =
+        CrashOrder.parse(new String(exchange.body(), StandardCharsets.UTF_8));
+    order.ifPresent(o -> host.onCrashOrder(o, id));
     double draw;
     int workMs;
     synchronized (random) {
       draw = random.nextDouble();
       workMs = random.nextInt(MAX_WORK_MS);
     }
-    delays.after(workMs, () -> runAwake(() -> answer(exchange, id, draw)));
+    delays.after(
+        workMs,
+        () ->
+            runAwake(
+                () ->
+                    order.ifPresentOrElse(
+                        o -> answerInPart(exchange, id, o), () -> answer(exchange, id, draw))));
   }
 
   private void answer(Exchange exchange, String id, double draw) {
@@ -109,4 +136,22 @@
       delays.after(EVENT_INTERVAL_MS, () -> runAwake(() -> sendFrom(stream, id, index + 1)));
     }
   }
+
+  private void answerInPart(Exchange exchange, String id, CrashOrder order) {
+    Map<String, String> fields = RehearsalPlatform.answerFields(id);
+    if (order.stage() != CrashOrder.Stage.BEFORE_HEAD) {
+      if (id.startsWith(RehearsalPlatform.STREAM_PATH)) {
+        EventStream stream = exchange.stream(fields);
+        stream.open();
+        for (int i = 1;
+            i <= EVENTS_BEFORE_CRASH && order.stage() == CrashOrder.Stage.AFTER_EVENTS;
+            i++) {
+          stream.send(eventText(id, i));
+        }
+      } else {
+        exchange.replyInPart(TEXT, fields, answerBytes(id));
+      }
+    }
+    delays.after(CRASH_DELAY_MS, () -> runAwake(() -> host.crash(order)));
+  }
 }
--- a/standin/src/main/java/org/currantslip/standin/soak/SoakRecorder.java
+++ b/standin/src/main/java/org/currantslip/standin/soak/SoakRecorder.java
@@ -20,6 +20,7 @@
   private final Set<String> aborted = ConcurrentHashMap.newKeySet();
   private final ConcurrentLinkedQueue<String> lost = new ConcurrentLinkedQueue<>();
   private final Map<String, Integer> failures = new ConcurrentHashMap<>();
+  private final CrashLog crashes = new CrashLog();
   private final Map<String, String> notRunAnswers = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
   private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
@@ -52,6 +53,10 @@
     failures.put(id, status);
   }
 
+  CrashLog crashes() {
+    return crashes;
+  }
+
   /** Records that a caller was told that its request did not run. */
   void addNotRunAnswer(String id, String answer) {
     notRunAnswers.put(id, answer);
@@ -95,6 +100,7 @@
     if (lost.size() > MAX_LOST) {
       lost.forEach(detail -> all.add("LOST " + detail));
     }
+    all.addAll(crashes.violations());
     return all;
   }
 }
--- a/standin/src/test/java/org/currantslip/standin/soak/SoakRecorderTest.java
+++ b/standin/src/test/java/org/currantslip/standin/soak/SoakRecorderTest.java
@@ -4,12 +4,33 @@
 
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class SoakRecorderTest {
   private static final String ONCE = "/once/";
 
   private final SoakRecorder recorder = new SoakRecorder();
 
+  @ParameterizedTest
+  @CsvSource({
+    // crashes, sends later than the contact time after the third crash, violations
+    "2, 9, 0",
+    "3, 3, 0",
+    "3, 4, 1",
+    "5, 4, 1",
+  })
+  void limitsSendsOfCrashingRequest(int crashes, int lateSends, int violations) {
+    LongStream.range(0, crashes).forEach(at -> recorder.crashes().addCrash("m", at));
+    long thirdMs = 2;
+    recorder.crashes().addSend("m", thirdMs);
+    recorder.crashes().addSend("m", thirdMs + CrashLog.CONTACT_MS);
+    LongStream.rangeClosed(1, lateSends)
+        .forEach(i -> recorder.crashes().addSend("m", thirdMs + CrashLog.CONTACT_MS + i));
+
+    assertThat(recorder.allViolations(ONCE)).hasSize(violations);
+  }
+
   @Test
   void limitsAnswersLostBesideFaultsElsewhere() {
     LongStream.range(0, 3).forEach(i -> recorder.addLost("a" + i));
