--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -349,7 +349,7 @@
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
     TickStep.run("queue", requestQueue::tick);
     TickStep.run("requests", requestEngine::tick);
-    TickStep.run("rollouts", rolloutController::tick);
+    TickStep.run("rollout_control", rolloutController::tick);
     TickStep.run("links", peerLinks::tick);
     TickStep.run("stop", plannedStop::tick);
     TickStep.run("stop_log", this::logStopPhase);
--- a/node/src/main/java/org/currantslip/node/wiring/CoreComponents.java
+++ b/node/src/main/java/org/currantslip/node/wiring/CoreComponents.java
@@ -152,7 +152,7 @@
     TickStep.run("membership", membership::tick);
     TickStep.run("config", config::tick);
     TickStep.run("admission", admission::tick);
-    TickStep.run("rollouts", rollouts::tick);
+    TickStep.run("rollout_control", rollouts::tick);
     TickStep.run("ledger", ledger::tick);
     TickStep.run("usage", usage::tick);
     TickStep.run("engine", engine::tick);
