--- a/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
@@ -37,8 +37,9 @@
    * @param running requests being executed
    * @param waiting requests waiting for a slot
    * @param slots maximum number of concurrent requests
+   * @param workPercent time that work takes on the endpoint's machine, in percent of the usual
    */
-  public record CurrentLoad(int running, int waiting, int slots) {}
+  public record CurrentLoad(int running, int waiting, int slots, int workPercent) {}
 
   /** Returns an authenticated head with the given fields and defaults for all others. */
   public static EndpointResponseHead of(int status, String contentType, String correlation) {
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -2,28 +2,20 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.currantslip.core.cascade.SizeCascade;
-import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.limits.Permit;
-import org.currantslip.core.limits.SlotRequest;
 import org.currantslip.core.quarantine.RequestFingerprints;
-import org.currantslip.core.rollout.OutcomeSample;
 import org.currantslip.core.route.Account;
 import org.currantslip.core.route.Route;
 import org.currantslip.core.route.RouteKind;
 import org.currantslip.core.route.RouteTable;
 import org.currantslip.core.routing.EndpointLoad;
 import org.currantslip.core.routing.EndpointNotice;
-import org.currantslip.core.routing.EndpointQuery;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -35,9 +27,6 @@
  * caller.
  */
 final class ForwardedFlow extends RequestFlow {
-  /** Number of endpoints that may decline a request before it is refused with a retry delay. */
-  private static final int MAX_DECLINES = 3;
-
   /** Interval at which a call that is silent asks for another endpoint. */
   private static final long SUCCESSOR_INTERVAL_MS = 250;
 
@@ -46,18 +35,6 @@
 
   private static final long NODE_STARTING_RETRY_AFTER_MS = 300;
   private static final long NO_ENDPOINT_RETRY_AFTER_MS = 500;
-  private static final long NO_TIMEOUT_MS = Long.MAX_VALUE / 4;
-
-  /**
-   * First-byte timeout of an idempotent request, as a multiple of its latency objective. A request
-   * this late is better retried on another endpoint.
-   */
-  private static final long FIRST_BYTE_TIMEOUT_OBJECTIVES = 2;
-
-  private static final long MIN_FIRST_BYTE_TIMEOUT_MS = 500;
-
-  /** A full batch or a preempted request pauses a stream for about one second. */
-  private static final long MIN_IDLE_TIMEOUT_MS = 1_000;
 
   /** Slightly longer than one step of a full batch. */
   private static final long UNREACHABLE_IDLE_TIMEOUT_MS = 400;
@@ -66,52 +43,45 @@
   private static final ImmutableSet<RetryObstacle> PASSING_OBSTACLES =
       ImmutableSet.of(RetryObstacle.DECLINES, RetryObstacle.BUDGET, RetryObstacle.NO_ENDPOINT);
 
-  private static final long MAX_BUFFERED_BYTES = 16L << 20;
-
   private final ForwardPorts ports;
   private final RouterRequest request;
   private final ForwardedRequest forwarded;
   private final CallerResponse response;
   private final long arrivedMs;
   private final long beganMs;
-  private final Set<String> triedEndpoints = new HashSet<>();
+  private final AttemptHistory history = AttemptHistory.create();
+  private final ForwardedTrace trace;
 
   private RouteTable table = RouteTable.none();
   private @Nullable Route route;
-  private Account account = Account.anonymous();
-  private String service = "";
+  private @Nullable Assignment assignment;
   private PromptGuard promptGuard;
   private long deadlineMs;
   private long admittedMs = -1;
   private long firstByteMs = -1;
   private @Nullable Attempt attempt;
   private String model = "";
-  private int sizeIndex;
   private boolean escalating;
-  private @Nullable Successor successor;
+  private EndpointSelection.@Nullable Candidate successor;
   private long nextSuccessorMs;
   private boolean retryOwed;
   private boolean letGo;
   private boolean waited;
   private ResultCode failureCode = ResultCode.NO_ENDPOINT;
-  private int nextSizeIndex;
-  private SizeCascade.@Nullable Answer previousAnswer;
   private boolean deadlineExpired;
   private boolean callerDisconnected;
-  private int sendCount;
-  private int runCount;
-  private int declineCount;
   private int eventCount;
-  private boolean firstEventRecorded;
-  private boolean paceRecorded;
-  private Ran ran = Ran.NO;
   private @Nullable ByteString lastEvent;
   private SilenceRule silenceRule = SilenceRule.DEADLINE;
   private String endRule = "";
   private RetryObstacle obstacle = RetryObstacle.NONE;
 
-  /** An endpoint that may take a request over. */
-  private record Successor(EndpointRecord endpoint, EndpointQuery query) {}
+  /** What the configuration assigns to the request, and the steps that depend on it. */
+  private record Assignment(
+      ResolvedRequest request,
+      EndpointSelection selection,
+      OutcomeRecorder outcomes,
+      SizeEscalation sizes) {}
 
   private ForwardedFlow(
       ForwardPorts ports, RouterRequest request, ForwardedRequest forwarded, CallerSink sink) {
@@ -123,6 +93,7 @@
     beganMs = ports.clock().nowMs();
     deadlineMs = request.deadlineMs();
     promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
+    trace = ForwardedTrace.create(ports.trace(), request.requestId());
   }
 
   static ForwardedFlow create(ForwardPorts ports, RouterRequest request, CallerSink sink) {
@@ -133,11 +104,27 @@
     return new ForwardedFlow(ports, request, forwarded, sink);
   }
 
-  private Route route() {
-    if (route == null) {
+  private Assignment assigned() {
+    if (assignment == null) {
       throw new IllegalStateException("the route is not known yet");
     }
-    return route;
+    return assignment;
+  }
+
+  private Route route() {
+    return assigned().request().route();
+  }
+
+  private EndpointSelection selection() {
+    return assigned().selection();
+  }
+
+  private OutcomeRecorder outcomes() {
+    return assigned().outcomes();
+  }
+
+  private SizeEscalation sizes() {
+    return assigned().sizes();
   }
 
   @Override
@@ -154,10 +141,18 @@
             .orElseThrow(
                 () -> RefusalException.notRun(ResultCode.PATH_UNKNOWN, "no route for this path"));
     route = matchedRoute;
-    account = matchedRoute.anonymous() ? Account.anonymous() : authenticate();
-    service = matchedRoute.serviceFor(request.requestId());
-    deadlineMs = Math.min(request.deadlineMs(), arrivedMs + matchedRoute.timeoutMs());
-    sizeIndex = ports.sizeCascade().firstSize(matchedRoute);
+    Account account = matchedRoute.anonymous() ? Account.anonymous() : authenticate();
+    ResolvedRequest resolved = ResolvedRequest.of(request, forwarded, matchedRoute, account);
+    String service = resolved.service();
+    EndpointSelection selection =
+        EndpointSelection.create(ports, request, forwarded, matchedRoute, service);
+    assignment =
+        new Assignment(
+            resolved,
+            selection,
+            OutcomeRecorder.create(ports.rollouts(), matchedRoute, service),
+            SizeEscalation.create(ports.sizeCascade(), matchedRoute, selection));
+    deadlineMs = resolved.deadlineMs();
     ports.retryBudget().recordRequest(service);
     if (request.body().size() > table.limits().bodyBytes()) {
       throw RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "the body is too large");
@@ -177,7 +172,7 @@
                 request.path(),
                 account.name(),
                 request.body()));
-    Optional<RefusalException> quarantined = promptGuard.refusal(ran);
+    Optional<RefusalException> quarantined = promptGuard.refusal(history.ran());
     if (quarantined.isPresent()) {
       throw quarantined.get();
     }
@@ -190,28 +185,13 @@
             () -> RefusalException.notRun(ResultCode.TOKEN_WRONG, "no account holds this key"));
   }
 
-  private int priority() {
-    OptionalInt accountPriority = account.priority();
-    return accountPriority.isPresent() ? accountPriority.getAsInt() : route().priority();
-  }
-
   private long timeLeftMs() {
     return deadlineMs - ports.clock().nowMs();
   }
 
   @Override
   CompletableFuture<Permit> admit() {
-    return ports
-        .queue()
-        .admit(
-            new SlotRequest(
-                service,
-                account.name(),
-                priority(),
-                arrivedMs,
-                arrivedMs + route().objectiveMs(),
-                deadlineMs,
-                forwarded.prompt()));
+    return ports.queue().admit(assigned().request().slotRequest());
   }
 
   @Override
@@ -222,17 +202,20 @@
 
   private void choose() {
     enter(Stage.CHOOSING);
-    Optional<RefusalException> quarantined = promptGuard.refusal(ran);
+    Optional<RefusalException> quarantined = promptGuard.refusal(history.ran());
     if (quarantined.isPresent()) {
       obstacle = RetryObstacle.QUARANTINE;
       refuse(quarantined.get());
       return;
     }
-    Optional<Successor> found = findSuccessor(sizeIndex, triedEndpoints);
+    Optional<EndpointSelection.Candidate> found =
+        selection().find(sizes().size(), history.triedEndpoints());
     if (found.isEmpty()) {
       obstacle = RetryObstacle.NO_ENDPOINT;
-      awaitEndpointOrRefuse(ResultCode.NO_ENDPOINT, "no endpoint of " + service + " is usable");
-    } else if (retryOwed && !isPaid(waited)) {
+      awaitEndpointOrRefuse(
+          ResultCode.NO_ENDPOINT,
+          "no endpoint of " + assigned().request().service() + " is usable");
+    } else if (retryOwed && !selection().trySpendRetry(waited)) {
       obstacle = RetryObstacle.BUDGET;
       awaitEndpointOrRefuse(failureCode, "the retry budget is spent");
     } else {
@@ -256,140 +239,50 @@
 
   /** Chooses again after a wait, for one attempt; the endpoint that declined last comes last. */
   private void chooseAgain() {
-    triedEndpoints.clear();
+    history.allowOneMore();
     if (attempt != null) {
-      triedEndpoints.add(attempt.endpoint().getId());
-      if (findSuccessor(sizeIndex, triedEndpoints).isEmpty()) {
-        triedEndpoints.clear();
+      Set<String> last = Set.of(attempt.endpoint().getId());
+      if (selection().find(sizes().size(), last).isPresent()) {
+        history.excludeOnly(last);
       }
     }
-    declineCount = MAX_DECLINES;
     waited = true;
     choose();
   }
 
-  private Optional<Successor> findSuccessor(int size, Set<String> excluded) {
-    for (String version :
-        ports.rollouts().versionsFor(service, request.session(), request.requestId())) {
-      EndpointQuery query = query(version, size, excluded);
-      Optional<EndpointRecord> endpoint = ports.chooser().choose(query);
-      if (endpoint.isPresent()) {
-        return Optional.of(new Successor(endpoint.get(), query));
-      }
-    }
-    return Optional.empty();
-  }
-
-  private EndpointQuery query(String version, int size, Set<String> excluded) {
-    return EndpointQuery.ofService(service, version, modelOf(size), forwarded.prompt(), excluded);
-  }
-
-  /** Returns the model with this index, or an empty name if the caller names the model. */
-  private String modelOf(int index) {
-    return route().modelSizes().isEmpty() ? "" : route().modelSizes().get(index);
-  }
-
-  private void dispatch(Successor next) {
+  private void dispatch(EndpointSelection.Candidate next) {
     EndpointRecord endpoint = next.endpoint();
     enter(Stage.CALLING);
-    triedEndpoints.add(endpoint.getId());
-    sendCount++;
-    firstEventRecorded = false;
-    paceRecorded = false;
-    model = modelOf(sizeIndex);
+    history.onSent(endpoint.getId());
+    model = selection().modelOf(sizes().size());
+    outcomes().onDispatched(model);
     response.setModelVersion(model, endpoint.getVersion(), false, "");
     Attempt a =
         Attempt.create(
             endpoint,
-            endpointRequest(endpoint),
-            timeouts(),
+            assigned()
+                .request()
+                .endpointRequest(
+                    endpoint, model, lastEventId(), ports.clock().nowMs(), response::isAbandoned),
+            assigned().request().timeouts(history.isRetryable(route())),
             ports.clock(),
             ports.chooser().track(endpoint.getId(), next.query()),
             this);
     attempt = a;
-    ports
-        .trace()
-        .record(
-            LogEvent.REQUEST_DISPATCHED,
-            request.requestId(),
-            () ->
-                "route=%s endpoint=%s version=%s model=%s send=%d config_version=%d left_ms=%d"
-                    .formatted(
-                        route().name(),
-                        endpoint.getId(),
-                        endpoint.getVersion(),
-                        model,
-                        sendCount,
-                        table.version(),
-                        timeLeftMs()));
+    trace.dispatched(
+        route().name(), endpoint, model, history.sendCount(), table.version(), timeLeftMs());
     promptGuard.onSent(endpoint);
     a.start(ports.endpointClient(), request.promptTokens() + request.maxTokens());
   }
 
-  private EndpointRequest endpointRequest(EndpointRecord endpoint) {
-    return new EndpointRequest(
-        request.requestId(),
-        request.method(),
-        request.path(),
-        request.contentType(),
-        request.body(),
-        model,
-        endpoint.getVersion(),
-        route().kind() == RouteKind.STREAMING,
-        priority(),
-        "",
-        true,
-        new ForwardedCall(
-            forwarded.fields(),
-            endpoint.getId(),
-            account.name(),
-            Math.max(1, timeLeftMs()),
-            priority(),
-            lastEventId(),
-            response::isAbandoned));
-  }
-
   private String lastEventId() {
     return lastEvent == null ? forwarded.lastEventId() : EventIds.of(lastEvent);
   }
 
-  /**
-   * Returns the timeouts of an attempt. If the request cannot be retried, only its deadline
-   * applies.
-   */
-  private EngineOptions timeouts() {
-    Route matchedRoute = route();
-    boolean retryable = matchedRoute.isRepeatable() && runCount + 1 < matchedRoute.attempts();
-    long firstByteTimeoutMs =
-        retryable
-            ? Math.max(
-                MIN_FIRST_BYTE_TIMEOUT_MS,
-                FIRST_BYTE_TIMEOUT_OBJECTIVES * matchedRoute.objectiveMs())
-            : NO_TIMEOUT_MS;
-    long idleTimeoutMs =
-        retryable ? Math.max(MIN_IDLE_TIMEOUT_MS, 2 * matchedRoute.eventGapMs()) : NO_TIMEOUT_MS;
-    return EngineOptions.withBufferLimit(firstByteTimeoutMs, idleTimeoutMs, MAX_BUFFERED_BYTES);
-  }
-
   @Override
   public void onNotice(Attempt a, EndpointNotice notice) {
     EndpointNotice.Effect effect = ports.chooser().onNotice(a.endpoint(), notice, a.sentMs());
-    if (effect != EndpointNotice.Effect.NONE) {
-      ports
-          .trace()
-          .record(
-              LogEvent.ENDPOINT_NOTICE,
-              request.requestId(),
-              () ->
-                  "endpoint=%s leaving=%s retry_after_s=%s limit=%s limit_per_s=%s effect=%s"
-                      .formatted(
-                          a.endpoint().getId(),
-                          notice.leaving(),
-                          notice.retryAfterS(),
-                          notice.limit().kind(),
-                          notice.limit().perS(),
-                          effect));
-    }
+    trace.notice(a.endpoint(), notice, effect);
   }
 
   @Override
@@ -398,15 +291,20 @@
     if (!head.isSuccess()) {
       return response.isStarted()
           || (HttpStatus.isEndpointFault(head.status())
-              && isSuccessorPaid(sizeIndex, triedEndpoints, false));
+              && isSuccessorPaid(sizes().size(), history.triedEndpoints(), false));
     }
     if (!head.authentic()) {
       return true;
     }
     escalating =
         !response.isStarted()
-            && shouldEscalate(a, head)
-            && isSuccessorPaid(nextSizeIndex, Set.of(), false);
+            && sizes()
+                .isDue(
+                    a.endpoint().getVersion(),
+                    head.confidence(),
+                    assigned().request().objectiveMs() - ports.clock().nowMs(),
+                    promptGuard.mayRepeat())
+            && isSuccessorPaid(sizes().nextSize(), Set.of(), false);
     return escalating;
   }
 
@@ -417,19 +315,22 @@
    * @param forSilence whether the current attempt is merely silent
    */
   private boolean isSuccessorPaid(int size, Set<String> excluded, boolean forSilence) {
-    obstacle = retryObstacle(true, runCount + 1);
+    obstacle = timeObstacle();
+    if (obstacle == RetryObstacle.NONE) {
+      obstacle = history.obstacleAfterRun(route());
+    }
     if (obstacle == RetryObstacle.NONE && !promptGuard.mayRepeat()) {
       obstacle = RetryObstacle.QUARANTINE;
     }
     if (obstacle != RetryObstacle.NONE) {
       return false;
     }
-    Optional<Successor> found = findSuccessor(size, excluded);
+    Optional<EndpointSelection.Candidate> found = selection().find(size, excluded);
     if (found.isEmpty()) {
       obstacle = RetryObstacle.NO_ENDPOINT;
-    } else if (promptGuard.refusal(ran).isPresent()) {
+    } else if (promptGuard.refusal(history.ran()).isPresent()) {
       obstacle = RetryObstacle.QUARANTINE;
-    } else if (!isPaid(forSilence)) {
+    } else if (!selection().trySpendRetry(forSilence)) {
       obstacle = RetryObstacle.BUDGET;
     } else {
       successor = found.get();
@@ -437,37 +338,6 @@
     return successor != null;
   }
 
-  private boolean isPaid(boolean forSilence) {
-    return forSilence
-        ? ports.retryBudget().trySpendOnSilence(service)
-        : ports.retryBudget().trySpend(service);
-  }
-
-  private boolean shouldEscalate(Attempt a, EndpointResponseHead head) {
-    Route matchedRoute = route();
-    if (previousAnswer != null) {
-      ports.sizeCascade().observe(matchedRoute, previousAnswer, sizeIndex, head.confidence());
-    }
-    SizeCascade.Answer currentAnswer = new SizeCascade.Answer(sizeIndex, head.confidence());
-    OptionalInt next = ports.sizeCascade().nextSize(matchedRoute, currentAnswer);
-    if (next.isEmpty() || !promptGuard.mayRepeat()) {
-      return false;
-    }
-    EndpointQuery query = query(a.endpoint().getVersion(), next.getAsInt(), Set.of());
-    OptionalDouble expectedMs = ports.chooser().expectedFirstTokenMs(query);
-    long leftMs = arrivedMs + matchedRoute.objectiveMs() - ports.clock().nowMs();
-    if (expectedMs.isEmpty()
-        || !ports
-            .sizeCascade()
-            .isEscalationWorthwhile(
-                currentAnswer, expectedMs.getAsDouble(), leftMs, matchedRoute.objectiveMs())) {
-      return false;
-    }
-    previousAnswer = currentAnswer;
-    nextSizeIndex = next.getAsInt();
-    return true;
-  }
-
   private void reportLoad(Attempt a, EndpointResponseHead head) {
     EndpointResponseHead.CurrentLoad load = head.load();
     if (load != null) {
@@ -475,17 +345,22 @@
           .chooser()
           .onLoad(
               new EndpointLoad(
-                  a.endpoint().getId(), load.running(), load.waiting(), 0, ports.clock().nowMs()));
+                  a.endpoint().getId(),
+                  load.running(),
+                  load.waiting(),
+                  0,
+                  ports.clock().nowMs(),
+                  load.workPercent()));
     }
   }
 
   @Override
   public boolean onData(Attempt a, ByteString data) {
-    ran = Ran.YES;
+    history.onAnswering();
     if (route().kind() != RouteKind.STREAMING || !a.head().isSuccess()) {
       return false;
     }
-    recordFirstEvent(a);
+    outcomes().onFirstEvent(a);
     promptGuard.onEvent();
     if (lastEvent != null && !EventIds.isAfter(data, lastEvent)) {
       return true;
@@ -500,28 +375,6 @@
     return true;
   }
 
-  /** Adds the time to the first event of an attempt to the statistics of the version. */
-  private void recordFirstEvent(Attempt a) {
-    if (!firstEventRecorded) {
-      firstEventRecorded = true;
-      OutcomeSample sample = OutcomeSample.firstEvent(model, a.relativeTime());
-      ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
-    }
-  }
-
-  /**
-   * Records an open stream as slow once its events come too slowly, since a slow stream ends late
-   * and would be missing among the samples of a rollout.
-   */
-  private void recordPaceIfSlow(Attempt a) {
-    double intervalMs = a.openEventIntervalMs();
-    if (!paceRecorded && ports.rollouts().isPaceSlow(route().name(), model, intervalMs)) {
-      paceRecorded = true;
-      OutcomeSample sample = OutcomeSample.pace(model, intervalMs);
-      ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
-    }
-  }
-
   private void recordFirstByte() {
     if (firstByteMs < 0) {
       firstByteMs = ports.clock().nowMs() - arrivedMs;
@@ -530,10 +383,14 @@
 
   @Override
   public void onResponse(Attempt a, EndpointUsage usage) {
-    ran = Ran.YES;
+    history.onAnswering();
     boolean success = a.head().isSuccess();
     promptGuard.onResponse(success);
-    recordOutcome(a, HttpStatus.isEndpointFault(a.status()));
+    if (HttpStatus.isEndpointFault(a.status())) {
+      outcomes().onFailed(a);
+    } else {
+      outcomes().onAnswered(a, eventCount);
+    }
     if (!response.isStarted()) {
       recordFirstByte();
       response.relayHead(a.head());
@@ -548,48 +405,32 @@
     end(success ? ResultCode.OK : ResultCode.ENDPOINT_FAILED);
   }
 
-  /** Adds a sample to the outcome statistics of the endpoint's version. */
-  private void recordOutcome(Attempt a, boolean failed) {
-    OutcomeSample sample =
-        failed ? OutcomeSample.failed() : OutcomeSample.answered(model, responseTimeMs(a));
-    ports.rollouts().onOutcome(service, a.endpoint().getVersion(), route().name(), sample);
-  }
-
-  /** Returns the response time to record, or -1 if there is none or it was recorded before. */
-  private double responseTimeMs(Attempt a) {
-    if (route().kind() != RouteKind.STREAMING) {
-      return a.elapsedMs();
-    }
-    return paceRecorded ? -1 : a.meanEventIntervalMs(eventCount);
-  }
-
   @Override
   public void onFault(Attempt a, Attempt.Fault fault) {
-    Successor next = successor;
+    EndpointSelection.Candidate next = successor;
     successor = null;
     if (escalating && next != null) {
       escalating = false;
       promptGuard.onAbandoned();
-      runCount++;
-      ran = Ran.UNKNOWN;
-      sizeIndex = nextSizeIndex;
-      triedEndpoints.clear();
+      history.onReplaced();
+      sizes().escalate();
       dispatch(next);
       return;
     }
     endRule = fault == Attempt.Fault.SILENT ? silenceRule.name() : fault.name();
-    traceFault(a, fault);
-    final boolean promptAllows = promptGuard.onFault(fault, hasLeft(a));
+    trace.fault(a, fault, route().name(), endRule, eventCount);
+    final boolean promptAllows = promptGuard.onFault(fault, selection().hasLeft(a));
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
     if (notRun) {
-      declineCount++;
+      history.onNotRun();
     } else {
-      runCount++;
-      ran = ran == Ran.NO ? Ran.UNKNOWN : ran;
+      history.onMayHaveRun();
       if (fault == Attempt.Fault.SILENT && route().kind() == RouteKind.STREAMING) {
-        recordFirstEvent(a);
+        outcomes().onFirstEvent(a);
+      } else if (fault == Attempt.Fault.ERROR_STATUS) {
+        outcomes().onFailed(a);
       } else {
-        recordOutcome(a, fault == Attempt.Fault.ERROR_STATUS);
+        outcomes().onAnswered(a, eventCount);
       }
     }
     if (next != null) {
@@ -599,7 +440,12 @@
     }
     retryOwed = fault != Attempt.Fault.NOT_SENT;
     failureCode = Refusals.codeOf(fault);
-    obstacle = promptAllows ? retryObstacle(!notRun, runCount) : RetryObstacle.QUARANTINE;
+    obstacle = timeObstacle();
+    if (!promptAllows) {
+      obstacle = RetryObstacle.QUARANTINE;
+    } else if (obstacle == RetryObstacle.NONE) {
+      obstacle = history.obstacle(route(), !notRun);
+    }
     if (obstacle == RetryObstacle.NONE) {
       choose();
     } else {
@@ -607,68 +453,22 @@
     }
   }
 
-  /** Returns whether the endpoint of an attempt has announced its stop or was removed. */
-  private boolean hasLeft(Attempt a) {
-    return a.head().notice().leaving()
-        || ports
-            .chooser()
-            .endpoint(a.endpoint().getId())
-            .map(EndpointRecord::getLeaving)
-            .orElse(true);
-  }
-
-  private void traceFault(Attempt a, Attempt.Fault fault) {
-    ports
-        .trace()
-        .record(
-            LogEvent.ATTEMPT_FAILED,
-            request.requestId(),
-            () ->
-                ("route=%s endpoint=%s fault=%s rule=%s status=%d framing=%s events=%d age_ms=%d"
-                        + " silent_ms=%d endpoint_silent_ms=%d reason=%s")
-                    .formatted(
-                        route().name(),
-                        a.endpoint().getId(),
-                        fault,
-                        endRule,
-                        a.status(),
-                        a.head().framing(),
-                        eventCount,
-                        a.elapsedMs(),
-                        a.silentMs(),
-                        a.endpointSilentMs(),
-                        a.failureDetail()));
-  }
-
-  /**
-   * Returns what keeps the request from another endpoint, regardless of the retry budget, the
-   * quarantine and the endpoints.
-   *
-   * @param mayHaveRun whether the last attempt may have run
-   * @param runs number of attempts that may have run
-   */
-  private RetryObstacle retryObstacle(boolean mayHaveRun, int runs) {
+  /** Returns whether the caller or the deadline keeps the request from another endpoint. */
+  private RetryObstacle timeObstacle() {
     if (callerDisconnected || response.isAbandoned()) {
       return RetryObstacle.CALLER_GONE;
     }
     if (deadlineExpired || timeLeftMs() < MIN_RETRY_TIME_LEFT_MS) {
       return RetryObstacle.TIME;
     }
-    Route matchedRoute = route();
-    if (!mayHaveRun) {
-      return declineCount <= MAX_DECLINES ? RetryObstacle.NONE : RetryObstacle.DECLINES;
-    }
-    if (!matchedRoute.isRepeatable()) {
-      return RetryObstacle.NOT_REPEATABLE;
-    }
-    return runs < matchedRoute.attempts() ? RetryObstacle.NONE : RetryObstacle.ATTEMPTS;
+    return RetryObstacle.NONE;
   }
 
   /**
    * Returns a refusal that reflects whether the request ran. Only one that never ran gets a 503.
    */
   private RefusalException notServedRefusal(ResultCode code, String detail) {
-    if (ran == Ran.NO) {
+    if (history.ran() == Ran.NO) {
       long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
       ResultCode notRun =
           deadlineExpired ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.NO_ENDPOINT;
@@ -676,16 +476,14 @@
           notRun, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
     }
     ResultCode reportedCode = code == ResultCode.NO_ENDPOINT ? ResultCode.ENDPOINT_FAILED : code;
-    return RefusalException.of(reportedCode, ran, 0, detail);
+    return RefusalException.of(reportedCode, history.ran(), 0, detail);
   }
 
   @Override
   void onNodeResumed(long pauseMs) {
     if (isIn(Stage.CALLING) && attempt != null) {
       attempt.leaveOutPause(pauseMs);
-      // The times of this call say nothing of its version any more.
-      firstEventRecorded = true;
-      paceRecorded = true;
+      outcomes().onNodeResumed();
     }
   }
 
@@ -694,33 +492,21 @@
     if (nowMs >= deadlineMs) {
       onDeadline();
     } else if (isIn(Stage.ADMITTING)) {
-      promptGuard.refusal(ran).ifPresent(this::refuse);
+      promptGuard.refusal(history.ran()).ifPresent(this::refuse);
     } else if (isIn(Stage.CHOOSING) && nowMs >= nextSuccessorMs) {
       chooseAgain();
     } else if (isIn(Stage.CALLING) && attempt != null) {
       Attempt current = attempt;
-      if (isFirstEventOverdue(current)) {
-        recordFirstEvent(current);
-      }
-      if (route().kind() == RouteKind.STREAMING) {
-        recordPaceIfSlow(current);
-      }
+      outcomes().onTick(current);
       if (nowMs >= nextSuccessorMs && hasTimedOut(current, nowMs)) {
         nextSuccessorMs = nowMs + SUCCESSOR_INTERVAL_MS;
-        if (isSuccessorPaid(sizeIndex, triedEndpoints, true)) {
+        if (isSuccessorPaid(sizes().size(), history.triedEndpoints(), true)) {
           current.failOnTimeout();
         }
       }
     }
   }
 
-  /** Returns whether an awaited first event already counts as slow for the version. */
-  private boolean isFirstEventOverdue(Attempt a) {
-    return !firstEventRecorded
-        && route().kind() == RouteKind.STREAMING
-        && ports.rollouts().isFirstEventSlow(route().name(), model, a.relativeTime());
-  }
-
   /**
    * Returns whether the attempt has timed out. The timeout is shorter if other requests fail to
    * connect to the endpoint than if the endpoint is merely slow.
@@ -731,8 +517,7 @@
       return true;
     }
     silenceRule = SilenceRule.UNREACHABLE;
-    boolean retryable = route().isRepeatable() && runCount + 1 < route().attempts();
-    return retryable
+    return history.isRetryable(route())
         && a.isIdleFor(UNREACHABLE_IDLE_TIMEOUT_MS, nowMs)
         && ports.chooser().isUnreachable(a.endpoint().getId());
   }
@@ -751,14 +536,17 @@
   @Override
   void onNodeStop() {
     endRule = "STOP";
-    if (isIn(Stage.CALLING) && ran == Ran.NO) {
-      ran = Ran.UNKNOWN;
+    if (isIn(Stage.CALLING)) {
+      history.markUnknown();
     }
     refuse(
-        ran == Ran.NO
+        history.ran() == Ran.NO
             ? Refusals.nodeLeaving()
             : RefusalException.of(
-                ResultCode.OUTCOME_UNKNOWN, ran, 0, "the node stopped before the response"));
+                ResultCode.OUTCOME_UNKNOWN,
+                history.ran(),
+                0,
+                "the node stopped before the response"));
   }
 
   /** Cancels the request, except for an unsafe call in progress, which runs to completion. */
@@ -792,52 +580,42 @@
     close(0);
     long totalMs = ports.clock().nowMs() - arrivedMs;
     String routeName = route == null ? "" : route.name();
+    String account = assignment == null ? "" : assignment.request().account().name();
+    String service = assignment == null ? "" : assignment.request().service();
     ports
         .outcomes()
         .accept(
             new RequestOutcome(
-                account.name(),
+                account,
                 routeName,
                 response.model(),
                 response.version(),
                 service,
                 code,
-                ran,
+                history.ran(),
                 response.sentStatus(),
                 firstByteMs < 0 ? totalMs : firstByteMs,
                 totalMs,
                 0,
-                sendCount));
-    ports
-        .trace()
-        .record(
-            code == ResultCode.OK ? LogEvent.REQUEST_ENDED : LogEvent.REQUEST_FAILED,
-            request.requestId(),
-            () ->
-                ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
-                        + " status=%d sends=%d events=%d wait_ms=%d queue_ms=%d first_byte_ms=%d"
-                        + " total_ms=%d endpoint=%s framing=%s rule=%s lacked=%s silent_ms=%d"
-                        + " end_config_version=%d")
-                    .formatted(
-                        routeName,
-                        account.name(),
-                        service,
-                        table.version(),
-                        code.number(),
-                        code,
-                        ran.text(),
-                        response.sentStatus(),
-                        sendCount,
-                        eventCount,
-                        beganMs - arrivedMs,
-                        (admittedMs < 0 ? arrivedMs + totalMs : admittedMs) - beganMs,
-                        firstByteMs,
-                        totalMs,
-                        attempt == null ? "" : attempt.endpoint().getId(),
-                        attempt == null ? "" : attempt.head().framing(),
-                        endRule,
-                        obstacle,
-                        attempt == null ? -1 : attempt.silentMs(),
-                        ports.routes().current().version()));
+                history.sendCount()));
+    trace.ended(
+        routeName,
+        service,
+        new ForwardedTrace.End(
+            account,
+            code,
+            history.ran(),
+            response.sentStatus(),
+            history.sendCount(),
+            eventCount,
+            beganMs - arrivedMs,
+            (admittedMs < 0 ? arrivedMs + totalMs : admittedMs) - beganMs,
+            firstByteMs,
+            totalMs,
+            endRule,
+            obstacle,
+            attempt),
+        table.version(),
+        ports.routes().current().version());
   }
 }
--- a/core/src/main/java/org/currantslip/core/route/Route.java
+++ b/core/src/main/java/org/currantslip/core/route/Route.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.route;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -20,6 +21,7 @@
  * @param anonymous whether requests need no API key
  * @param resumable whether a stream may resume at another endpoint after its last event
  * @param modelSizes models that may answer, smallest first; empty when the caller names the model
+ * @param homes regions in which requests may be served; empty for all
  */
 public record Route(
     String name,
@@ -34,10 +36,43 @@
     int priority,
     boolean anonymous,
     boolean resumable,
-    List<String> modelSizes) {
+    List<String> modelSizes,
+    ImmutableSet<String> homes) {
 
   private static final long HASH_BUCKETS = 1 << 20;
 
+  /** Creates a route whose requests may be served in all regions. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteKind kind,
+      List<WeightedService> services,
+      int attempts,
+      long timeoutMs,
+      long objectiveMs,
+      long eventGapMs,
+      int priority,
+      boolean anonymous,
+      boolean resumable,
+      List<String> modelSizes) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        services,
+        attempts,
+        timeoutMs,
+        objectiveMs,
+        eventGapMs,
+        priority,
+        anonymous,
+        resumable,
+        modelSizes,
+        ImmutableSet.of());
+  }
+
   /** Returns whether a request may run again after it may already have run. */
   public boolean isRepeatable() {
     return kind == RouteKind.SAFE || (kind == RouteKind.STREAMING && resumable);
--- a/core/src/main/java/org/currantslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/currantslip/core/route/RouteTable.java
@@ -16,16 +16,25 @@
   private final ImmutableListMultimap<String, Route> routesByHost;
   private final ImmutableMap<String, Account> accountsByKey;
   private final CallerLimits limits;
+  private final ImmutableMap<String, ServiceTerms> servicesByName;
 
   private RouteTable(
       long version,
       ImmutableListMultimap<String, Route> routesByHost,
       ImmutableMap<String, Account> accountsByKey,
-      CallerLimits limits) {
+      CallerLimits limits,
+      ImmutableMap<String, ServiceTerms> servicesByName) {
     this.version = version;
     this.routesByHost = routesByHost;
     this.accountsByKey = accountsByKey;
     this.limits = limits;
+    this.servicesByName = servicesByName;
+  }
+
+  /** Creates a route table that says nothing of its services. */
+  public static RouteTable of(
+      long version, List<Route> routes, Map<String, Account> accountsByKey, CallerLimits limits) {
+    return of(version, routes, accountsByKey, limits, Map.of());
   }
 
   /**
@@ -34,7 +43,11 @@
    * @param accountsByKey accounts by API key
    */
   public static RouteTable of(
-      long version, List<Route> routes, Map<String, Account> accountsByKey, CallerLimits limits) {
+      long version,
+      List<Route> routes,
+      Map<String, Account> accountsByKey,
+      CallerLimits limits,
+      Map<String, ServiceTerms> servicesByName) {
     List<Route> longestFirst =
         routes.stream()
             .sorted(Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed())
@@ -43,7 +56,8 @@
         version,
         Multimaps.index(longestFirst, Route::host),
         ImmutableMap.copyOf(accountsByKey),
-        limits);
+        limits,
+        ImmutableMap.copyOf(servicesByName));
   }
 
   /** Returns the empty table that applies until a configuration is known. */
@@ -66,6 +80,16 @@
     return Optional.ofNullable(accountsByKey.get(key));
   }
 
+  /** Returns the terms of a service; those of an unknown service name nothing. */
+  public ServiceTerms service(String name) {
+    return servicesByName.getOrDefault(name, ServiceTerms.unknown(name));
+  }
+
+  /** Returns the routes of a host, the one with the longest path prefix first. */
+  public List<Route> routesOf(String host) {
+    return routesByHost.get(host);
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routesByHost.size();
--- a/core/src/main/java/org/currantslip/core/routing/EndpointNotice.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointNotice.java
@@ -1,5 +1,7 @@
 package org.currantslip.core.routing;
 
+import java.util.OptionalDouble;
+
 /**
  * What an endpoint says of itself in a response.
  *
@@ -7,10 +9,17 @@
  * @param retryAfterS time in seconds for which it wants no requests; zero if it names none, NaN if
  *     the value cannot be read
  * @param limit number of requests that it accepts from all nodes together
+ * @param brittlePerS refusals a second for lack of room that it bears, if it is brittle
  */
-public record EndpointNotice(boolean leaving, double retryAfterS, RequestLimit limit) {
+public record EndpointNotice(
+    boolean leaving, double retryAfterS, RequestLimit limit, OptionalDouble brittlePerS) {
   private static final EndpointNotice NONE = new EndpointNotice(false, 0, RequestLimit.unsaid());
 
+  /** Creates the notice of a response of an endpoint that is not brittle. */
+  public EndpointNotice(boolean leaving, double retryAfterS, RequestLimit limit) {
+    this(leaving, retryAfterS, limit, OptionalDouble.empty());
+  }
+
   /** Creates the notice of a response that says nothing of a limit. */
   public EndpointNotice(boolean leaving, double retryAfterS) {
     this(leaving, retryAfterS, RequestLimit.unsaid());
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -3,7 +3,6 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,10 +14,8 @@
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointLimits;
 import org.currantslip.schema.EndpointRecord;
-import org.currantslip.schema.PendingPrefill;
 import org.currantslip.schema.PrefillReport;
 import org.currantslip.schema.SentPrompt;
-import org.currantslip.schema.SentPromptPart;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,22 +48,16 @@
   /** An endpoint that few nodes may use stays below its limit unless these nodes prefer it. */
   private static final double LIMITED_ENDPOINT_BONUS_MS = 5;
 
-  /** Bounds a report; a node sends fewer prompts between two reports. */
-  private static final int MAX_SENT_PROMPTS = 64;
-
-  private record PoolKey(String model, String version, String service) {}
-
   private final Clock clock;
   private final String localFailureDomain;
   private final SplittableRandom random;
-  private final Map<String, EndpointState> states = new HashMap<>();
-  private final Map<PoolKey, PrefillRateEstimator> prefillRates = new HashMap<>();
+  private final EndpointPools pools = EndpointPools.create();
+  private final Map<EndpointPools.Key, PrefillRateEstimator> prefillRates = new HashMap<>();
   private final Map<String, MeanPrefillTime> meanPrefillTimes = new HashMap<>();
   private final PeerPrefills peerPrefills = PeerPrefills.create();
-  private final List<SentPrompt> sentPrompts = new ArrayList<>();
+  private final SentPrompts sentPrompts = SentPrompts.create();
   private final SendRestrictions restrictions = SendRestrictions.create();
   private final RequestLimits limits;
-  private Map<PoolKey, EndpointPool> pools = Map.of();
 
   private ExpectedWaitChooser(
       Clock clock, String localFailureDomain, long seed, SenderShares shares) {
@@ -89,77 +80,30 @@
 
   @Override
   public void onEndpoints(List<EndpointRecord> endpoints) {
-    Map<PoolKey, List<EndpointState>> members = new HashMap<>();
-    Map<String, EndpointState> newStates = new HashMap<>();
-    for (EndpointRecord endpoint : endpoints) {
-      EndpointState existing = states.get(endpoint.getId());
-      boolean sameInstance =
-          existing != null && existing.endpoint().getStartedMs() == endpoint.getStartedMs();
-      EndpointState state =
-          sameInstance && existing != null ? existing : new EndpointState(endpoint);
-      state.setEndpoint(endpoint);
-      newStates.put(endpoint.getId(), state);
-      PoolKey key = new PoolKey(endpoint.getModel(), endpoint.getVersion(), endpoint.getService());
-      members.computeIfAbsent(key, k -> new ArrayList<>()).add(state);
-      if (!endpoint.getService().isEmpty() && !endpoint.getVersion().isEmpty()) {
-        PoolKey anyVersion = new PoolKey(endpoint.getModel(), "", endpoint.getService());
-        members.computeIfAbsent(anyVersion, k -> new ArrayList<>()).add(state);
-      }
-    }
-    states.clear();
-    states.putAll(newStates);
-    peerPrefills.retain(newStates.keySet());
-    restrictions.retain(newStates.keySet(), clock.nowMs());
-    Map<PoolKey, EndpointPool> newPools = new HashMap<>();
-    members.forEach((key, list) -> newPools.put(key, EndpointPool.of(list)));
-    pools = newPools;
+    pools.replace(endpoints);
+    peerPrefills.retain(pools.ids());
+    restrictions.retain(pools.ids(), clock.nowMs());
   }
 
   /** Returns the prompts that this node has sent, to be reported to other nodes. */
   public PrefillReport prefillReport() {
-    PrefillReport.Builder report = PrefillReport.newBuilder().addAllSent(sentPrompts);
-    sentPrompts.clear();
-    states.forEach(
-        (id, state) -> {
-          if (state.pendingPrefillMs() >= 1) {
-            report.addPending(
-                PendingPrefill.newBuilder()
-                    .setEndpoint(id)
-                    .setPrefillMs((int) state.pendingPrefillMs()));
-          }
-        });
-    return report.build();
+    return sentPrompts.report(pools.states());
   }
 
   /** Records the prompts that another node has sent. */
   public void onPrefillReport(String node, PrefillReport report) {
     peerPrefills.onReport(node, report, clock.nowMs());
     for (SentPrompt sent : report.getSentList()) {
-      EndpointState state = states.get(sent.getEndpoint());
+      EndpointState state = pools.state(sent.getEndpoint());
       if (state != null) {
-        List<PromptPart> parts =
-            sent.getPartList().stream().map(p -> new PromptPart(p.getId(), p.getTokens())).toList();
-        state.promptCache().add(sent.getModel(), parts);
+        state.promptCache().add(sent.getModel(), SentPrompts.parts(sent));
       }
     }
   }
 
-  private void recordSent(EndpointState state, EndpointQuery query) {
-    if (query.prompt().isEmpty() || sentPrompts.size() >= MAX_SENT_PROMPTS) {
-      return;
-    }
-    SentPrompt.Builder sent =
-        SentPrompt.newBuilder().setEndpoint(state.endpoint().getId()).setModel(query.engineModel());
-    query
-        .prompt()
-        .forEach(
-            p -> sent.addPart(SentPromptPart.newBuilder().setId(p.id()).setTokens(p.tokens())));
-    sentPrompts.add(sent.build());
-  }
-
   @Override
   public void onLoad(EndpointLoad load) {
-    EndpointState state = states.get(load.endpointId());
+    EndpointState state = pools.state(load.endpointId());
     if (state != null) {
       state.setLoad(load);
     }
@@ -167,7 +111,7 @@
 
   @Override
   public Optional<EndpointRecord> choose(EndpointQuery query) {
-    EndpointPool pool = pools.get(new PoolKey(query.model(), query.version(), query.service()));
+    EndpointPool pool = pools.pool(query.model(), query.version(), query.service());
     if (pool == null) {
       return Optional.empty();
     }
@@ -269,7 +213,8 @@
 
   private PrefillRateEstimator prefillRate(EndpointQuery query) {
     return prefillRates.computeIfAbsent(
-        new PoolKey(query.engineModel(), "", query.service()), k -> PrefillRateEstimator.create());
+        new EndpointPools.Key(query.engineModel(), "", query.service()),
+        k -> PrefillRateEstimator.create());
   }
 
   private MeanPrefillTime meanPrefillTime(EndpointQuery query) {
@@ -329,13 +274,13 @@
 
   @Override
   public boolean isUnreachable(String endpointId) {
-    EndpointState state = states.get(endpointId);
+    EndpointState state = pools.state(endpointId);
     return state != null && state.isUnreachable(clock.nowMs());
   }
 
   @Override
   public RequestTracker track(String endpointId, EndpointQuery query) {
-    EndpointState state = states.get(endpointId);
+    EndpointState state = pools.state(endpointId);
     return state == null
         ? EndpointChooser.super.track(endpointId, query)
         : new TrackedUse(state, query, prefillRate(query));
@@ -373,7 +318,7 @@
       state.addPendingPrompts(1, prefillMs);
       meanPrefillTime(query).update(prefillMs);
       state.promptCache().add(query.engineModel(), query.prompt());
-      recordSent(state, query);
+      sentPrompts.add(state.endpoint().getId(), query);
       prefillPending = true;
     }
 
@@ -416,7 +361,7 @@
   /** Returns the expected time to the first token, or empty if no endpoint is usable. */
   @Override
   public OptionalDouble expectedFirstTokenMs(EndpointQuery query) {
-    EndpointPool pool = pools.get(new PoolKey(query.model(), query.version(), query.service()));
+    EndpointPool pool = pools.pool(query.model(), query.version(), query.service());
     EndpointState best = pool == null ? null : findBest(pool, query);
     return best == null
         ? OptionalDouble.empty()
@@ -426,7 +371,7 @@
   /** Returns how many requests of a service can start without waiting. */
   public int freeSlots(String service) {
     long now = clock.nowMs();
-    EndpointPool pool = pools.get(new PoolKey("", "", service));
+    EndpointPool pool = pools.pool("", "", service);
     return pool == null
         ? 0
         : IntStream.range(0, pool.size())
@@ -438,7 +383,7 @@
 
   @Override
   public void onDispatched(String endpointId, long expectedTokens) {
-    EndpointState state = states.get(endpointId);
+    EndpointState state = pools.state(endpointId);
     if (state != null) {
       onSent(state);
     }
@@ -446,7 +391,7 @@
 
   @Override
   public void onFinished(String endpointId, CallResult result) {
-    EndpointState state = states.get(endpointId);
+    EndpointState state = pools.state(endpointId);
     if (state != null) {
       state.onFinished(clock.nowMs(), result);
     }
@@ -454,16 +399,16 @@
 
   @Override
   public List<EndpointRecord> endpoints() {
-    return states.values().stream().map(EndpointState::endpoint).toList();
+    return pools.states().stream().map(EndpointState::endpoint).toList();
   }
 
   @Override
   public Optional<EndpointRecord> endpoint(String endpointId) {
-    return Optional.ofNullable(states.get(endpointId)).map(EndpointState::endpoint);
+    return Optional.ofNullable(pools.state(endpointId)).map(EndpointState::endpoint);
   }
 
   @Override
   public Optional<EndpointLoad> load(String endpointId) {
-    return Optional.ofNullable(states.get(endpointId)).map(EndpointState::load);
+    return Optional.ofNullable(pools.state(endpointId)).map(EndpointState::load);
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -0,0 +1,103 @@
+package org.currantslip.node.edge;
+
+import java.util.function.Consumer;
+import org.currantslip.core.membership.HeartbeatMembership;
+import org.currantslip.core.mirror.KindMirror;
+import org.currantslip.core.mirror.MirrorGossip;
+import org.currantslip.core.mirror.MirrorRelay;
+import org.currantslip.core.quarantine.PromptQuarantine;
+import org.currantslip.core.rollout.ServiceRollouts;
+import org.currantslip.core.routing.ExpectedWaitChooser;
+import org.currantslip.node.peer.PeerDispatcher;
+import org.currantslip.schema.NodeRecord;
+import org.currantslip.schema.PeerFrame;
+
+/** Dispatches the frames of peers to the components that handle them. */
+final class EdgeFrames implements PeerDispatcher {
+  private final HeartbeatMembership membership;
+  private final StoreMirrors mirrors;
+  private final MirrorGossip mirrorGossip;
+  private final MirrorRelay mirrorRelay;
+  private final ServiceRollouts rollouts;
+  private final ExpectedWaitChooser endpointChooser;
+  private final PromptQuarantine quarantine;
+  private final QuarantineLinks quarantineLinks;
+
+  private EdgeFrames(
+      HeartbeatMembership membership,
+      StoreMirrors mirrors,
+      MirrorGossip mirrorGossip,
+      MirrorRelay mirrorRelay,
+      ServiceRollouts rollouts,
+      ExpectedWaitChooser endpointChooser,
+      PromptQuarantine quarantine,
+      QuarantineLinks quarantineLinks) {
+    this.membership = membership;
+    this.mirrors = mirrors;
+    this.mirrorGossip = mirrorGossip;
+    this.mirrorRelay = mirrorRelay;
+    this.rollouts = rollouts;
+    this.endpointChooser = endpointChooser;
+    this.quarantine = quarantine;
+    this.quarantineLinks = quarantineLinks;
+  }
+
+  static EdgeFrames create(
+      HeartbeatMembership membership,
+      StoreMirrors mirrors,
+      MirrorGossip mirrorGossip,
+      MirrorRelay mirrorRelay,
+      ServiceRollouts rollouts,
+      ExpectedWaitChooser endpointChooser,
+      PromptQuarantine quarantine,
+      QuarantineLinks quarantineLinks) {
+    return new EdgeFrames(
+        membership,
+        mirrors,
+        mirrorGossip,
+        mirrorRelay,
+        rollouts,
+        endpointChooser,
+        quarantine,
+        quarantineLinks);
+  }
+
+  @Override
+  public void onLink(NodeRecord peer) {
+    membership.onRecord(peer);
+    quarantineLinks.onLink(peer.getId().getName(), quarantine);
+  }
+
+  /** The fault that broke the link may also have interrupted the store watches. */
+  @Override
+  public void onLinkLost(NodeRecord peer) {
+    mirrors.all().forEach(KindMirror::restart);
+  }
+
+  @Override
+  public void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply) {
+    PeerFrame.Builder replyFrame = PeerFrame.newBuilder();
+    switch (frame.getBodyCase()) {
+      case HEARTBEAT ->
+          reply.accept(
+              replyFrame.setHeartbeat(membership.onHeartbeat(frame.getHeartbeat())).build());
+      case MIRROR_REQUEST ->
+          mirrorGossip
+              .answer(frame.getMirrorRequest())
+              .ifPresent(s -> reply.accept(replyFrame.setMirrorSnapshot(s).build()));
+      case MIRROR_WATCH ->
+          mirrorRelay.onWatch(
+              fromNode,
+              frame.getMirrorWatch(),
+              changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
+      case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
+      case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
+      case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
+      case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
+      case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
+      default -> {
+        // Replies have reached their requesters already; frame types of newer nodes are ignored.
+      }
+    }
+  }
+}
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -2,11 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.core.cascade.SizeCascade;
 import org.currantslip.core.common.Clock;
@@ -39,7 +37,6 @@
 import org.currantslip.node.metrics.MetricsHandler;
 import org.currantslip.node.metrics.NodeGauges;
 import org.currantslip.node.metrics.NodeMetrics;
-import org.currantslip.node.peer.PeerDispatcher;
 import org.currantslip.node.peer.PeerLinks;
 import org.currantslip.node.peer.PeerTls;
 import org.currantslip.node.wiring.IncarnationAllocator;
@@ -54,7 +51,6 @@
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.NodeState;
 import org.currantslip.schema.PeerFrame;
-import org.currantslip.schema.PrefillReport;
 import org.currantslip.schema.VersionHalt;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
@@ -75,13 +71,6 @@
   private static final long MAX_PORT_CLOSED_MS = 5 * STORE_TIMEOUT_MS;
 
   private static final long PUBLISH_INTERVAL_MS = 50;
-  private static final long REPORT_INTERVAL_MS = 300;
-
-  /** Short compared with the prefill of a long prompt, which keeps an engine busy. */
-  private static final long PREFILL_REPORT_INTERVAL_MS = 75;
-
-  /** Share of the other nodes that must be heartbeat targets for prefill reports to be sent. */
-  private static final double MIN_REPORTED_SHARE = 0.3;
 
   /**
    * Shortest store outage, in report intervals, in which endpoint entries can expire. An entry
@@ -107,6 +96,8 @@
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
+  private final FleetReports reports;
+  private final EdgeFrames frames;
   private final QuarantineLinks quarantineLinks;
   private final PromptQuarantine quarantine;
   private final SlotQueue requestQueue;
@@ -121,9 +112,6 @@
   private volatile boolean ready;
   private volatile boolean superseded;
   private long nextPublishMs;
-  private long nextReportMs;
-  private long nextPrefillReportMs;
-  private PrefillReport lastPrefillReport = PrefillReport.getDefaultInstance();
   private int endpointCount;
   private long idleTimeoutMs;
   private boolean closed;
@@ -160,7 +148,12 @@
         HeartbeatMembership.create(self, store, peerLinks, clock, EdgeOptions.membership());
     membershipRef.set(membership);
     storeWatchers = StoreWatchers.create(membership, clock);
-    mirrors = StoreMirrors.create(RelayedFeed.create(store, peerLinks, storeWatchers), clock, seed);
+    mirrors =
+        StoreMirrors.create(
+            RelayedFeed.create(store, peerLinks, storeWatchers),
+            clock,
+            seed,
+            EdgeOptions.regions(settings));
     mirrorRelay = MirrorRelay.create(mirrors.all(), storeWatchers::isWatcher, clock);
     storeProbe = StoreProbe.create(store, mirrorRelay::hasFollowers, clock, this::onStoreSilent);
     mirrorGossip =
@@ -212,6 +205,19 @@
     quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
     quarantine = PromptQuarantine.create(clock, quarantineLinks);
     quarantine.setListener(QuarantineLog.create(trace));
+    reports =
+        FleetReports.create(
+            clock, membership, peerLinks, rollouts, rolloutController, endpointChooser);
+    frames =
+        EdgeFrames.create(
+            membership,
+            mirrors,
+            mirrorGossip,
+            mirrorRelay,
+            rollouts,
+            endpointChooser,
+            quarantine,
+            quarantineLinks);
     requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
@@ -259,7 +265,7 @@
   public static EdgeNode start(EdgeSettings settings) throws Exception {
     EdgeNode node = new EdgeNode(settings);
     try {
-      node.peerLinks.listen(node.new FrameDispatcher());
+      node.peerLinks.listen(node.frames);
       node.managementServer.start();
     } catch (Exception e) {
       node.close();
@@ -322,14 +328,7 @@
         LogEvent.VERSION_STOPPED,
         "service=%s version=%s reason=%s"
             .formatted(halt.getService(), halt.getVersion(), halt.getReason()));
-    sendToOthers(PeerFrame.newBuilder().setVersionHalt(halt).build());
-  }
-
-  private void sendToOthers(PeerFrame frame) {
-    membership.live().stream()
-        .map(n -> n.getId().getName())
-        .filter(n -> !n.equals(settings.getName()))
-        .forEach(n -> peerLinks.send(n, frame));
+    reports.sendToOthers(PeerFrame.newBuilder().setVersionHalt(halt).build());
   }
 
   private List<String> callerAddresses() {
@@ -354,7 +353,7 @@
     TickStep.run("stop", plannedStop::tick);
     TickStep.run("stop_log", this::logStopPhase);
     TickStep.run("serve", this::serveIfReady);
-    TickStep.run("reports", this::sendReports);
+    TickStep.run("reports", reports::tick);
     TickStep.run("publish", this::publishIfDue);
     TickStep.run("superseded", () -> membership.supersededBy().ifPresent(this::onSuperseded));
     if (superseded || callerPort.hasFailed() || plannedStop.phase() == PlannedStop.Phase.DONE) {
@@ -372,21 +371,6 @@
     }
   }
 
-  private void sendReports() {
-    long nowMs = clock.nowMs();
-    if (nowMs >= nextReportMs) {
-      nextReportMs = nowMs + REPORT_INTERVAL_MS;
-      sendOutcomeReport();
-      endpointChooser
-          .limitReport()
-          .ifPresent(r -> sendToOthers(PeerFrame.newBuilder().setEndpointLimits(r).build()));
-    }
-    if (nowMs >= nextPrefillReportMs) {
-      nextPrefillReportMs = nowMs + PREFILL_REPORT_INTERVAL_MS;
-      sendPrefillReport();
-    }
-  }
-
   private void publishIfDue() {
     long nowMs = clock.nowMs();
     if (nowMs >= nextPublishMs) {
@@ -430,39 +414,6 @@
     mirrors.all().forEach(KindMirror::onStoreSilent);
   }
 
-  /** Sends the observed outcomes per version to the nodes that may control the rollouts. */
-  private void sendOutcomeReport() {
-    rollouts
-        .report()
-        .ifPresent(
-            outcomes -> {
-              PeerFrame frame = PeerFrame.newBuilder().setOutcomes(outcomes).build();
-              rollouts.orders().stream()
-                  .flatMap(o -> rolloutController.candidates(o.service()).stream())
-                  .distinct()
-                  .filter(n -> !n.equals(settings.getName()))
-                  .forEach(n -> peerLinks.send(n, frame));
-            });
-  }
-
-  /**
-   * Sends the prompts of this node to its heartbeat targets, unless nothing changed. The targets
-   * are bounded in number; in a large fleet the reports of so few nodes tell less than they cost.
-   */
-  private void sendPrefillReport() {
-    Set<String> targets = membership.heartbeatTargets();
-    if (targets.size() < MIN_REPORTED_SHARE * (membership.live().size() - 1)) {
-      return;
-    }
-    PrefillReport report = endpointChooser.prefillReport();
-    if (report.equals(lastPrefillReport)) {
-      return;
-    }
-    lastPrefillReport = report;
-    PeerFrame frame = PeerFrame.newBuilder().setPrefill(report).build();
-    targets.forEach(n -> peerLinks.send(n, frame));
-  }
-
   private void publish() {
     boolean running = plannedStop.phase() == PlannedStop.Phase.RUNNING;
     var routeTable = mirrors.routes().current();
@@ -517,46 +468,4 @@
         "clean=%s unanswered=%d"
             .formatted(!superseded && plannedStop.isClean(), unansweredRequests));
   }
-
-  /** Dispatches the frames of peers to the components that handle them. */
-  private final class FrameDispatcher implements PeerDispatcher {
-    @Override
-    public void onLink(NodeRecord peer) {
-      membership.onRecord(peer);
-      quarantineLinks.onLink(peer.getId().getName(), quarantine);
-    }
-
-    /** The fault that broke the link may also have interrupted the store watches. */
-    @Override
-    public void onLinkLost(NodeRecord peer) {
-      mirrors.all().forEach(KindMirror::restart);
-    }
-
-    @Override
-    public void onFrame(String fromNode, PeerFrame frame, Consumer<PeerFrame> reply) {
-      PeerFrame.Builder replyFrame = PeerFrame.newBuilder();
-      switch (frame.getBodyCase()) {
-        case HEARTBEAT ->
-            reply.accept(
-                replyFrame.setHeartbeat(membership.onHeartbeat(frame.getHeartbeat())).build());
-        case MIRROR_REQUEST ->
-            mirrorGossip
-                .answer(frame.getMirrorRequest())
-                .ifPresent(s -> reply.accept(replyFrame.setMirrorSnapshot(s).build()));
-        case MIRROR_WATCH ->
-            mirrorRelay.onWatch(
-                fromNode,
-                frame.getMirrorWatch(),
-                changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
-        case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
-        case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
-        case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
-        case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
-        case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
-        default -> {
-          // Replies have reached their requesters already; frame types of newer nodes are ignored.
-        }
-      }
-    }
-  }
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -1,11 +1,13 @@
 package org.currantslip.node.edge;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.membership.MembershipOptions;
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.node.caller.CallerOptions;
 import org.currantslip.node.peer.PeerOptions;
+import org.currantslip.schema.DomainRegionSettings;
 import org.currantslip.schema.EdgeSettings;
 
 /** Derives the limits and timeouts of an edge node from its settings. */
@@ -114,6 +116,16 @@
     return new PlannedStop.Options(leavingMs, Math.max(0, drainMs), 0, MARK_TIMEOUT_MS);
   }
 
+  /** Returns the region of each failure domain that the settings name. */
+  static ImmutableMap<String, String> regions(EdgeSettings settings) {
+    return settings.getDomainList().stream()
+        .collect(
+            ImmutableMap.toImmutableMap(
+                DomainRegionSettings::getName,
+                DomainRegionSettings::getRegion,
+                (first, second) -> second));
+  }
+
   static RetryBudget.Bound retryBound(EdgeSettings settings) {
     var retry = settings.getRetry();
     return new RetryBudget.Bound(
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -1,5 +1,6 @@
 package org.currantslip.node.edge;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -35,13 +36,16 @@
   private final KindMirror rollouts;
   private final RouteHolder routes = RouteHolder.create();
   private final Clock clock;
+  private final ImmutableMap<String, String> regionByDomain;
   private Runnable ordersReader = () -> {};
   private Runnable restoreListener = () -> {};
   private Runnable configListener = () -> {};
   private long ordersLackUntilMs;
 
-  private StoreMirrors(KindStore kindStore, Clock clock, long seed) {
+  private StoreMirrors(
+      KindStore kindStore, Clock clock, long seed, ImmutableMap<String, String> regionByDomain) {
     this.clock = clock;
+    this.regionByDomain = regionByDomain;
     MirrorOptions options = MirrorOptions.defaults();
     config = KindMirror.create(RouteTableReader.KIND, kindStore, clock, options, seed);
     endpoints = KindMirror.create(EndpointEntryReader.KIND, kindStore, clock, options, seed + 1);
@@ -64,8 +68,14 @@
     config.setContentVersion(object -> RouteTableReader.version(object.spec()));
   }
 
-  static StoreMirrors create(KindStore kindStore, Clock clock, long seed) {
-    return new StoreMirrors(kindStore, clock, seed);
+  /**
+   * Creates empty copies.
+   *
+   * @param regionByDomain region of each failure domain, where it is known
+   */
+  static StoreMirrors create(
+      KindStore kindStore, Clock clock, long seed, ImmutableMap<String, String> regionByDomain) {
+    return new StoreMirrors(kindStore, clock, seed, regionByDomain);
   }
 
   List<KindMirror> all() {
@@ -163,7 +173,9 @@
     List<EndpointRecord> records = new ArrayList<>();
     for (KindObject object : endpoints.objects().values()) {
       try {
-        records.add(EndpointEntryReader.read(object.name(), object.spec()));
+        EndpointRecord record = EndpointEntryReader.read(object.name(), object.spec());
+        String region = regionByDomain.getOrDefault(record.getFailureDomain(), "");
+        records.add(record.toBuilder().setRegion(region).build());
       } catch (UnreadableEntryException e) {
         logUnreadable(EndpointEntryReader.KIND, object, e);
       }
