Nodes that start make fewer store calls; stale lists verify watches

Change: a node creates its join record without reading it when its incarnation came from a store without one, and updates it at the version that it wrote. The first list of peers follows its own record. Mirrors wait up to 1 s for that list, so that a starting node follows a watcher; a watcher that has not read the store lets followers wait up to 0.8 s for the copy. A list after a watch without changes may be stale (a tenth of the price); if it is older than the copy, a full list follows.

Result: HeartbeatMembershipTest.startOfFleetCostsFewStoreCalls, two tests of KindMirror; tests of membership, mirrors and planned stop pass.

--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -36,6 +36,13 @@
 public final class HeartbeatMembership implements Membership {
   private static final int LIST_PAGE_SIZE = 500;
   private static final long NO_PEERS_REFRESH_MS = 1_000;
+
+  /**
+   * Time within which the first list of join records waits for this node's own record. Nodes that
+   * start together then find each other with one list.
+   */
+  private static final long MAX_FIRST_REFRESH_DELAY_MS = 500;
+
   private static final int RETRANSMIT_FACTOR = 4;
   private static final int HEARTBEATS_PER_PROBE = 4;
   private static final int GONE_CHECKS_PER_PERIOD = 3;
@@ -58,6 +65,7 @@
   private long nextRefreshMs;
   private long nextGoneCheckMs;
   private long heartbeatRounds;
+  private boolean peersListed;
   private String lastProbed = "";
 
   private HeartbeatMembership(
@@ -205,6 +213,16 @@
     return joinRecord.isJoined();
   }
 
+  /** Lets this node create its join record without reading it first, since the store has none. */
+  public void assumeNoJoinRecord() {
+    joinRecord.assumeAbsent();
+  }
+
+  /** Returns whether this node has read the join records of its peers from the store. */
+  public boolean isPeersListed() {
+    return peersListed;
+  }
+
   /** Returns the record that supersedes this node, if any; the process must then stop. */
   public Optional<NodeRecord> supersededBy() {
     return joinRecord.supersededBy();
@@ -267,7 +285,8 @@
   public void tick() {
     joinRecord.tick();
     long nowMs = clock.nowMs();
-    if (nowMs >= nextRefreshMs) {
+    boolean mayRefresh = joinRecord.isJoined() || nowMs - startedMs >= MAX_FIRST_REFRESH_DELAY_MS;
+    if (mayRefresh && nowMs >= nextRefreshMs) {
       refresh(nowMs);
     }
     if (nowMs >= nextHeartbeatMs) {
@@ -461,6 +480,7 @@
         .thenAccept(
             page -> {
               page.stream().flatMap(o -> JoinRecord.parse(o).stream()).forEach(this::mergeRecord);
+              peersListed = true;
               if (page.size() == LIST_PAGE_SIZE) {
                 refreshFrom(page.get(page.size() - 1).name());
               }
--- a/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
+++ b/core/src/main/java/org/currantslip/core/membership/JoinRecord.java
@@ -13,17 +13,14 @@
 /**
  * Reconciles the stored join record of this node with its desired state.
  *
- * <p>Each round reads the record and then updates it conditionally on the version read, so the next
- * round resolves the outcome of a write whose reply was lost. A round that gets no reply is
- * abandoned after a timeout.
+ * <p>A round writes conditionally on the version that this node knows, or reads the record first if
+ * it knows none, so the next round resolves the outcome of a write whose reply was lost. A round
+ * that gets no reply is abandoned after a timeout.
  */
 final class JoinRecord {
   static final String PREFIX = "node/";
   private static final long RETRY_INTERVAL_MS = 1_000;
 
-  /** A node usually starts to serve within this time and then writes its record only once. */
-  private static final long FIRST_WRITE_DELAY_MS = 500;
-
   private static final long ROUND_TIMEOUT_MS = 10_000;
 
   private final ObjectStore store;
@@ -34,6 +31,8 @@
   private long round;
   private long roundDeadlineMs;
   private boolean stale;
+  private boolean assumedAbsent;
+  private @Nullable StoredVersion storedVersion;
   private boolean touchPending;
   private long nextRoundMs;
   private CompletableFuture<Void> desiredStored = new CompletableFuture<>();
@@ -42,7 +41,19 @@
     this.desired = desired;
     this.store = store;
     this.clock = clock;
-    nextRoundMs = clock.nowMs() + FIRST_WRITE_DELAY_MS;
+    nextRoundMs = clock.nowMs();
+  }
+
+  /**
+   * Version and number of touches of the record as this node last wrote it.
+   *
+   * @param touches value that the next write has to exceed
+   */
+  private record StoredVersion(long version, long touches) {}
+
+  /** Lets the first round create the record without reading it, since the store has none. */
+  void assumeAbsent() {
+    assumedAbsent = true;
   }
 
   static JoinRecord create(NodeRecord desired, ObjectStore store, Clock clock) {
@@ -96,19 +107,19 @@
     if (inProgress || supersededBy != null || upToDate || clock.nowMs() < nextRoundMs) {
       return;
     }
+    final boolean mustRead = stale;
     stale = false;
     long thisRound = ++round;
     nextRoundMs = clock.nowMs() + RETRY_INTERVAL_MS;
     roundDeadlineMs = clock.nowMs() + ROUND_TIMEOUT_MS;
     NodeRecord target = desired;
-    store
-        .get(objectName(target.getId().getName()))
-        .thenCompose(existing -> write(existing, target))
+    write(target, mustRead)
         .whenComplete(
             (result, failure) -> {
               if (thisRound == round) {
                 roundDeadlineMs = 0;
                 stale |= failure != null;
+                storedVersion = failure == null ? storedVersion : null;
               }
               if (failure == null) {
                 onStored(target);
@@ -131,10 +142,37 @@
     return stored != null && stored.getStateValue() > target.getStateValue();
   }
 
-  private CompletableFuture<?> write(Optional<StoredObject> existing, NodeRecord target) {
+  private CompletableFuture<?> write(NodeRecord target, boolean mustRead) {
+    String name = objectName(target.getId().getName());
+    StoredVersion known = storedVersion;
+    if (!mustRead && known != null) {
+      return update(name, target, known.version(), known.touches() + 1);
+    }
+    if (!mustRead && assumedAbsent) {
+      assumedAbsent = false;
+      return createStored(name, target);
+    }
+    return store.get(name).thenCompose(existing -> writeOver(existing, target));
+  }
+
+  private CompletableFuture<Void> createStored(String name, NodeRecord target) {
+    return store
+        .create(name, target.toByteString())
+        .thenAccept(version -> storedVersion = new StoredVersion(version, target.getTouches()));
+  }
+
+  private CompletableFuture<Void> update(
+      String name, NodeRecord target, long version, long touches) {
+    NodeRecord updated = target.toBuilder().setTouches(touches).build();
+    return store
+        .update(name, updated.toByteString(), version)
+        .thenAccept(newVersion -> storedVersion = new StoredVersion(newVersion, touches));
+  }
+
+  private CompletableFuture<?> writeOver(Optional<StoredObject> existing, NodeRecord target) {
     String name = objectName(target.getId().getName());
     if (existing.isEmpty()) {
-      return store.create(name, target.toByteString());
+      return createStored(name, target);
     }
     NodeRecord existingRecord = parse(existing.get()).orElse(NodeRecord.getDefaultInstance());
     if (supersedes(existingRecord, target)) {
@@ -146,8 +184,7 @@
     }
     touchPending = false;
     // The store assigns no new version to an unchanged value, which would not show a sign of life.
-    NodeRecord updated = target.toBuilder().setTouches(existingRecord.getTouches() + 1).build();
-    return store.update(name, updated.toByteString(), existing.get().version());
+    return update(name, target, existing.get().version(), existingRecord.getTouches() + 1);
   }
 
   private static boolean supersedes(NodeRecord existingRecord, NodeRecord target) {
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
@@ -28,7 +29,8 @@
  * watch.
  *
  * <p>A watch that ends without a change is followed by a list, because a store that drops its
- * history may omit changes from a watch.
+ * history may omit changes from a watch. A list that may be stale does for that if it is not older
+ * than this copy.
  *
  * <p>A node that cannot reach the store takes full copies from peers. Copies are ordered by store
  * position, so a mirror never reverts to an older one. When the era of the store rises, a list
@@ -65,6 +67,10 @@
   private StorePosition changedPosition = StorePosition.NONE;
   private long contentVersion;
   private boolean listComplete;
+
+  /** Whether the next list only has to prove that this copy lacks nothing. */
+  private boolean verifying;
+
   private long currentCall;
   private boolean callInFlight;
   private long callDeadlineMs;
@@ -176,9 +182,11 @@
 
   private void listFrom(
       String after, List<KindObject> collected, StorePosition firstPage, long thisCall) {
-    kindStore
-        .listKind(kind, after)
-        .whenComplete((page, failure) -> onListed(page, failure, collected, firstPage, thisCall));
+    CompletableFuture<KindPage> page =
+        verifying ? kindStore.listKindStale(kind, after) : kindStore.listKind(kind, after);
+    CompletableFuture<KindPage> unused =
+        page.whenComplete(
+            (answer, failure) -> onListed(answer, failure, collected, firstPage, thisCall));
   }
 
   private void onListed(
@@ -212,7 +220,8 @@
       return;
     }
     callInFlight = false;
-    listComplete = true;
+    listComplete = !verifying || !position.isAfter(start);
+    verifying = false;
     onSuccess();
     if (position.equals(StorePosition.NONE)) {
       nextCallMs = clock.nowMs() + options.settleMs();
@@ -251,6 +260,7 @@
     if (changes.changes().isEmpty()) {
       // A watch may omit changes without an error; only a list proves that nothing changed.
       listComplete = changes.complete();
+      verifying = !listComplete;
       return;
     }
     List<String> changed =
@@ -331,6 +341,7 @@
       return;
     }
     listComplete = false;
+    verifying = false;
     if (isOfKind(failure, StoreException.Kind.HISTORY_GONE)) {
       nextCallMs = 0;
       return;
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -22,10 +22,20 @@
       long untilMs,
       Consumer<MirrorChanges> reply) {}
 
+  /**
+   * Time for which a watcher that has not read the store yet lets a follower wait for a full copy.
+   * Nodes that start together would otherwise all read the store; shorter than the time after which
+   * a follower gives up.
+   */
+  private static final long MAX_COPY_WAIT_MS = 800;
+
+  private record PendingCopy(KindMirror mirror, long untilMs, Consumer<MirrorChanges> reply) {}
+
   private final ImmutableMap<String, KindMirror> mirrors;
   private final BooleanSupplier isWatcher;
   private final Clock clock;
   private final List<PendingWatch> pendingWatches = new ArrayList<>();
+  private final List<PendingCopy> pendingCopies = new ArrayList<>();
 
   private MirrorRelay(List<KindMirror> mirrors, BooleanSupplier isWatcher, Clock clock) {
     this.mirrors = Maps.uniqueIndex(mirrors, KindMirror::kind);
@@ -52,7 +62,7 @@
         .ifPresent(
             mirror -> {
               if (watch.getAfterRevision() == 0) {
-                reply.accept(canAnswer(mirror) ? fullCopy(mirror) : notWatching());
+                onCopyRequest(new PendingCopy(mirror, clock.nowMs() + MAX_COPY_WAIT_MS, reply));
                 return;
               }
               long untilMs = clock.nowMs() + watch.getWaitMs();
@@ -67,6 +77,26 @@
             });
   }
 
+  private void onCopyRequest(PendingCopy request) {
+    if (isCopyDue(request)) {
+      answerCopy(request);
+    } else {
+      pendingCopies.add(request);
+    }
+  }
+
+  private boolean isCopyDue(PendingCopy request) {
+    boolean loading =
+        isWatcher.getAsBoolean() && request.mirror().position().equals(StorePosition.NONE);
+    return !loading || clock.nowMs() >= request.untilMs();
+  }
+
+  private void answerCopy(PendingCopy request) {
+    request
+        .reply()
+        .accept(canAnswer(request.mirror()) ? fullCopy(request.mirror()) : notWatching());
+  }
+
   /** Returns whether watches of peers are waiting for an answer. */
   public boolean hasFollowers() {
     return !pendingWatches.isEmpty();
@@ -75,6 +105,9 @@
   /** Answers the watches that are due: content changed, wait ended or store lost. */
   public void tick() {
     answerIf(this::isDue);
+    List<PendingCopy> ready = pendingCopies.stream().filter(this::isCopyDue).toList();
+    pendingCopies.removeAll(ready);
+    ready.forEach(this::answerCopy);
   }
 
   private void answerIf(Predicate<PendingWatch> due) {
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -47,6 +47,13 @@
         .orElseGet(() -> store.listKind(kind, startAfter));
   }
 
+  @Override
+  public CompletableFuture<KindPage> listKindStale(String kind, String startAfter) {
+    return watchers.watcher().isPresent()
+        ? listKind(kind, startAfter)
+        : store.listKindStale(kind, startAfter);
+  }
+
   private static KindPage toPage(MirrorChanges copy) {
     return new KindPage(
         copy.getObjectList().stream().map(MirrorCodec::objectFromProto).toList(),
--- a/core/src/main/java/org/currantslip/core/port/KindStore.java
+++ b/core/src/main/java/org/currantslip/core/port/KindStore.java
@@ -13,6 +13,13 @@
   /** Reads the page of objects whose names follow {@code startAfter}; empty for the first page. */
   CompletableFuture<KindPage> listKind(String kind, String startAfter);
 
+  /**
+   * Reads a page like {@link #listKind}, but at a lower price and possibly as of some seconds ago.
+   */
+  default CompletableFuture<KindPage> listKindStale(String kind, String startAfter) {
+    return listKind(kind, startAfter);
+  }
+
   /**
    * Waits up to {@code waitMs} for changes after a position; returns no changes on timeout. Fails
    * with {@link StoreException.Kind#HISTORY_GONE} if the store has discarded the changes.
--- a/core/src/test/java/org/currantslip/core/membership/FakeFleet.java
+++ b/core/src/test/java/org/currantslip/core/membership/FakeFleet.java
@@ -55,6 +55,9 @@
     holder[0] =
         HeartbeatMembership.create(
             self, link, peers, events.clock(), MembershipOptions.of(HEARTBEAT_MS, SILENT_MS));
+    if (store.listDirectly(JoinRecord.objectName(name)).isEmpty()) {
+      holder[0].assumeNoJoinRecord();
+    }
     holder[0].serve();
     nodes.put(name, new Node(holder[0], link));
     return holder[0];
--- a/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/HeartbeatMembershipTest.java
@@ -41,6 +41,18 @@
     }
   }
 
+  /**
+   * Starting nodes used to read their own record before each write and to list their peers thrice.
+   */
+  @Test
+  void startOfFleetCostsFewStoreCalls() {
+    int count = 24;
+    FakeFleet fleet = settledFleet(count);
+
+    assertThat(fleet.store.writes()).isAtMost(2 * count);
+    assertThat(fleet.store.reads()).isAtMost(2 * count);
+  }
+
   @Test
   void killedNodesAreNotLiveAndAreGoneOnlyAfterTheStoredMark() {
     FakeFleet fleet = settledFleet(24);
--- a/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeFeed.java
@@ -15,6 +15,10 @@
 final class FakeFeed implements KindStore {
   final List<CompletableFuture<KindPage>> listCalls = new ArrayList<>();
   final List<String> listStarts = new ArrayList<>();
+
+  /** Number of lists that may be answered from an older state. */
+  int staleLists;
+
   final List<CompletableFuture<KindChanges>> watchCalls = new ArrayList<>();
   final List<Long> watchRevisions = new ArrayList<>();
 
@@ -33,6 +37,12 @@
     return call;
   }
 
+  @Override
+  public CompletableFuture<KindPage> listKindStale(String kind, String startAfter) {
+    staleLists++;
+    return listKind(kind, startAfter);
+  }
+
   @Override
   public CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs) {
     CompletableFuture<KindChanges> call = new CompletableFuture<>();
--- a/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/KindMirrorTest.java
@@ -149,6 +149,33 @@
     assertThat(mirror.position().revision()).isEqualTo(31);
   }
 
+  /** Each watch without a change used to be followed by a list at ten times the price. */
+  @Test
+  void staleListProvesThatWatchOmittedNothing() {
+    start();
+    feed.lastWatch().complete(new KindChanges(List.of(), StorePosition.of(30), false));
+    mirror.tick();
+    assertThat(feed.staleLists).isEqualTo(1);
+    feed.completeList(10, FakeFeed.object("a", 3), FakeFeed.object("b", 4));
+    mirror.tick();
+    assertThat(feed.listCalls).hasSize(2);
+    assertThat(feed.watchCalls).hasSize(2);
+  }
+
+  /** A list that is older than the copy says nothing of the changes that a watch omitted. */
+  @Test
+  void staleListThatIsOlderThanTheCopyIsRepeatedAtTheNewestState() {
+    start();
+    feed.lastWatch().complete(new KindChanges(List.of(), StorePosition.of(30), false));
+    mirror.tick();
+    feed.completeList(9, FakeFeed.object("b", 4));
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 3));
+    mirror.tick();
+    assertThat(feed.staleLists).isEqualTo(1);
+    feed.completeList(31, FakeFeed.object("a", 25));
+    assertThat(mirror.objects().get("a")).isEqualTo(FakeFeed.object("a", 25));
+  }
+
   @Test
   void listsAfterFailedWatch() {
     start();
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -12,6 +12,7 @@
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.limits.SlotQueue;
 import org.currantslip.core.membership.HeartbeatMembership;
+import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorGossip;
@@ -70,6 +71,9 @@
   /** Allows several attempts to read the configuration from the store. */
   private static final long MAX_PORT_CLOSED_MS = 5 * STORE_TIMEOUT_MS;
 
+  /** Time that a starting node waits for the list of its peers before it reads the store itself. */
+  private static final long MAX_DISCOVERY_MS = 1_000;
+
   private static final long PUBLISH_INTERVAL_MS = 50;
 
   /**
@@ -112,6 +116,7 @@
   private volatile boolean ready;
   private volatile boolean superseded;
   private long nextPublishMs;
+  private final long mirrorsStartMs = clock.nowMs() + MAX_DISCOVERY_MS;
   private int endpointCount;
   private long idleTimeoutMs;
   private boolean closed;
@@ -130,10 +135,10 @@
             decisions.control(),
             STORE_TIMEOUT_MS,
             settings.getStore().getValueBytes());
-    NodeRecord self =
-        selfRecord(
-            IncarnationAllocator.allocate(
-                settings.getName(), store, decisions, clock, INCARNATION_TIMEOUT_MS));
+    Incarnations.Allocation allocation =
+        IncarnationAllocator.allocate(
+            settings.getName(), store, decisions, clock, INCARNATION_TIMEOUT_MS);
+    NodeRecord self = selfRecord(allocation.incarnation());
     final long seed = self.getId().getIncarnation();
     AtomicReference<HeartbeatMembership> membershipRef = new AtomicReference<>();
     peerLinks =
@@ -147,6 +152,9 @@
     membership =
         HeartbeatMembership.create(self, store, peerLinks, clock, EdgeOptions.membership());
     membershipRef.set(membership);
+    if (allocation.firstStart()) {
+      membership.assumeNoJoinRecord();
+    }
     storeWatchers = StoreWatchers.create(membership, clock);
     mirrors =
         StoreMirrors.create(
@@ -339,7 +347,7 @@
     TickStep.run("membership", membership::tick);
     TickStep.run(
         "watchers", () -> storeWatchers.pollWatcherChange().ifPresent(this::onWatcherChange));
-    TickStep.run("mirrors", mirrors::tick);
+    TickStep.run("mirrors", this::tickMirrors);
     TickStep.run("relay", mirrorRelay::tick);
     TickStep.run("probe", storeProbe::tick);
     TickStep.run("gossip", mirrorGossip::tick);
@@ -361,6 +369,13 @@
     }
   }
 
+  /** Lets the mirrors wait for the first list of peers, one of which may have the copies. */
+  private void tickMirrors() {
+    if (membership.isPeersListed() || clock.nowMs() >= mirrorsStartMs) {
+      mirrors.tick();
+    }
+  }
+
   private void serveIfReady() {
     if (membership.self().getState() == NodeState.JOINING) {
       callerPort.tick(mirrors.isUsable());
--- a/node/src/main/java/org/currantslip/node/wiring/IncarnationAllocator.java
+++ b/node/src/main/java/org/currantslip/node/wiring/IncarnationAllocator.java
@@ -21,17 +21,17 @@
    * @param decisionThread executor on which the store completes its futures
    * @param timeoutMs longest wait for the store
    */
-  public static long allocate(
+  public static Incarnations.Allocation allocate(
       String name, ObjectStore store, Executor decisionThread, Clock clock, long timeoutMs)
       throws InterruptedException {
-    CompletableFuture<Long> allocated = new CompletableFuture<>();
+    CompletableFuture<Incarnations.Allocation> allocated = new CompletableFuture<>();
     decisionThread.execute(
         () ->
             Incarnations.next(name, store, clock)
                 .whenComplete(
-                    (number, failure) -> {
+                    (allocation, failure) -> {
                       if (failure == null) {
-                        allocated.complete(number);
+                        allocated.complete(allocation);
                       } else {
                         allocated.completeExceptionally(failure);
                       }
@@ -42,7 +42,7 @@
       long clockMs = clock.nowMs();
       EventLog.write(
           LogEvent.INCARNATION_GUESSED, "incarnation=%d reason=%s".formatted(clockMs, e));
-      return clockMs;
+      return new Incarnations.Allocation(clockMs, false);
     }
   }
 }
--- a/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
+++ b/node/src/main/java/org/currantslip/node/wiring/RunningNode.java
@@ -67,11 +67,12 @@
         SelfRecord.of(
             settings,
             IncarnationAllocator.allocate(
-                settings.getName(),
-                platform.store(),
-                decisionThread,
-                clock,
-                INCARNATION_TIMEOUT_MS),
+                    settings.getName(),
+                    platform.store(),
+                    decisionThread,
+                    clock,
+                    INCARNATION_TIMEOUT_MS)
+                .incarnation(),
             clock);
     AtomicReference<HeartbeatMembership> membershipRef = new AtomicReference<>();
     peerLinks =
