A starting node calls its own request path before callers can connect

Cause: three in four requests of a node's first eight seconds of traffic are late, since each call of a young process costs many times a warm one.

Change: WarmUpPolicy (core.start) decides how long: 9 s and 2.5 s of processor time at the first start of a deployment, 3 s and 1.2 s while other nodes serve, 0.25 s when none does; it ends earlier once rounds of calls no longer get cheaper, or when a caller asks a directory that names nobody. WarmUpPath is a second server on loopback with decisions, metrics and trace of its own, the node's endpoint client, and a small endpoint (platform.WarmUpEndpoint). Its log lines are encoded and dropped. WarmUp cuts a call that hangs. The setting warm_up.max_s turns it on; the deploy template sets it where the deployment names the cores of its VMs. Event 1012 and four gauges report the start, event 1013 a failure. The training run of the class archive runs it too.

--- a/core/src/main/java/org/currantslip/core/membership/Incarnations.java
+++ b/core/src/main/java/org/currantslip/core/membership/Incarnations.java
@@ -9,11 +9,19 @@
 public final class Incarnations {
   private Incarnations() {}
 
+  /**
+   * Incarnation of a starting process.
+   *
+   * @param number incarnation number
+   * @param hasPredecessor whether the node is known to have run before
+   */
+  public record Start(long number, boolean hasPredecessor) {}
+
   /**
    * Returns an incarnation above that of the stored join record, so that a lagging clock does not
    * hide a restart. Fails if the store cannot be read; callers then use {@link Clock#nowMs}.
    */
-  public static CompletableFuture<Long> next(String name, ObjectStore store, Clock clock) {
+  public static CompletableFuture<Start> nextStart(String name, ObjectStore store, Clock clock) {
     return store
         .get(JoinRecord.objectName(name))
         .thenApply(
@@ -21,7 +29,12 @@
                 existing
                     .flatMap(JoinRecord::parse)
                     .map(NodeRecord::getId)
-                    .map(id -> Math.max(id.getIncarnation() + 1, clock.nowMs()))
-                    .orElseGet(clock::nowMs));
+                    .map(id -> new Start(Math.max(id.getIncarnation() + 1, clock.nowMs()), true))
+                    .orElseGet(() -> new Start(clock.nowMs(), false)));
+  }
+
+  /** Returns only the number of {@link #nextStart}. */
+  public static CompletableFuture<Long> next(String name, ObjectStore store, Clock clock) {
+    return nextStart(name, store, clock).thenApply(Start::number);
   }
 }
--- a/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
+++ b/node/src/main/java/org/currantslip/node/edge/CdsTrainingRun.java
@@ -56,6 +56,9 @@
       grace_s = 1
       """;
 
+  /** Loads the classes of the warm-up as well. */
+  private static final String WARM_UP = "[warm_up]\nmax_s = 9\n";
+
   private final RehearsalPlatform platform;
   private final HttpClient client;
   private int callCount;
@@ -79,7 +82,8 @@
     List<EdgeSettings> settings = new ArrayList<>();
     List<EdgeNode> nodes = new ArrayList<>();
     for (int i = 0; i < NODE_COUNT; i++) {
-      EdgeSettings nodeSettings = edgeSettings("rehearsal-" + i, platform);
+      EdgeSettings nodeSettings =
+          SettingsLoader.loadEdge(edgeSettingsText("rehearsal-" + i, platform) + WARM_UP);
       LogSetup.apply(nodeSettings.getLog());
       settings.add(nodeSettings);
       nodes.add(EdgeNode.start(nodeSettings));
@@ -133,15 +137,19 @@
   /** Returns the settings of a node that uses free ports on loopback. */
   static EdgeSettings edgeSettings(String name, RehearsalPlatform platform)
       throws IOException, SettingsException {
+    return SettingsLoader.loadEdge(edgeSettingsText(name, platform));
+  }
+
+  /** Returns the text of these settings. */
+  static String edgeSettingsText(String name, RehearsalPlatform platform) throws IOException {
     List<Integer> ports = FreePorts.find(SETTINGS_PORTS);
-    return SettingsLoader.loadEdge(
-        SETTINGS.formatted(
-            name,
-            ports.get(0),
-            ports.get(1),
-            ports.get(2),
-            ports.get(3),
-            ports.get(4),
-            platform.storeAddress()));
+    return SETTINGS.formatted(
+        name,
+        ports.get(0),
+        ports.get(1),
+        ports.get(2),
+        ports.get(3),
+        ports.get(4),
+        platform.storeAddress());
   }
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -12,6 +12,7 @@
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.limits.SlotQueue;
 import org.currantslip.core.membership.HeartbeatMembership;
+import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.PlannedStop;
 import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorGossip;
@@ -105,6 +106,7 @@
   private final CallerTraffic callerTraffic;
   private final PlannedStop plannedStop;
   private final FrontDoor callerServer;
+  private final NodeStart nodeStart;
   private final CallerPort callerPort;
   private final Server managementServer;
   private PlannedStop.Phase lastStopPhase = PlannedStop.Phase.RUNNING;
@@ -114,7 +116,7 @@
   private long nextPublishMs;
   private int endpointCount;
   private long idleTimeoutMs;
-  private boolean closed;
+  private volatile boolean closed;
 
   private EdgeNode(EdgeSettings settings) throws InterruptedException {
     this.settings = settings;
@@ -130,10 +132,10 @@
             decisions.control(),
             STORE_TIMEOUT_MS,
             settings.getStore().getValueBytes());
-    NodeRecord self =
-        selfRecord(
-            IncarnationAllocator.allocate(
-                settings.getName(), store, decisions, clock, INCARNATION_TIMEOUT_MS));
+    Incarnations.Start incarnation =
+        IncarnationAllocator.allocateStart(
+            settings.getName(), store, decisions, clock, INCARNATION_TIMEOUT_MS);
+    NodeRecord self = selfRecord(incarnation.number());
     final long seed = self.getId().getIncarnation();
     AtomicReference<HeartbeatMembership> membershipRef = new AtomicReference<>();
     peerLinks =
@@ -244,6 +246,15 @@
             EdgeRequests.create(requestEngine, mirrors.routes()),
             () -> nextRequestId(ids),
             () -> entryView);
+    nodeStart =
+        NodeStart.create(
+            settings,
+            clock,
+            membership,
+            peerLinks,
+            endpointClient,
+            metrics,
+            incarnation.hasPredecessor());
     callerPort = CallerPort.create(clock, MAX_PORT_CLOSED_MS, this::openCallerPort);
     callerTraffic = CallerTraffic.create(callerServer, requestEngine);
     plannedStop =
@@ -283,10 +294,15 @@
     return node;
   }
 
-  private synchronized void openCallerPort() throws Exception {
-    if (!closed) {
+  private void openCallerPort() throws Exception {
+    WarmUp.Result warmUp = nodeStart.warmUp();
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
       callerServer.start();
     }
+    nodeStart.onReady(warmUp);
   }
 
   /** A node that starts or stops is not idle, since each step of it waits for a tick. */
@@ -332,7 +348,10 @@
   }
 
   private List<String> callerAddresses() {
-    return entryView.entries().stream().map(NodeRecord::getCallerAddress).toList();
+    List<String> addresses =
+        entryView.entries().stream().map(NodeRecord::getCallerAddress).toList();
+    nodeStart.onDirectoryRequest(!addresses.isEmpty());
+    return addresses;
   }
 
   private void tick() {
@@ -363,6 +382,8 @@
 
   private void serveIfReady() {
     if (membership.self().getState() == NodeState.JOINING) {
+      boolean stopping = closed || plannedStop.phase() != PlannedStop.Phase.RUNNING;
+      nodeStart.tick(mirrors.isUsable() && !stopping);
       callerPort.tick(mirrors.isUsable());
       if (callerPort.isOpen() && mirrors.routes().current().version() > 0) {
         membership.serve();
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -48,6 +48,9 @@
    */
   private static final double MAX_DIRECTORY_TTL_S = 1.5;
 
+  /** The warm-up's own calls are complete when its server stops. */
+  private static final long WARM_UP_CLOSE_TIMEOUT_MS = 100;
+
   private static final int MAX_BODY_BYTES = 16 << 20;
   private static final long MAX_TOTAL_BODY_BYTES = 48L << 20;
   private static final int MAX_HEADER_BYTES = 64 << 10;
@@ -83,6 +86,32 @@
         service -> true);
   }
 
+  /** Returns the options of the server that a starting node calls during its warm-up. */
+  static CallerOptions warmUpCaller(EdgeSettings settings) {
+    CallerOptions options = caller(settings);
+    return new CallerOptions(
+        "127.0.0.1",
+        0,
+        options.maxBodyBytes(),
+        options.maxTotalBodyBytes(),
+        options.maxHeaderBytes(),
+        options.maxConnections(),
+        options.maxInFlight(),
+        options.maxPendingBytes(),
+        options.headerTimeoutMs(),
+        options.bodyTimeoutMs(),
+        options.idleTimeoutMs(),
+        options.deadlineMs(),
+        options.entryTtlMs(),
+        WARM_UP_CLOSE_TIMEOUT_MS,
+        options.isService());
+  }
+
+  /** Returns the longest warm-up of a node. */
+  static long maxWarmUpMs(EdgeSettings settings) {
+    return (long) (settings.getWarmUp().getMaxS() * MS_PER_S);
+  }
+
   static double directoryTtlS(EdgeSettings settings) {
     return Math.min(settings.getListen().getDirectoryTtlS(), MAX_DIRECTORY_TTL_S);
   }
--- a/node/src/main/java/org/currantslip/node/edge/RateLimitedTrace.java
+++ b/node/src/main/java/org/currantslip/node/edge/RateLimitedTrace.java
@@ -1,5 +1,6 @@
 package org.currantslip.node.edge;
 
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
@@ -21,17 +22,24 @@
   private static final int MAX_OTHERS_PER_WINDOW = 200;
 
   private final Clock clock;
+  private final BiConsumer<LogEvent, String> log;
   private long windowStartMs;
   private int failureCount;
   private int otherCount;
   private int droppedCount;
 
-  private RateLimitedTrace(Clock clock) {
+  private RateLimitedTrace(Clock clock, BiConsumer<LogEvent, String> log) {
     this.clock = clock;
+    this.log = log;
   }
 
   static RateLimitedTrace create(Clock clock) {
-    return new RateLimitedTrace(clock);
+    return create(clock, EventLog::write);
+  }
+
+  /** Creates a trace that passes its lines to {@code log}. */
+  static RateLimitedTrace create(Clock clock, BiConsumer<LogEvent, String> log) {
+    return new RateLimitedTrace(clock, log);
   }
 
   @Override
@@ -48,7 +56,7 @@
     if (!allowed) {
       droppedCount++;
     } else if (EventLog.isOn(event)) {
-      EventLog.write(event, fields.get());
+      log.accept(event, fields.get());
     }
   }
 
@@ -58,7 +66,7 @@
       return;
     }
     if (droppedCount > 0) {
-      EventLog.write(LogEvent.LINES_LEFT_OUT, "lines=" + droppedCount);
+      log.accept(LogEvent.LINES_LEFT_OUT, "lines=" + droppedCount);
     }
     windowStartMs = nowMs;
     failureCount = 0;
--- a/node/src/main/java/org/currantslip/node/log/EventLog.java
+++ b/node/src/main/java/org/currantslip/node/log/EventLog.java
@@ -8,8 +8,25 @@
 public final class EventLog {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Its lines are encoded but not written, see {@link DiscardingAppender}. */
+  private static final class Discarded {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private Discarded() {}
+  }
+
   private EventLog() {}
 
+  /** Returns the name of the logger whose lines are not written, as Flogger forms it. */
+  static String discardedLoggerName() {
+    return Discarded.class.getName().replace('$', '.');
+  }
+
+  /** Formats and encodes an event like {@link #write(LogEvent, String)}, but writes nothing. */
+  public static void format(LogEvent event, String fields) {
+    Discarded.logger.at(levelOf(event)).log("%d %s %s", event.number(), event, fields);
+  }
+
   /** Writes an event with its fields, such as {@code node=entry-1}. */
   public static void write(LogEvent event, String fields) {
     logger.at(levelOf(event)).log("%d %s %s", event.number(), event, fields);
--- a/node/src/main/java/org/currantslip/node/log/FirstLog.java
+++ b/node/src/main/java/org/currantslip/node/log/FirstLog.java
@@ -30,6 +30,7 @@
     appender.setTarget("System.err");
     appender.setEncoder(encoder);
     appender.start();
+    DiscardingAppender.attach(context, encoder);
     context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(appender);
     context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.WARN);
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
--- a/node/src/main/java/org/currantslip/node/log/LogSetup.java
+++ b/node/src/main/java/org/currantslip/node/log/LogSetup.java
@@ -39,6 +39,7 @@
     appender.setTarget("System.out");
     appender.setEncoder(encoder);
     appender.start();
+    DiscardingAppender.attach(context, encoder);
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.addAppender(asyncAppender(context, appender));
     root.setLevel(Level.WARN);
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -23,6 +23,10 @@
   CONFIG_VERSION("currantslip.config.version", Kind.GAUGE, "", List.of()),
   CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of()),
   QUARANTINE_REFUSALS("currantslip.quarantine.refusals", Kind.COUNTER, "", List.of()),
+  START_READY("currantslip.start.ready", Kind.GAUGE, "seconds", List.of()),
+  START_WARM_UP("currantslip.start.warm.up", Kind.GAUGE, "seconds", List.of()),
+  START_PROCESSOR("currantslip.start.processor", Kind.GAUGE, "seconds", List.of()),
+  START_CALLS("currantslip.start.calls", Kind.GAUGE, "", List.of()),
   QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of());
 
   /** Type of a metric. */
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -36,6 +36,7 @@
       Counter.builder(Metric.QUARANTINE_REFUSALS.meterName()).register(registry);
   private boolean jvmMetricsBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
+  private volatile StartFigures start = StartFigures.none();
 
   private NodeMetrics() {
     gauge(Metric.IN_FLIGHT, NodeGauges::inFlight);
@@ -47,6 +48,10 @@
     gauge(Metric.CONFIG_VERSION, NodeGauges::configVersion);
     gauge(Metric.CONFIG_AGE, g -> g.configAgeMs() / MS_PER_S);
     gauge(Metric.QUARANTINED_PARTS, NodeGauges::quarantinedParts);
+    startGauge(Metric.START_READY, s -> s.readyMs() / MS_PER_S);
+    startGauge(Metric.START_WARM_UP, s -> s.warmUpMs() / MS_PER_S);
+    startGauge(Metric.START_PROCESSOR, s -> s.processorMs() / MS_PER_S);
+    startGauge(Metric.START_CALLS, StartFigures::calls);
     FunctionCounter.builder(Metric.PEER_FRAMES.meterName(), this, m -> m.gauges.frames())
         .register(registry);
   }
@@ -92,6 +97,11 @@
     gauges = values;
   }
 
+  /** Records how the node started. */
+  public void recordStart(StartFigures figures) {
+    start = figures;
+  }
+
   /** Returns the metrics in the Prometheus text format. */
   public String page() {
     bindJvmMetrics();
@@ -112,8 +122,15 @@
   }
 
   private void gauge(Metric metric, ToDoubleFunction<NodeGauges> value) {
-    Gauge.Builder<NodeMetrics> gauge =
-        Gauge.builder(metric.meterName(), this, m -> value.applyAsDouble(m.gauges));
+    register(metric, m -> value.applyAsDouble(m.gauges));
+  }
+
+  private void startGauge(Metric metric, ToDoubleFunction<StartFigures> value) {
+    register(metric, m -> value.applyAsDouble(m.start));
+  }
+
+  private void register(Metric metric, ToDoubleFunction<NodeMetrics> value) {
+    Gauge.Builder<NodeMetrics> gauge = Gauge.builder(metric.meterName(), this, value);
     if (!metric.unit().isEmpty()) {
       gauge.baseUnit(metric.unit());
     }
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -101,6 +101,11 @@
     return links.size();
   }
 
+  /** Returns whether a link to this node is open. */
+  public boolean isLinked(String node) {
+    return links.containsKey(node);
+  }
+
   /** Returns the number of frames received from peers since the start. */
   public long framesReceived() {
     return framesReceived;
--- a/node/src/main/java/org/currantslip/node/wiring/IncarnationAllocator.java
+++ b/node/src/main/java/org/currantslip/node/wiring/IncarnationAllocator.java
@@ -24,14 +24,21 @@
   public static long allocate(
       String name, ObjectStore store, Executor decisionThread, Clock clock, long timeoutMs)
       throws InterruptedException {
-    CompletableFuture<Long> allocated = new CompletableFuture<>();
+    return allocateStart(name, store, decisionThread, clock, timeoutMs).number();
+  }
+
+  /** Like {@link #allocate}; without the store, the node counts as one that has run before. */
+  public static Incarnations.Start allocateStart(
+      String name, ObjectStore store, Executor decisionThread, Clock clock, long timeoutMs)
+      throws InterruptedException {
+    CompletableFuture<Incarnations.Start> allocated = new CompletableFuture<>();
     decisionThread.execute(
         () ->
-            Incarnations.next(name, store, clock)
+            Incarnations.nextStart(name, store, clock)
                 .whenComplete(
-                    (number, failure) -> {
+                    (start, failure) -> {
                       if (failure == null) {
-                        allocated.complete(number);
+                        allocated.complete(start);
                       } else {
                         allocated.completeExceptionally(failure);
                       }
@@ -42,7 +49,7 @@
       long clockMs = clock.nowMs();
       EventLog.write(
           LogEvent.INCARNATION_GUESSED, "incarnation=%d reason=%s".formatted(clockMs, e));
-      return clockMs;
+      return new Incarnations.Start(clockMs, true);
     }
   }
 }
--- a/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/EdgeNodeTest.java
@@ -30,6 +30,7 @@
 import org.currantslip.adapter.http.HttpClients;
 import org.currantslip.platform.RehearsalPlatform;
 import org.currantslip.schema.EdgeSettings;
+import org.currantslip.schema.EdgeWarmUpSettings;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.junit.jupiter.api.AfterEach;
@@ -128,6 +129,23 @@
     assertThat(remainingMs).isGreaterThan(0);
   }
 
+  /** Guards against calls of the warm-up that reach endpoints or count as requests. */
+  @Test
+  void warmsUpWithoutTrace() throws Exception {
+    EdgeSettings warmed =
+        CdsTrainingRun.edgeSettings("edge-2", platform).toBuilder()
+            .setWarmUp(EdgeWarmUpSettings.newBuilder().setMaxS(9))
+            .build();
+    EdgeNode second = EdgeNode.start(warmed);
+    awaitCondition(() -> status(warmed.getListen().getReadiness(), "/api/readiness") == 200);
+    String page = get("127.0.0.1:" + warmed.getListen().getMetricsPort(), "/metrics").body();
+    second.beginStop();
+    assertThat(second.awaitStop()).isTrue();
+    assertThat(page).containsMatch("currantslip_start_calls [1-9]");
+    assertThat(page).doesNotContain("currantslip_requests_total");
+    assertThat(platform.endpointRequests()).isEmpty();
+  }
+
   @Test
   void forwardsStreams() {
     ContentResponse response = post("/stream/x", "key", "id-2");
