--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -109,6 +109,7 @@
   private final CallerTraffic callerTraffic;
   private final PlannedStop plannedStop;
   private final FrontDoor callerServer;
+  private final NodeStart nodeStart;
   private final CallerPort callerPort;
   private final Server managementServer;
   private PlannedStop.Phase lastStopPhase = PlannedStop.Phase.RUNNING;
@@ -119,7 +120,7 @@
   private final long mirrorsStartMs = clock.nowMs() + MAX_DISCOVERY_MS;
   private int endpointCount;
   private long idleTimeoutMs;
-  private boolean closed;
+  private volatile boolean closed;
 
   private EdgeNode(EdgeSettings settings) throws InterruptedException {
     this.settings = settings;
@@ -252,6 +253,15 @@
             EdgeRequests.create(requestEngine, mirrors.routes()),
             () -> nextRequestId(ids),
             () -> entryView);
+    nodeStart =
+        NodeStart.create(
+            settings,
+            clock,
+            membership,
+            peerLinks,
+            endpointClient,
+            metrics,
+            !allocation.firstStart());
     callerPort = CallerPort.create(clock, MAX_PORT_CLOSED_MS, this::openCallerPort);
     callerTraffic = CallerTraffic.create(callerServer, requestEngine);
     plannedStop =
@@ -291,10 +301,15 @@
     return node;
   }
 
-  private synchronized void openCallerPort() throws Exception {
-    if (!closed) {
+  private void openCallerPort() throws Exception {
+    WarmUp.Result warmUp = nodeStart.warmUp();
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
       callerServer.start();
     }
+    nodeStart.onReady(warmUp);
   }
 
   /** A node that starts or stops is not idle, since each step of it waits for a tick. */
@@ -340,7 +355,10 @@
   }
 
   private List<String> callerAddresses() {
-    return entryView.entries().stream().map(NodeRecord::getCallerAddress).toList();
+    List<String> addresses =
+        entryView.entries().stream().map(NodeRecord::getCallerAddress).toList();
+    nodeStart.onDirectoryRequest(!addresses.isEmpty());
+    return addresses;
   }
 
   private void tick() {
@@ -378,6 +396,8 @@
 
   private void serveIfReady() {
     if (membership.self().getState() == NodeState.JOINING) {
+      boolean stopping = closed || plannedStop.phase() != PlannedStop.Phase.RUNNING;
+      nodeStart.tick(mirrors.isUsable() && !stopping);
       callerPort.tick(mirrors.isUsable());
       if (callerPort.isOpen() && mirrors.routes().current().version() > 0) {
         membership.serve();
