Set connections up and read responses on the selector's thread

Cause: Jetty hands the set-up of each connection to a thread of the pool, lets a second thread take over the selector for each response that may block, and resolves each address on a thread of the pool, also a literal one.

Change: the listeners of the HTTP clients only hand data over, so they count as non-blocking; connections are set up where the selector accepts or connects them; literal addresses are resolved on the calling thread. Closing a connection still has a thread of its own, since callers hold locks then. The callers' port keeps its accepting thread: a listening socket that is registered with a selector stays open after its close until the selector wakes up.

--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -2,13 +2,18 @@
 
 import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.HttpClientTransport;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Creates and stops the HTTP clients for the platform and the endpoints. */
 public final class HttpClients {
@@ -70,8 +75,17 @@
     threadPool.setDaemon(true);
     connector.setSelectors(1);
     connector.setExecutor(threadPool);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClientTransport transport = new HttpClientTransportOverHTTP(connector);
+    // All listeners only hand data over, so that the selector's thread can call them itself.
+    transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
+    HttpClient client = new HttpClient(transport);
     client.setExecutor(threadPool);
+    Scheduler scheduler = new ScheduledExecutorScheduler(name + "-scheduler", false);
+    client.setScheduler(scheduler);
+    client.setSocketAddressResolver(
+        LiteralAddressResolver.before(
+            new SocketAddressResolver.Async(
+                threadPool, scheduler, client.getAddressResolutionTimeout())));
     client.setName(name);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
--- a/adapters/src/main/java/org/currantslip/adapter/http/KeepAliveConnector.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/KeepAliveConnector.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
 
 /**
  * Opens connections that detect a dead peer with TCP keep-alive and report a reset as an error
@@ -22,6 +23,20 @@
   private static final int KEEP_ALIVE_INTERVAL_S = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
 
+  @Override
+  protected SelectorManager newSelectorManager() {
+    return new ClientSelectorManager(getExecutor(), getScheduler(), getSelectors()) {
+      @Override
+      protected void execute(Runnable task) {
+        if (SelectorTasks.mayRunAtOnce(this, task)) {
+          task.run();
+        } else {
+          super.execute(task);
+        }
+      }
+    };
+  }
+
   @Override
   protected EndPoint newEndPoint(
       SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
--- a/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
+++ b/node/src/main/java/org/currantslip/node/caller/FrontDoor.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.currantslip.adapter.caller.CallerProtocol;
+import org.currantslip.adapter.http.SelectorTasks;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.node.duty.DecisionThread;
@@ -15,6 +17,7 @@
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
@@ -23,6 +26,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** The HTTP server for callers. */
 public final class FrontDoor {
@@ -126,7 +130,7 @@
     configuration.setRequestHeaderSize(options.maxHeaderBytes());
     configuration.setIdleTimeout(options.idleTimeoutMs());
     ServerConnector connector =
-        new ServerConnector(server, 1, 1, new CallerConnectionFactory(configuration));
+        new CallerConnector(server, new CallerConnectionFactory(configuration));
     connector.setShutdownIdleTimeout(KEEP_IDLE_TIMEOUT);
     connector.setHost(options.host());
     connector.setPort(options.port());
@@ -220,6 +224,28 @@
     return open.isEmpty();
   }
 
+  /** Sets connections up on the selector's thread. */
+  private static final class CallerConnector extends ServerConnector {
+    private CallerConnector(Server server, HttpConnectionFactory connections) {
+      super(server, 1, 1, connections);
+    }
+
+    @Override
+    protected SelectorManager newSelectorManager(
+        Executor executor, Scheduler scheduler, int selectors) {
+      return new ServerConnectorManager(executor, scheduler, selectors) {
+        @Override
+        protected void execute(Runnable task) {
+          if (SelectorTasks.mayRunAtOnce(this, task)) {
+            task.run();
+          } else {
+            super.execute(task);
+          }
+        }
+      };
+    }
+  }
+
   /** Creates connections that can be closed between two requests. */
   private static final class CallerConnectionFactory extends HttpConnectionFactory {
     private CallerConnectionFactory(HttpConfiguration configuration) {
