--- a/node/src/main/java/org/currantslip/node/edge/NodeStart.java
+++ b/node/src/main/java/org/currantslip/node/edge/NodeStart.java
@@ -40,11 +40,12 @@
     this.peerLinks = peerLinks;
     this.metrics = metrics;
     this.hasPredecessor = hasPredecessor;
+    double cores = settings.getLimits().getCpuShare() * settings.getLimits().getCores();
     warmUp =
         WarmUp.create(
             clock,
             EdgeOptions.maxWarmUpMs(settings),
-            NodeStart::processorMs,
+            () -> processorMs(clock, cores),
             () -> surroundings,
             () -> WarmUpPath.open(EdgeOptions.warmUpCaller(settings), endpointClient, clock));
   }
@@ -121,8 +122,14 @@
 
   /**
    * Returns the processor time of this process; read from the system, without a management bean.
+   * Where the system does not tell, a starting node is taken to use all of its share.
    */
-  private static long processorMs() {
-    return ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+  private static long processorMs(Clock clock, double cores) {
+    return ProcessHandle.current()
+        .info()
+        .totalCpuDuration()
+        .map(Duration::toMillis)
+        .filter(ms -> ms > 0)
+        .orElseGet(() -> (long) (cores * clock.nowMs()));
   }
 }
