Evacuate failure domains on order; keep requests in their home regions

Cause: operators could not move the load off a failure domain, and the regions that routes and accounts allow were read but not obeyed.

EndpointPools leaves the endpoints of evacuated domains out of all pools and builds a pool for each set of homes in use, so that a choice costs no more than before; SlotQueue counts the slots that a request may use. A request is checked again right before it is written. Without evacuation.effect_ms there is no mirror and no store call.

--- a/core/src/main/java/org/currantslip/core/common/LogEvent.java
+++ b/core/src/main/java/org/currantslip/core/common/LogEvent.java
@@ -52,6 +52,9 @@
   WATCHER_CHANGED(6005, Level.INFO),
   COPY_MISSED(6006, Level.INFO),
   STORE_RESTORED(6007, Level.WARN),
+  EVACUATED_DOMAINS(6010, Level.WARN),
+  EVACUATION_STATUS(6011, Level.INFO),
+  EVACUATION_REFUSED(6012, Level.WARN),
   TASK_FAILED(9001, Level.ERROR);
 
   /** Severity of an event. */
--- a/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
+++ b/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
@@ -13,6 +13,7 @@
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.route.Homes;
 
 /**
  * Queues requests for endpoint slots, most urgent first, and refuses immediately those that cannot
@@ -23,6 +24,13 @@
  * is likely to be free. Within a rank, the account with the fewest recent grants is served first.
  */
 public final class SlotQueue {
+  /** Counts the slots that are free. */
+  @FunctionalInterface
+  public interface SlotCounter {
+    /** Returns how many requests of a service can start in these homes without waiting. */
+    int freeSlots(String service, Homes homes);
+  }
+
   /** Share of the objective that a request may spend waiting; the rest is left for the response. */
   private static final double MAX_WAIT_RATIO = 0.6;
 
@@ -51,12 +59,12 @@
       SlotRequest query, CompletableFuture<Permit> future, long latestStartMs, long sequence) {}
 
   private final Clock clock;
-  private final ToIntFunction<String> freeSlots;
+  private final SlotCounter freeSlots;
   private final SplittableRandom random;
   private final Map<String, ServiceQueue> queuesByService = new HashMap<>();
   private long lastSequence;
 
-  private SlotQueue(Clock clock, ToIntFunction<String> freeSlots, long seed) {
+  private SlotQueue(Clock clock, SlotCounter freeSlots, long seed) {
     this.clock = clock;
     this.freeSlots = freeSlots;
     random = new SplittableRandom(seed);
@@ -68,6 +76,11 @@
    * @param freeSlots returns how many requests of a service can start without waiting
    */
   public static SlotQueue create(Clock clock, ToIntFunction<String> freeSlots, long seed) {
+    return new SlotQueue(clock, (service, homes) -> freeSlots.applyAsInt(service), seed);
+  }
+
+  /** Creates an empty queue for requests that may be bound to regions. */
+  public static SlotQueue withHomes(Clock clock, SlotCounter freeSlots, long seed) {
     return new SlotQueue(clock, freeSlots, seed);
   }
 
@@ -76,7 +89,7 @@
    */
   public CompletableFuture<Permit> admit(SlotRequest query) {
     ServiceQueue serviceQueue = queuesByService.computeIfAbsent(query.service(), ServiceQueue::new);
-    if (serviceQueue.waiting.isEmpty() && freeSlots.applyAsInt(query.service()) > 0) {
+    if (serviceQueue.servable().isEmpty() && serviceQueue.hasFreeSlot(query.homes())) {
       return CompletableFuture.completedFuture(serviceQueue.grant(query));
     }
     long nowMs = clock.nowMs();
@@ -146,25 +159,39 @@
       }
       granting = true;
       try {
-        while (!waiting.isEmpty() && freeSlots.applyAsInt(service) > 0) {
-          QueuedQuery next = next();
+        List<QueuedQuery> candidates = servable();
+        while (!candidates.isEmpty()) {
+          QueuedQuery next = next(candidates);
           waiting.remove(next);
           next.future().complete(grant(next.query()));
+          candidates = servable();
         }
       } finally {
         granting = false;
       }
     }
 
-    private QueuedQuery next() {
+    private boolean hasFreeSlot(Homes homes) {
+      return freeSlots.freeSlots(service, homes) > 0;
+    }
+
+    /** Returns the waiting requests for which a slot is free in their homes. */
+    private List<QueuedQuery> servable() {
+      Map<Homes, Boolean> isFree = new HashMap<>();
+      return waiting.stream()
+          .filter(w -> isFree.computeIfAbsent(w.query().homes(), this::hasFreeSlot))
+          .toList();
+    }
+
+    private QueuedQuery next(List<QueuedQuery> candidates) {
       Comparator<QueuedQuery> byArrival = Comparator.comparingLong(QueuedQuery::sequence);
       if (consecutivePriorityGrants >= MAX_CONSECUTIVE_PRIORITY_GRANTS) {
         consecutivePriorityGrants = 0;
-        return waiting.stream().min(byArrival).orElseThrow();
+        return candidates.stream().min(byArrival).orElseThrow();
       }
       consecutivePriorityGrants++;
       long nowMs = clock.nowMs();
-      return waiting.stream()
+      return candidates.stream()
           .min(
               Comparator.comparingInt((QueuedQuery w) -> w.query().rank())
                   .thenComparingDouble(w -> usage(w.query().account()).amount(nowMs))
--- a/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
@@ -3,12 +3,17 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.currantslip.core.common.RefusalException;
+import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.route.Homes;
 import org.currantslip.core.route.Route;
 import org.currantslip.core.routing.EndpointQuery;
 import org.currantslip.schema.EndpointRecord;
 
 /** Finds endpoints for one forwarded request, and pays for retries. */
 final class EndpointSelection {
+  private static final long NO_ENDPOINT_RETRY_AFTER_MS = 500;
+
   /**
    * An endpoint that may serve the request.
    *
@@ -21,27 +26,59 @@
   private final ForwardedRequest forwarded;
   private final Route route;
   private final String service;
+  private final Homes homes;
 
   private EndpointSelection(
       ForwardPorts ports,
       RouterRequest request,
       ForwardedRequest forwarded,
       Route route,
-      String service) {
+      String service,
+      Homes homes) {
     this.ports = ports;
     this.request = request;
     this.forwarded = forwarded;
     this.route = route;
     this.service = service;
+    this.homes = homes;
   }
 
-  static EndpointSelection create(
-      ForwardPorts ports,
-      RouterRequest request,
-      ForwardedRequest forwarded,
-      Route route,
-      String service) {
-    return new EndpointSelection(ports, request, forwarded, route, service);
+  static EndpointSelection create(ForwardPorts ports, ResolvedRequest resolved) {
+    return new EndpointSelection(
+        ports,
+        resolved.request(),
+        resolved.forwarded(),
+        resolved.route(),
+        resolved.service(),
+        resolved.homes());
+  }
+
+  /** Returns the refusal of the request if no endpoint at all may or can serve it. */
+  Optional<RefusalException> refusalOfLack() {
+    return switch (ports.chooser().lack(service, homes)) {
+      case NONE -> Optional.empty();
+      case REGION ->
+          Optional.of(
+              notServed(
+                  ResultCode.NO_ALLOWED_REGION,
+                  "no endpoint of " + service + " in an allowed region is reachable"));
+      case EVACUATED ->
+          Optional.of(
+              notServed(
+                  ResultCode.EVACUATED,
+                  "the failure domains of all endpoints of " + service + " are evacuated"));
+    };
+  }
+
+  /** Returns the refusal of a request that did not run, with a jittered retry delay. */
+  RefusalException notServed(ResultCode code, String detail) {
+    long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
+    return RefusalException.notRunRetryable(code, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
+  }
+
+  /** Returns whether a request that was chosen for an endpoint must not be sent there any more. */
+  boolean isWithdrawnFrom(EndpointRecord endpoint) {
+    return ports.chooser().isEvacuated(endpoint);
   }
 
   /** Returns an endpoint of a version that the request may use, or empty if none is usable. */
@@ -63,7 +100,8 @@
   }
 
   private EndpointQuery query(String version, int size, Set<String> excluded) {
-    return EndpointQuery.ofService(service, version, modelOf(size), forwarded.prompt(), excluded);
+    return EndpointQuery.ofService(
+        service, version, modelOf(size), forwarded.prompt(), excluded, homes);
   }
 
   /** Returns the model with this index, or an empty name if the caller names the model. */
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -34,7 +34,6 @@
   private static final long MIN_RETRY_TIME_LEFT_MS = 20;
 
   private static final long NODE_STARTING_RETRY_AFTER_MS = 300;
-  private static final long NO_ENDPOINT_RETRY_AFTER_MS = 500;
 
   /** Slightly longer than one step of a full batch. */
   private static final long UNREACHABLE_IDLE_TIMEOUT_MS = 400;
@@ -144,8 +143,7 @@
     Account account = matchedRoute.anonymous() ? Account.anonymous() : authenticate();
     ResolvedRequest resolved = ResolvedRequest.of(request, forwarded, matchedRoute, account);
     String service = resolved.service();
-    EndpointSelection selection =
-        EndpointSelection.create(ports, request, forwarded, matchedRoute, service);
+    EndpointSelection selection = EndpointSelection.create(ports, resolved);
     assignment =
         new Assignment(
             resolved,
@@ -172,9 +170,10 @@
                 request.path(),
                 account.name(),
                 request.body()));
-    Optional<RefusalException> quarantined = promptGuard.refusal(history.ran());
-    if (quarantined.isPresent()) {
-      throw quarantined.get();
+    Optional<RefusalException> refusal =
+        promptGuard.refusal(history.ran()).or(selection::refusalOfLack);
+    if (refusal.isPresent()) {
+      throw refusal.get();
     }
   }
 
@@ -263,7 +262,11 @@
             assigned()
                 .request()
                 .endpointRequest(
-                    endpoint, model, lastEventId(), ports.clock().nowMs(), response::isAbandoned),
+                    endpoint,
+                    model,
+                    lastEventId(),
+                    ports.clock().nowMs(),
+                    () -> isWithdrawn(endpoint)),
             assigned().request().timeouts(history.isRetryable(route())),
             ports.clock(),
             ports.chooser().track(endpoint.getId(), next.query()),
@@ -275,6 +278,11 @@
     a.start(ports.endpointClient(), request.promptTokens() + request.maxTokens());
   }
 
+  /** Returns whether the request must not be sent any more; may be asked on any thread. */
+  private boolean isWithdrawn(EndpointRecord endpoint) {
+    return response.isAbandoned() || selection().isWithdrawnFrom(endpoint);
+  }
+
   private String lastEventId() {
     return lastEvent == null ? forwarded.lastEventId() : EventIds.of(lastEvent);
   }
@@ -469,11 +477,11 @@
    */
   private RefusalException notServedRefusal(ResultCode code, String detail) {
     if (history.ran() == Ran.NO) {
-      long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
-      ResultCode notRun =
-          deadlineExpired ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.NO_ENDPOINT;
-      return RefusalException.notRunRetryable(
-          notRun, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
+      return deadlineExpired
+          ? selection().notServed(ResultCode.DEADLINE_UNREACHABLE, detail)
+          : selection()
+              .refusalOfLack()
+              .orElseGet(() -> selection().notServed(ResultCode.NO_ENDPOINT, detail));
     }
     ResultCode reportedCode = code == ResultCode.NO_ENDPOINT ? ResultCode.ENDPOINT_FAILED : code;
     return RefusalException.of(reportedCode, history.ran(), 0, detail);
@@ -492,7 +500,7 @@
     if (nowMs >= deadlineMs) {
       onDeadline();
     } else if (isIn(Stage.ADMITTING)) {
-      promptGuard.refusal(history.ran()).ifPresent(this::refuse);
+      promptGuard.refusal(history.ran()).or(selection()::refusalOfLack).ifPresent(this::refuse);
     } else if (isIn(Stage.CHOOSING) && nowMs >= nextSuccessorMs) {
       chooseAgain();
     } else if (isIn(Stage.CALLING) && attempt != null) {
--- a/core/src/main/java/org/currantslip/core/request/ResolvedRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/ResolvedRequest.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import org.currantslip.core.limits.SlotRequest;
 import org.currantslip.core.route.Account;
+import org.currantslip.core.route.Homes;
 import org.currantslip.core.route.Route;
 import org.currantslip.core.route.RouteKind;
 import org.currantslip.schema.EndpointRecord;
@@ -50,6 +51,11 @@
     return route.kind() == RouteKind.STREAMING;
   }
 
+  /** Returns the regions that both the route and the account allow. */
+  Homes homes() {
+    return Homes.of(route.homes()).and(Homes.of(account.homes()));
+  }
+
   /** Returns the time by which the response, or the first event of a stream, is due. */
   long objectiveMs() {
     return forwarded.arrivedMs() + route.objectiveMs();
@@ -68,7 +74,8 @@
         forwarded.arrivedMs(),
         objectiveMs(),
         deadlineMs,
-        forwarded.prompt());
+        forwarded.prompt(),
+        homes());
   }
 
   EndpointRequest endpointRequest(
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.currantslip.core.route.Homes;
 import org.currantslip.schema.EndpointRecord;
 
 /** Selects the endpoint that serves a request. */
@@ -60,6 +61,16 @@
     return EndpointNotice.Effect.NONE;
   }
 
+  /** Returns the reason why no endpoint of a service can serve a request in these homes. */
+  default EndpointLack lack(String service, Homes homes) {
+    return EndpointLack.NONE;
+  }
+
+  /** Returns whether no request may be sent to an endpoint any more; may be asked on any thread. */
+  default boolean isEvacuated(EndpointRecord endpoint) {
+    return false;
+  }
+
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointQuery.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointQuery.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.currantslip.core.route.Homes;
 import org.currantslip.core.route.PromptPart;
 
 /**
@@ -15,6 +16,7 @@
  * @param excluded ids of endpoints that were already tried
  * @param prompt prompt parts in order, empty if unknown
  * @param engineModel model to run on an engine that hosts several, or empty
+ * @param homes regions in which the endpoint may be
  */
 public record EndpointQuery(
     String model,
@@ -24,7 +26,8 @@
     long promptTokens,
     Set<String> excluded,
     List<PromptPart> prompt,
-    String engineModel) {
+    String engineModel,
+    Homes homes) {
   /** Creates a query for a prompt of which only the prefix hash is known. */
   public EndpointQuery(
       String model,
@@ -33,17 +36,28 @@
       long prefixHash,
       long promptTokens,
       Set<String> excluded) {
-    this(model, version, service, prefixHash, promptTokens, excluded, List.of(), "");
+    this(model, version, service, prefixHash, promptTokens, excluded, List.of(), "", Homes.all());
   }
 
-  /** Returns a query for an endpoint of a service; an empty version matches any. */
+  /** Returns a query for an endpoint of a service in any region. */
   public static EndpointQuery ofService(
       String service,
       String version,
       String engineModel,
       List<PromptPart> prompt,
       Set<String> excluded) {
+    return ofService(service, version, engineModel, prompt, excluded, Homes.all());
+  }
+
+  /** Returns a query for an endpoint of a service; an empty version matches any. */
+  public static EndpointQuery ofService(
+      String service,
+      String version,
+      String engineModel,
+      List<PromptPart> prompt,
+      Set<String> excluded,
+      Homes homes) {
     long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum();
-    return new EndpointQuery("", version, service, 0, tokens, excluded, prompt, engineModel);
+    return new EndpointQuery("", version, service, 0, tokens, excluded, prompt, engineModel, homes);
   }
 }
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -1,5 +1,6 @@
 package org.currantslip.core.routing;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +11,9 @@
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
+import org.currantslip.core.route.Homes;
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointLimits;
 import org.currantslip.schema.EndpointRecord;
@@ -58,6 +61,7 @@
   private final SentPrompts sentPrompts = SentPrompts.create();
   private final SendRestrictions restrictions = SendRestrictions.create();
   private final RequestLimits limits;
+  private volatile ImmutableSet<String> evacuatedDomains = ImmutableSet.of();
 
   private ExpectedWaitChooser(
       Clock clock, String localFailureDomain, long seed, SenderShares shares) {
@@ -111,7 +115,7 @@
 
   @Override
   public Optional<EndpointRecord> choose(EndpointQuery query) {
-    EndpointPool pool = pools.pool(query.model(), query.version(), query.service());
+    EndpointPool pool = pool(query);
     if (pool == null) {
       return Optional.empty();
     }
@@ -125,6 +129,37 @@
     return Optional.of(best.endpoint());
   }
 
+  private @Nullable EndpointPool pool(EndpointQuery query) {
+    return pools.pool(query.model(), query.version(), query.service(), query.homes());
+  }
+
+  /** Sends no more requests to the endpoints of these failure domains. */
+  public void setEvacuated(ImmutableSet<String> domains) {
+    evacuatedDomains = domains;
+    pools.setEvacuated(domains);
+  }
+
+  @Override
+  public boolean isEvacuated(EndpointRecord endpoint) {
+    return evacuatedDomains.contains(endpoint.getFailureDomain());
+  }
+
+  @Override
+  public EndpointLack lack(String service, Homes homes) {
+    if (pools.isEvacuated(service, homes)) {
+      return EndpointLack.EVACUATED;
+    }
+    long now = clock.nowMs();
+    boolean reachable =
+        !homes.restricted() || states(service, homes).anyMatch(s -> s.isUsable(now));
+    return reachable ? EndpointLack.NONE : EndpointLack.REGION;
+  }
+
+  private Stream<EndpointState> states(String service, Homes homes) {
+    EndpointPool pool = pools.pool("", "", service, homes);
+    return pool == null ? Stream.empty() : IntStream.range(0, pool.size()).mapToObj(pool::member);
+  }
+
   private @Nullable EndpointState findBest(EndpointPool pool, EndpointQuery query) {
     long now = clock.nowMs();
     long hash = affinityHash(query);
@@ -361,24 +396,25 @@
   /** Returns the expected time to the first token, or empty if no endpoint is usable. */
   @Override
   public OptionalDouble expectedFirstTokenMs(EndpointQuery query) {
-    EndpointPool pool = pools.pool(query.model(), query.version(), query.service());
+    EndpointPool pool = pool(query);
     EndpointState best = pool == null ? null : findBest(pool, query);
     return best == null
         ? OptionalDouble.empty()
         : OptionalDouble.of(expectedCostMs(best, query, false, prefillRate(query), clock.nowMs()));
   }
 
+  /** Returns how many requests of a service can start in these homes without waiting. */
+  public int freeSlots(String service, Homes homes) {
+    long now = clock.nowMs();
+    return states(service, homes)
+        .filter(s -> isUsable(s, now))
+        .mapToInt(s -> s.freeSlots(now))
+        .sum();
+  }
+
   /** Returns how many requests of a service can start without waiting. */
   public int freeSlots(String service) {
-    long now = clock.nowMs();
-    EndpointPool pool = pools.pool("", "", service);
-    return pool == null
-        ? 0
-        : IntStream.range(0, pool.size())
-            .mapToObj(pool::member)
-            .filter(s -> isUsable(s, now))
-            .mapToInt(s -> s.freeSlots(now))
-            .sum();
+    return freeSlots(service, Homes.all());
   }
 
   @Override
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -96,6 +96,7 @@
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
+  private final EvacuationDuty evacuationDuty;
   private final FleetReports reports;
   private final EdgeFrames frames;
   private final QuarantineLinks quarantineLinks;
@@ -153,7 +154,8 @@
             RelayedFeed.create(store, peerLinks, storeWatchers),
             clock,
             seed,
-            EdgeOptions.regions(settings));
+            EdgeOptions.regions(settings),
+            EdgeOptions.evacuatesOnOrder(settings));
     mirrorRelay = MirrorRelay.create(mirrors.all(), storeWatchers::isWatcher, clock);
     storeProbe = StoreProbe.create(store, mirrorRelay::hasFollowers, clock, this::onStoreSilent);
     mirrorGossip =
@@ -201,6 +203,8 @@
             },
             clock,
             settings.getRollout().getExposureShare());
+    evacuationDuty =
+        EvacuationDuty.create(settings, clock, membership, mirrors, store, endpointChooser);
     RateLimitedTrace trace = RateLimitedTrace.create(clock);
     quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
     quarantine = PromptQuarantine.create(clock, quarantineLinks);
@@ -218,7 +222,7 @@
             endpointChooser,
             quarantine,
             quarantineLinks);
-    requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
+    requestQueue = SlotQueue.withHomes(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
             new ForwardPorts(
@@ -314,6 +318,7 @@
 
   private void onEndpoints(List<EndpointRecord> endpoints) {
     endpointCount = endpoints.size();
+    evacuationDuty.onEndpoints(endpoints);
     endpointChooser.onEndpoints(endpoints);
     rollouts.onEndpoints(endpoints);
     EventLog.write(
@@ -349,6 +354,7 @@
     TickStep.run("queue", requestQueue::tick);
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
+    TickStep.run("evacuation", evacuationDuty::tick);
     TickStep.run("links", peerLinks::tick);
     TickStep.run("stop", plannedStop::tick);
     TickStep.run("stop_log", this::logStopPhase);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -126,6 +126,11 @@
                 (first, second) -> second));
   }
 
+  /** Returns whether the settings turn orders to evacuate failure domains on. */
+  static boolean evacuatesOnOrder(EdgeSettings settings) {
+    return settings.getEvacuation().getEffectMs() > 0;
+  }
+
   static RetryBudget.Bound retryBound(EdgeSettings settings) {
     var retry = settings.getRetry();
     return new RetryBudget.Bound(
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -2,10 +2,15 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
+import org.currantslip.core.evacuation.EvacuationOrder;
+import org.currantslip.core.evacuation.Evacuations;
 import org.currantslip.core.mirror.KindMirror;
 import org.currantslip.core.mirror.MirrorOptions;
 import org.currantslip.core.port.KindObject;
@@ -18,13 +23,14 @@
 import org.currantslip.core.routing.EndpointRegistry;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.platform.EndpointEntryReader;
+import org.currantslip.platform.EvacuationOrderCodec;
 import org.currantslip.platform.RolloutOrderCodec;
 import org.currantslip.platform.RouteTableReader;
 import org.currantslip.platform.UnreadableEntryException;
 import org.currantslip.schema.EndpointRecord;
 
 /**
- * Local copies of the configuration, endpoint and rollout objects in the store, decoded for this
+ * Local copies of the configuration, endpoint and order objects in the store, decoded for this
  * node.
  */
 final class StoreMirrors {
@@ -34,6 +40,7 @@
   private final KindMirror config;
   private final KindMirror endpoints;
   private final KindMirror rollouts;
+  private final Optional<KindMirror> evacuations;
   private final RouteHolder routes = RouteHolder.create();
   private final Clock clock;
   private final ImmutableMap<String, String> regionByDomain;
@@ -43,13 +50,22 @@
   private long ordersLackUntilMs;
 
   private StoreMirrors(
-      KindStore kindStore, Clock clock, long seed, ImmutableMap<String, String> regionByDomain) {
+      KindStore kindStore,
+      Clock clock,
+      long seed,
+      ImmutableMap<String, String> regionByDomain,
+      boolean withEvacuations) {
     this.clock = clock;
     this.regionByDomain = regionByDomain;
     MirrorOptions options = MirrorOptions.defaults();
     config = KindMirror.create(RouteTableReader.KIND, kindStore, clock, options, seed);
     endpoints = KindMirror.create(EndpointEntryReader.KIND, kindStore, clock, options, seed + 1);
     rollouts = KindMirror.create(RolloutOrderCodec.KIND, kindStore, clock, options, seed + 2);
+    evacuations =
+        withEvacuations
+            ? Optional.of(
+                KindMirror.create(EvacuationOrderCodec.KIND, kindStore, clock, options, seed + 3))
+            : Optional.empty();
     config.setLinkListener(
         link -> {
           logLinkChange(config, link);
@@ -72,23 +88,30 @@
    * Creates empty copies.
    *
    * @param regionByDomain region of each failure domain, where it is known
+   * @param withEvacuations whether the store holds orders to evacuate failure domains
    */
   static StoreMirrors create(
-      KindStore kindStore, Clock clock, long seed, ImmutableMap<String, String> regionByDomain) {
-    return new StoreMirrors(kindStore, clock, seed, regionByDomain);
+      KindStore kindStore,
+      Clock clock,
+      long seed,
+      ImmutableMap<String, String> regionByDomain,
+      boolean withEvacuations) {
+    return new StoreMirrors(kindStore, clock, seed, regionByDomain, withEvacuations);
   }
 
   List<KindMirror> all() {
-    return List.of(config, endpoints, rollouts);
+    return Stream.concat(Stream.of(config, endpoints, rollouts), evacuations.stream()).toList();
   }
 
   RouteHolder routes() {
     return routes;
   }
 
-  /** Returns whether a configuration and the endpoints are known. */
+  /** Returns whether a configuration, the endpoints and the evacuation orders are known. */
   boolean isUsable() {
-    return routes.current().version() > 0 && !endpoints.position().equals(StorePosition.NONE);
+    return routes.current().version() > 0
+        && !endpoints.position().equals(StorePosition.NONE)
+        && evacuations.map(m -> !m.position().equals(StorePosition.NONE)).orElse(true);
   }
 
   KindMirror config() {
@@ -125,6 +148,21 @@
     rollouts.setChangeListener(ordersReader);
   }
 
+  /** Connects the evacuations, which receive the orders after each change. */
+  void connectEvacuations(Evacuations target) {
+    evacuations.ifPresent(
+        mirror -> {
+          mirror.setChangeListener(() -> readEvacuations(mirror, target));
+          mirror.setLinkListener(
+              link -> {
+                logLinkChange(mirror, link);
+                if (link == KindMirror.Link.RESTORED) {
+                  target.onStoreRestored();
+                }
+              });
+        });
+  }
+
   void tick() {
     all().forEach(KindMirror::tick);
     if (ordersLackUntilMs > 0 && clock.nowMs() >= ordersLackUntilMs) {
@@ -195,6 +233,20 @@
     return orders;
   }
 
+  private void readEvacuations(KindMirror mirror, Evacuations target) {
+    List<EvacuationOrder> orders = new ArrayList<>();
+    Map<String, Long> unreadable = new HashMap<>();
+    for (KindObject object : mirror.objects().values()) {
+      try {
+        orders.add(EvacuationOrderCodec.read(object));
+      } catch (UnreadableEntryException e) {
+        unreadable.put(object.name(), object.version());
+        logUnreadable(EvacuationOrderCodec.KIND, object, e);
+      }
+    }
+    target.onOrders(orders, unreadable);
+  }
+
   private static void logUnreadable(String kind, KindObject object, UnreadableEntryException e) {
     EventLog.write(
         LogEvent.ENTRY_UNREADABLE,
