--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -100,6 +100,7 @@
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
+  private final EvacuationDuty evacuationDuty;
   private final FleetReports reports;
   private final EdgeFrames frames;
   private final QuarantineLinks quarantineLinks;
@@ -111,6 +112,7 @@
   private final FrontDoor callerServer;
   private final NodeStart nodeStart;
   private final CallerPort callerPort;
+  private final DirectoryLookUps directoryLookUps;
   private final Server managementServer;
   private PlannedStop.Phase lastStopPhase = PlannedStop.Phase.RUNNING;
   private volatile EntryView entryView = EntryView.empty();
@@ -162,7 +164,8 @@
             RelayedFeed.create(store, peerLinks, storeWatchers),
             clock,
             seed,
-            EdgeOptions.regions(settings));
+            EdgeOptions.regions(settings),
+            EdgeOptions.evacuatesOnOrder(settings));
     mirrorRelay = MirrorRelay.create(mirrors.all(), storeWatchers::isWatcher, clock);
     storeProbe = StoreProbe.create(store, mirrorRelay::hasFollowers, clock, this::onStoreSilent);
     mirrorGossip =
@@ -210,6 +213,8 @@
             },
             clock,
             settings.getRollout().getExposureShare());
+    evacuationDuty =
+        EvacuationDuty.create(settings, clock, membership, mirrors, store, endpointChooser);
     RateLimitedTrace trace = RateLimitedTrace.create(clock);
     quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
     quarantine = PromptQuarantine.create(clock, quarantineLinks);
@@ -227,7 +232,7 @@
             endpointChooser,
             quarantine,
             quarantineLinks);
-    requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
+    requestQueue = SlotQueue.withHomes(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
             new ForwardPorts(
@@ -271,9 +276,12 @@
             callerTraffic,
             () -> CompletableFuture.completedFuture(null),
             EdgeOptions.stop(settings));
+    directoryLookUps = DirectoryLookUps.create(clock, metrics, nodeStart::onCallerWithoutNode);
     managementServer =
         ManagementServer.create(
-            settings, () -> ready, this::callerAddresses, MetricsHandler.create(metrics));
+            settings, () -> ready, directoryLookUps, MetricsHandler.create(metrics));
+    membership.setReport(
+        SelfCapacity.create(settings, decisions::lagMs, callerServer::inFlight)::report);
   }
 
   /**
@@ -337,6 +345,7 @@
 
   private void onEndpoints(List<EndpointRecord> endpoints) {
     endpointCount = endpoints.size();
+    evacuationDuty.onEndpoints(endpoints);
     endpointChooser.onEndpoints(endpoints);
     rollouts.onEndpoints(endpoints);
     EventLog.write(
@@ -354,13 +363,6 @@
     reports.sendToOthers(PeerFrame.newBuilder().setVersionHalt(halt).build());
   }
 
-  private List<String> callerAddresses() {
-    List<String> addresses =
-        entryView.entries().stream().map(NodeRecord::getCallerAddress).toList();
-    nodeStart.onDirectoryRequest(!addresses.isEmpty());
-    return addresses;
-  }
-
   private void tick() {
     TickStep.run("membership", membership::tick);
     TickStep.run(
@@ -375,6 +377,7 @@
     TickStep.run("queue", requestQueue::tick);
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
+    TickStep.run("evacuation", evacuationDuty::tick);
     TickStep.run("links", peerLinks::tick);
     TickStep.run("stop", plannedStop::tick);
     TickStep.run("stop_log", this::logStopPhase);
@@ -453,11 +456,13 @@
     boolean running = plannedStop.phase() == PlannedStop.Phase.RUNNING;
     var routeTable = mirrors.routes().current();
     ready = running && callerPort.isOpen() && routeTable.version() > 0;
+    directoryLookUps.publish(membership, mirrors.routes()::current);
     entryView = new EntryView(membership.entryNodes(), routeTable.version());
     if (routeTable.limits().idleTimeoutMs() != idleTimeoutMs) {
       idleTimeoutMs = routeTable.limits().idleTimeoutMs();
       callerServer.setIdleTimeout(idleTimeoutMs);
     }
+    metrics.setEvacuatedDomains(evacuationDuty.evacuatedCount());
     metrics.publish(
         new NodeGauges(
             callerServer.inFlight(),
--- a/node/src/main/java/org/currantslip/node/edge/NodeStart.java
+++ b/node/src/main/java/org/currantslip/node/edge/NodeStart.java
@@ -75,11 +75,9 @@
             : Optional.empty();
   }
 
-  /** Called for each directory request; one without an answer is that of a waiting caller. */
-  void onDirectoryRequest(boolean answered) {
-    if (!answered) {
-      callersWait.set(true);
-    }
+  /** Called on any thread for each look-up that names no node, which is that of a waiting caller. */
+  void onCallerWithoutNode() {
+    callersWait.set(true);
   }
 
   /** Runs the warm-up; the callers' port is opened when it returns. */
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -27,7 +27,9 @@
   START_WARM_UP("currantslip.start.warm.up", Kind.GAUGE, "seconds", List.of()),
   START_PROCESSOR("currantslip.start.processor", Kind.GAUGE, "seconds", List.of()),
   START_CALLS("currantslip.start.calls", Kind.GAUGE, "", List.of()),
-  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of());
+  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of()),
+  EVACUATED_DOMAINS("currantslip.evacuated.domains", Kind.GAUGE, "", List.of()),
+  LOOK_UPS("currantslip.directory.lookups", Kind.COUNTER, "", List.of("result"));
 
   /** Type of a metric. */
   public enum Kind {
