Detect a lost path to endpoints, and tell peers in heartbeats

A node whose calls fail or are silent at endpoints of several failure domains, with none heard since, takes its path for lost once a peer hears endpoints of the same services. Heartbeats and gossip carry the flag, and the directory leaves such a node out while others serve. Not connected to requests yet.

EndpointReachTest, HeartbeatMembershipTest, PromptQuarantineTest and ForwardedFlowTest pass.

--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
@@ -24,6 +25,7 @@
 import org.currantslip.schema.NodeState;
 import org.currantslip.schema.NodeView;
 import org.currantslip.schema.PeerFrame;
+import org.currantslip.schema.ServiceHeard;
 
 /**
  * Membership based on join records in the object store, heartbeats to a bounded number of nodes,
@@ -46,6 +48,7 @@
   private final MembershipOptions options;
   private final JoinRecord joinRecord;
   private final GossipQueue gossip = GossipQueue.create();
+  private final ReachExchange reach = ReachExchange.create();
   private final UnchangedRecordTracker unchangedRecords;
   private final TreeMap<String, Member> members = new TreeMap<>();
   private Supplier<ConfigAnnounce> configStatus = ConfigAnnounce::getDefaultInstance;
@@ -97,6 +100,34 @@
     peerRevisionListener = peers;
   }
 
+  /**
+   * Sets the source of this node's report on its path to endpoints, and the listener for peers'.
+   */
+  public void setReachReports(
+      Supplier<List<ServiceHeard>> own, Consumer<List<ServiceHeard>> peerListener) {
+    reach.connect(own, peerListener);
+  }
+
+  /** Tells peers whether this node reaches no endpoint; to be repeated while it does not. */
+  public void setEndpointsUnreachable(boolean unreachable) {
+    if (reach.setUnreachable(unreachable)) {
+      nextHeartbeatMs = 0;
+    }
+    onMemberChanged(self.getId().getName());
+  }
+
+  /**
+   * Returns the serving nodes other than this one that have not said that they reach no endpoint.
+   */
+  public List<NodeRecord> reachingPeers() {
+    return nodeLists().reaching().stream().filter(n -> !n.getId().equals(self.getId())).toList();
+  }
+
+  /** Exchanges heartbeats with these nodes now, whoever monitors them. */
+  public void exchangeWith(Collection<String> names) {
+    names.forEach(this::sendHeartbeat);
+  }
+
   /** Sets the source of the configuration status sent in heartbeats. */
   public void setConfigStatus(Supplier<ConfigAnnounce> status) {
     configStatus = status;
@@ -131,29 +162,50 @@
                     .map(Member::nodeRecord))
             .sorted(Comparator.comparing(n -> n.getId().getName()))
             .toList();
+    List<NodeRecord> serving =
+        live.stream().filter(n -> n.getState() == NodeState.SERVING).toList();
+    List<NodeRecord> reaching = serving.stream().filter(n -> !isUnreachable(n, nowMs)).toList();
     long untilMs =
         members.values().stream()
             .filter(m -> m.isSuspected() && m.isLive(nowMs, options.suspicionMs()))
             .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs())
             .min()
             .orElse(Long.MAX_VALUE);
+    long unreachableUntilMs =
+        members.values().stream()
+            .mapToLong(m -> m.unreachableUntilMs(nowMs))
+            .min()
+            .orElse(Long.MAX_VALUE);
     cachedLists =
         new NodeLists(
             live,
-            live.stream().filter(n -> n.getState() == NodeState.SERVING).toList(),
+            reaching.isEmpty() ? serving : reaching,
+            reaching,
             HeartbeatRing.targets(self, live, options),
-            untilMs);
+            Math.min(untilMs, unreachableUntilMs));
     return cachedLists;
   }
 
+  private boolean isUnreachable(NodeRecord node, long nowMs) {
+    Member member = members.get(node.getId().getName());
+    return member == null ? reach.isUnreachable() : member.isUnreachable(nowMs);
+  }
+
   /**
    * Node lists derived from the known members.
    *
+   * @param entries nodes that callers may be sent to
+   * @param reaching serving nodes that reach endpoints as far as is known
    * @param untilMs time at which the next suspicion expires and the lists become invalid
    */
   private record NodeLists(
-      List<NodeRecord> live, List<NodeRecord> entries, Set<String> targets, long untilMs) {
-    static final NodeLists STALE = new NodeLists(List.of(), List.of(), Set.of(), Long.MIN_VALUE);
+      List<NodeRecord> live,
+      List<NodeRecord> entries,
+      List<NodeRecord> reaching,
+      Set<String> targets,
+      long untilMs) {
+    static final NodeLists STALE =
+        new NodeLists(List.of(), List.of(), List.of(), Set.of(), Long.MIN_VALUE);
 
     boolean isValid(long nowMs) {
       return nowMs < untilMs;
@@ -340,6 +392,7 @@
             .setConfigVersion(config.getVersion())
             .setConfigAgeMs(config.getAgeMs())
             .addAllMirror(ownMirrorRevisions.get());
+    reach.addTo(builder);
     gossip.take(options.maxGossip()).stream().flatMap(this::viewOf).forEach(builder::addView);
     return builder.build();
   }
@@ -350,6 +403,7 @@
           NodeView.newBuilder()
               .setNode(self)
               .setConfigVersion(configStatus.get().getVersion())
+              .setEndpointsUnreachable(reach.isUnreachable())
               .build());
     }
     return Optional.ofNullable(members.get(name)).map(this::view).stream();
@@ -361,6 +415,8 @@
         .setHeardMsAgo(Math.max(0, clock.nowMs() - member.lastHeardMs()))
         .setConfigVersion(member.configVersion())
         .setSuspected(member.isSuspected())
+        .setEndpointsUnreachable(member.isUnreachable(clock.nowMs()))
+        .setReachMsAgo(Math.max(0, clock.nowMs() - member.reachAsOfMs()))
         .build();
   }
 
@@ -371,6 +427,9 @@
       mergeRecord(sender.nodeRecord().toBuilder().setState(heartbeat.getState()).build());
       sender.setConfigVersion(heartbeat.getConfigVersion());
       markHeard(sender, nowMs);
+      if (reach.onHeartbeat(sender, heartbeat, nowMs)) {
+        onMemberChanged(heartbeat.getNode().getName());
+      }
       peerRevisionListener.accept(sender.nodeRecord().getId().getName(), heartbeat.getMirrorList());
     }
     heartbeat.getViewList().forEach(v -> handleView(v, nowMs));
@@ -392,6 +451,9 @@
       if (nowMs - heardMs < options.silentMs()) {
         markHeard(member, heardMs);
       }
+      if (reach.onView(member, view, nowMs)) {
+        onMemberChanged(id.getName());
+      }
     } else if (nowMs - member.lastHeardMs() < options.silentMs()) {
       gossip.add(id.getName(), transmissionCount());
     } else {
--- a/core/src/main/java/org/currantslip/core/quarantine/CrashDetector.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/CrashDetector.java
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Drops the calls that broke, as their endpoints have not crashed. */
+  void forgetBroken() {
+    callsByEndpoint.values().forEach(calls -> calls.broken.clear());
+  }
+
   /** Returns the crashes that have become certain. */
   List<Crash> poll() {
     long nowMs = clock.nowMs();
--- a/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/PromptQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
@@ -55,6 +56,7 @@
   private final Clock clock;
   private final QuarantinePeers peers;
   private final CrashDetector detector;
+  private BooleanSupplier doubt = () -> false;
   private final CrashEvidence ownEvidence = CrashEvidence.create();
   private final CrashEvidence judgedEvidence = CrashEvidence.create();
   private final Verdicts verdicts;
@@ -429,9 +431,24 @@
     return update().addAllVerdict(verdicts.messages().toList()).build();
   }
 
+  /**
+   * Sets the condition under which calls may have broken for lack of a path, so that no crash is
+   * inferred now.
+   */
+  public void setDoubt(BooleanSupplier condition) {
+    doubt = condition;
+  }
+
+  /** Drops the calls that broke lately, since the path to the endpoints was lost. */
+  public void forgetBroken() {
+    detector.forgetBroken();
+  }
+
   /** Reports crashes and sends messages again. To be called every few hundredths of a second. */
   public void tick() {
-    detector.poll().forEach(this::report);
+    if (!doubt.getAsBoolean()) {
+      detector.poll().forEach(this::report);
+    }
     crashResends.poll().forEach(this::sendCrash);
     successResends.poll().forEach(this::sendSuccess);
     verdictResends.poll().forEach(key -> verdicts.message(key).ifPresent(this::sendVerdict));
--- /dev/null
+++ b/core/src/main/java/org/currantslip/core/reach/ReachListener.java
@@ -0,0 +1,11 @@
+package org.currantslip.core.reach;
+
+/** Is told of changes in a node's path to endpoints. */
+public interface ReachListener {
+  /**
+   * Called when the state changes.
+   *
+   * @param sinceMs start of the first failed or silent call that led to the state
+   */
+  void onChange(PathState from, PathState to, long sinceMs);
+}
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -296,6 +296,8 @@
       finish(result(false, false, true));
       listener.onFault(this, Fault.NOT_SENT);
       return;
+    } else if (failure != CallFailure.MALFORMED) {
+      tracker.onBroken();
     }
     fail(
         switch (failure) {
--- a/core/src/main/java/org/currantslip/core/routing/EndpointState.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointState.java
@@ -51,6 +51,7 @@
   private long lastConnectFailureMs;
   private long silentSinceMs;
   private long lastHeardMs;
+  private long lastFailureMs;
 
   EndpointState(EndpointRecord endpoint) {
     this.endpoint = endpoint;
@@ -116,6 +117,7 @@
       return;
     }
     consecutiveFailures++;
+    lastFailureMs = nowMs;
     boolean ejected = nowMs < ejectedUntilMs;
     if (!ejected && (result.timedOut() || consecutiveFailures >= EJECTION_FAILURE_THRESHOLD)) {
       ejectedUntilMs = nowMs + ejectionMs;
@@ -137,9 +139,21 @@
   /** Ejects the endpoint after a failed connection until a probe succeeds. */
   void onConnectFailure(long nowMs) {
     lastConnectFailureMs = nowMs;
+    lastFailureMs = nowMs;
     ejectedUntilMs = Math.max(ejectedUntilMs, nowMs + MIN_EJECTION_MS);
   }
 
+  /** Forgets failures since a time, which were not the endpoint's own. */
+  void forgiveFailures(long sinceMs) {
+    if (lastFailureMs >= sinceMs) {
+      lastConnectFailureMs = 0;
+      consecutiveFailures = 0;
+      ejectedUntilMs = 0;
+      ejectionMs = MIN_EJECTION_MS;
+      failureRate = 0;
+    }
+  }
+
   /** Returns whether a recent connection failed and the endpoint has sent nothing since. */
   boolean isUnreachable(long nowMs) {
     return lastConnectFailureMs > lastHeardMs
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -186,6 +186,11 @@
     limits.onSent(state.endpoint(), clock.nowMs());
   }
 
+  /** Lifts the ejections of endpoints whose calls have failed for lack of a path since a time. */
+  public void forgiveFailures(long sinceMs) {
+    pools.states().forEach(state -> state.forgiveFailures(sinceMs));
+  }
+
   private static boolean isSmallServicePool(EndpointPool pool, EndpointQuery query) {
     return pool.size() <= MAX_FULL_SCAN_SIZE && !query.service().isEmpty();
   }
--- a/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
+++ b/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
@@ -27,6 +27,9 @@
   /** Called when the connection to the endpoint failed. */
   default void onConnectFailure() {}
 
+  /** Called when the connection broke before the response was complete. */
+  default void onBroken() {}
+
   /** Called when the request has ended at this endpoint. */
   void onFinished(CallResult result);
 }
