Relay whole requests to peers while no endpoint is reached

A node that has lost its path hands a request to a peer that reaches endpoints. The peer runs its usual flow and returns head and events in numbered messages within a credit; it refuses at once what it cannot carry. A request that may have run is handed over a second time only if it may be repeated, paid from the retry budget. Attempts that fail for lack of a path eject no endpoint and are no evidence on versions or prompts. Not wired yet.

--- a/core/src/main/java/org/currantslip/core/port/PeerNetwork.java
+++ b/core/src/main/java/org/currantslip/core/port/PeerNetwork.java
@@ -11,6 +11,15 @@
   /** Sends a frame without expecting a reply; the frame is dropped if there is no link. */
   void send(String node, PeerFrame frame);
 
+  /**
+   * Sends a frame without expecting a reply, and returns whether a link took it. A frame that a
+   * link took may still be lost with that link.
+   */
+  default boolean trySend(String node, PeerFrame frame) {
+    send(node, frame);
+    return true;
+  }
+
   /**
    * Sends a request and returns its reply. The future fails with {@link PeerException} if there is
    * no link, the link breaks or no reply arrives within {@code timeoutMs}.
--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -62,8 +62,7 @@
   private long lastTrialMs;
   private long lapseMs = MIN_LAPSE_MS;
 
-  private EndpointReach(
-      Clock clock, ReachPeers peers, ReachListener listener, boolean alone) {
+  private EndpointReach(Clock clock, ReachPeers peers, ReachListener listener, boolean alone) {
     this.alone = alone;
     this.clock = clock;
     this.peers = peers;
--- a/core/src/main/java/org/currantslip/core/request/AttemptHistory.java
+++ b/core/src/main/java/org/currantslip/core/request/AttemptHistory.java
@@ -15,6 +15,7 @@
   private int runCount;
   private int declineCount;
   private Ran ran = Ran.NO;
+  private boolean relayed;
 
   private AttemptHistory() {}
 
@@ -45,6 +46,16 @@
     triedEndpoints.clear();
   }
 
+  /** Records that a peer has been asked to run the request. */
+  void onRelayed() {
+    relayed = true;
+  }
+
+  /** Records that the peer did not run the request. */
+  void onRelayRefused() {
+    relayed = false;
+  }
+
   /** Records that an endpoint has begun to answer. */
   void onAnswering() {
     ran = Ran.YES;
@@ -77,7 +88,7 @@
   }
 
   Ran ran() {
-    return ran;
+    return ran == Ran.NO && relayed ? Ran.UNKNOWN : ran;
   }
 
   /** Returns whether the request may run once more after the current attempt. */
--- a/core/src/main/java/org/currantslip/core/request/CallerResponse.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerResponse.java
@@ -71,6 +71,11 @@
     return sink.isAbandoned();
   }
 
+  /** Returns how many bytes of the response the caller has not read yet. */
+  long backlogBytes() {
+    return sink.backlogBytes();
+  }
+
   boolean isStarted() {
     return started;
   }
--- a/core/src/main/java/org/currantslip/core/request/CallerSink.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerSink.java
@@ -9,6 +9,11 @@
     return false;
   }
 
+  /** Returns how many bytes of the response the caller has not read yet. */
+  default long backlogBytes() {
+    return 0;
+  }
+
   /** Starts the response. */
   void head(ResponseHead head);
 
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -26,7 +26,7 @@
  * allows repeated execution. A resumable stream continues there after the last event sent to the
  * caller.
  */
-final class ForwardedFlow extends RequestFlow {
+final class ForwardedFlow extends RequestFlow implements RelayStage.Owner {
   /** Interval at which a call that is silent asks for another endpoint. */
   private static final long SUCCESSOR_INTERVAL_MS = 250;
 
@@ -39,6 +39,9 @@
   /** Slightly longer than one step of a full batch. */
   private static final long UNREACHABLE_IDLE_TIMEOUT_MS = 400;
 
+  /** Multiple of the expected time to the first token that a call gets without a path. */
+  private static final double MAX_RELATIVE_TIME_WITHOUT_PATH = 2;
+
   /** What may pass while an open stream waits. */
   private static final ImmutableSet<RetryObstacle> PASSING_OBSTACLES =
       ImmutableSet.of(RetryObstacle.DECLINES, RetryObstacle.BUDGET, RetryObstacle.NO_ENDPOINT);
@@ -51,6 +54,7 @@
   private final long beganMs;
   private final AttemptHistory history = AttemptHistory.create();
   private final ForwardedTrace trace;
+  private final RelayStage relay;
 
   private RouteTable table = RouteTable.none();
   private @Nullable Route route;
@@ -65,6 +69,7 @@
   private EndpointSelection.@Nullable Candidate successor;
   private long nextSuccessorMs;
   private boolean retryOwed;
+  private boolean retryPaid;
   private boolean letGo;
   private boolean waited;
   private ResultCode failureCode = ResultCode.NO_ENDPOINT;
@@ -94,6 +99,7 @@
     deadlineMs = request.deadlineMs();
     promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
     trace = ForwardedTrace.create(ports.trace(), request.requestId());
+    relay = RelayStage.create(ports, request, response, history, this);
   }
 
   static ForwardedFlow create(ForwardPorts ports, RouterRequest request, CallerSink sink) {
@@ -153,7 +159,9 @@
             OutcomeRecorder.create(ports.rollouts(), matchedRoute, service),
             SizeEscalation.create(ports.sizeCascade(), matchedRoute, selection));
     deadlineMs = resolved.deadlineMs();
-    ports.retryBudget().recordRequest(service);
+    if (!relay.isLikely()) {
+      ports.retryBudget().recordRequest(service);
+    }
     if (request.body().size() > table.limits().bodyBytes()) {
       throw RefusalException.notRun(ResultCode.BODY_TOO_LARGE, "the body is too large");
     }
@@ -191,6 +199,10 @@
 
   @Override
   CompletableFuture<Permit> admit() {
+    if (relay.isLikely()) {
+      // The helper admits the request; few are tried here, and those need no queue.
+      return CompletableFuture.completedFuture(usedTokens -> {});
+    }
     return ports.queue().admit(assigned().request().slotRequest());
   }
 
@@ -208,6 +220,10 @@
       refuse(quarantined.get());
       return;
     }
+    if (relay.isDue()) {
+      handOver();
+      return;
+    }
     Optional<EndpointSelection.Candidate> found =
         selection().find(sizes().size(), history.triedEndpoints());
     if (found.isEmpty()) {
@@ -223,6 +239,76 @@
     }
   }
 
+  private void handOver() {
+    if (retryOwed && !selection().trySpendRetry(waited)) {
+      obstacle = RetryObstacle.BUDGET;
+      awaitEndpointOrRefuse(failureCode, "the retry budget is spent");
+      return;
+    }
+    retryOwed = false;
+    enter(Stage.CALLING);
+    relay.start();
+  }
+
+  @Override
+  public ResolvedRequest resolved() {
+    return assigned().request();
+  }
+
+  @Override
+  public void passEvent(EndpointResponseHead head, ByteString event) {
+    if (lastEvent != null && !EventIds.isAfter(event, lastEvent)) {
+      return;
+    }
+    if (!response.isStarted()) {
+      response.relayHead(head);
+      recordFirstByte();
+    }
+    lastEvent = event;
+    eventCount++;
+    response.sendEvent(event);
+  }
+
+  @Override
+  public void passBody(EndpointResponseHead head, ByteString body) {
+    recordFirstByte();
+    response.relayHead(head);
+    response.sendComplete(head.status(), head.contentType(), body, Ran.YES, false);
+    end(head.isSuccess() ? ResultCode.OK : ResultCode.ENDPOINT_FAILED);
+  }
+
+  @Override
+  public void passEnd() {
+    response.endStream();
+    end(ResultCode.OK);
+  }
+
+  @Override
+  public void onPeerLost(String detail) {
+    endRule = "PEER";
+    retryOwed = true;
+    failureCode = ResultCode.OUTCOME_UNKNOWN;
+    obstacle = timeObstacle();
+    if (obstacle == RetryObstacle.NONE) {
+      obstacle = history.obstacle(route(), true);
+    }
+    if (obstacle == RetryObstacle.NONE) {
+      choose();
+    } else {
+      awaitEndpointOrRefuse(failureCode, "the helping node was lost: " + detail);
+    }
+  }
+
+  @Override
+  public void onNoPeer(ResultCode code, long retryAfterMs, String detail) {
+    obstacle = RetryObstacle.NO_ENDPOINT;
+    if (history.ran() == Ran.NO && retryAfterMs > 0) {
+      refuse(RefusalException.notRunRetryable(code, retryAfterMs, detail));
+    } else {
+      awaitEndpointOrRefuse(ResultCode.NO_PATH, detail);
+    }
+  }
+
   /**
    * Waits until the deadline if an answer that has begun, or that was let go while it was still to
    * come, may be had from another endpoint.
@@ -266,7 +352,7 @@
                     endpoint, model, lastEventId(), ports.clock().nowMs(), response::isAbandoned),
             assigned().request().timeouts(history.isRetryable(route())),
             ports.clock(),
-            ports.chooser().track(endpoint.getId(), next.query()),
+            ports.reach().track(endpoint, ports.chooser().track(endpoint.getId(), next.query())),
             this);
     attempt = a;
     trace.dispatched(
@@ -275,7 +361,8 @@
     a.start(ports.endpointClient(), request.promptTokens() + request.maxTokens());
   }
 
-  private String lastEventId() {
+  @Override
+  public String lastEventId() {
     return lastEvent == null ? forwarded.lastEventId() : EventIds.of(lastEvent);
   }
 
@@ -362,16 +449,7 @@
     }
     outcomes().onFirstEvent(a);
     promptGuard.onEvent();
-    if (lastEvent != null && !EventIds.isAfter(data, lastEvent)) {
-      return true;
-    }
-    if (!response.isStarted()) {
-      response.relayHead(a.head());
-      recordFirstByte();
-    }
-    lastEvent = data;
-    eventCount++;
-    response.sendEvent(data);
+    passEvent(a.head(), data);
     return true;
   }
 
@@ -419,13 +497,17 @@
     }
     endRule = fault == Attempt.Fault.SILENT ? silenceRule.name() : fault.name();
     trace.fault(a, fault, route().name(), endRule, eventCount);
-    final boolean promptAllows = promptGuard.onFault(fault, selection().hasLeft(a));
+    // A call that broke for lack of a path is taken like one of an endpoint that left.
+    final boolean promptAllows =
+        promptGuard.onFault(fault, selection().hasLeft(a) || ports.reach().isCut());
     boolean notRun = fault == Attempt.Fault.NOT_SENT || fault == Attempt.Fault.NOT_RUN;
     if (notRun) {
       history.onNotRun();
     } else {
       history.onMayHaveRun();
-      if (fault == Attempt.Fault.SILENT && route().kind() == RouteKind.STREAMING) {
+      if (ports.reach().isCut()) {
+        outcomes().onNodeResumed();
+      } else if (fault == Attempt.Fault.SILENT && route().kind() == RouteKind.STREAMING) {
         outcomes().onFirstEvent(a);
       } else if (fault == Attempt.Fault.ERROR_STATUS) {
         outcomes().onFailed(a);
@@ -438,7 +520,8 @@
       dispatch(next);
       return;
     }
-    retryOwed = fault != Attempt.Fault.NOT_SENT;
+    retryOwed = fault != Attempt.Fault.NOT_SENT && !retryPaid;
+    retryPaid = false;
     failureCode = Refusals.codeOf(fault);
     obstacle = timeObstacle();
     if (!promptAllows) {
@@ -470,12 +553,13 @@
   private RefusalException notServedRefusal(ResultCode code, String detail) {
     if (history.ran() == Ran.NO) {
       long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
-      ResultCode notRun =
-          deadlineExpired ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.NO_ENDPOINT;
+      ResultCode unserved = code == ResultCode.NO_PATH ? code : ResultCode.NO_ENDPOINT;
+      ResultCode notRun = deadlineExpired ? ResultCode.DEADLINE_UNREACHABLE : unserved;
       return RefusalException.notRunRetryable(
           notRun, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
     }
-    ResultCode reportedCode = code == ResultCode.NO_ENDPOINT ? ResultCode.ENDPOINT_FAILED : code;
+    boolean unserved = code == ResultCode.NO_ENDPOINT || code == ResultCode.NO_PATH;
+    ResultCode reportedCode = unserved ? ResultCode.ENDPOINT_FAILED : code;
     return RefusalException.of(reportedCode, history.ran(), 0, detail);
   }
 
@@ -495,10 +579,18 @@
       promptGuard.refusal(history.ran()).ifPresent(this::refuse);
     } else if (isIn(Stage.CHOOSING) && nowMs >= nextSuccessorMs) {
       chooseAgain();
-    } else if (isIn(Stage.CALLING) && attempt != null) {
+    } else if (isIn(Stage.CALLING) && attempt != null && !attempt.isEnded()) {
       Attempt current = attempt;
-      outcomes().onTick(current);
-      if (nowMs >= nextSuccessorMs && hasTimedOut(current, nowMs)) {
+      if (ports.reach().judgesSilence(current.sentMs())) {
+        outcomes().onTick(current);
+      }
+      if (relay.isLikely()) {
+        if (isLostWithPath(current, nowMs) && selection().trySpendRetry(true)) {
+          retryPaid = true;
+          silenceRule = SilenceRule.NO_PATH;
+          current.failOnTimeout();
+        }
+      } else if (nowMs >= nextSuccessorMs && hasTimedOut(current, nowMs)) {
         nextSuccessorMs = nowMs + SUCCESSOR_INTERVAL_MS;
         if (isSuccessorPaid(sizes().size(), history.triedEndpoints(), true)) {
           current.failOnTimeout();
@@ -507,6 +599,14 @@
     }
   }
 
+  /** Returns whether a peer should take over from an attempt that is silent for lack of a path. */
+  private boolean isLostWithPath(Attempt a, long nowMs) {
+    return a.isIdleFor(UNREACHABLE_IDLE_TIMEOUT_MS, nowMs)
+        && (a.hasResponseHead() || a.relativeTime() >= MAX_RELATIVE_TIME_WITHOUT_PATH)
+        && history.isRetryable(route())
+        && promptGuard.mayRepeat();
+  }
+
   /**
    * Returns whether the attempt has timed out. The timeout is shorter if other requests fail to
    * connect to the endpoint than if the endpoint is merely slow.
@@ -557,7 +657,7 @@
       return;
     }
     callerDisconnected = true;
-    if (isIn(Stage.CALLING) && route().kind() == RouteKind.UNSAFE) {
+    if (isIn(Stage.CALLING) && !relay.isOpen() && route().kind() == RouteKind.UNSAFE) {
       return;
     }
     if (attempt != null) {
@@ -567,7 +667,7 @@
   }
 
   @Override
-  void refuse(RefusalException e) {
+  public void refuse(RefusalException e) {
     if (attempt != null) {
       attempt.cancel();
     }
@@ -576,6 +676,7 @@
   }
 
   private void end(ResultCode code) {
+    relay.cancel();
     promptGuard.onAbandoned();
     close(0);
     long totalMs = ports.clock().nowMs() - arrivedMs;
@@ -614,6 +715,7 @@
             totalMs,
             endRule,
             obstacle,
+            relay.helper(),
             attempt),
         table.version(),
         ports.routes().current().version());
--- a/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
@@ -13,6 +13,7 @@
  * @param lastEventId id of the last event that the caller received from an earlier response, or
  *     empty
  * @param arrivedMs time at which the first byte of the request was read; timeouts count from it
+ * @param relayedBy name of the node that relayed the request to this one, or empty
  */
 public record ForwardedRequest(
     String host,
@@ -20,4 +21,16 @@
     List<HeaderField> fields,
     List<PromptPart> prompt,
     String lastEventId,
-    long arrivedMs) {}
+    long arrivedMs,
+    String relayedBy) {
+  /** Creates the fields of a request that a caller sent to this node. */
+  public ForwardedRequest(
+      String host,
+      String apiKey,
+      List<HeaderField> fields,
+      List<PromptPart> prompt,
+      String lastEventId,
+      long arrivedMs) {
+    this(host, apiKey, fields, prompt, lastEventId, arrivedMs, "");
+  }
+}
--- a/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
@@ -91,6 +91,7 @@
    * @param startWaitMs time from the arrival of the request to its first step
    * @param queueMs time from that step to admission, or to the end if it was not admitted
    * @param lacked what kept the request from another endpoint
+   * @param helper peer that the request was last relayed to, or empty
    * @param attempt last attempt, or null if the request was not sent
    */
   record End(
@@ -106,6 +107,7 @@
       long totalMs,
       String rule,
       RetryObstacle lacked,
+      String helper,
       @Nullable Attempt attempt) {}
 
   /** Records the end of a request. */
@@ -117,7 +119,7 @@
         () ->
             ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
                     + " status=%d sends=%d events=%d wait_ms=%d queue_ms=%d first_byte_ms=%d"
-                    + " total_ms=%d endpoint=%s framing=%s rule=%s lacked=%s silent_ms=%d"
+                    + " total_ms=%d helper=%s endpoint=%s framing=%s rule=%s lacked=%s silent_ms=%d"
                     + " end_config_version=%d")
                 .formatted(
                     route,
@@ -134,6 +136,7 @@
                     end.queueMs(),
                     end.firstByteMs(),
                     end.totalMs(),
+                    end.helper(),
                     attempt == null ? "" : attempt.endpoint().getId(),
                     attempt == null ? "" : attempt.head().framing(),
                     end.rule(),
--- a/core/src/main/java/org/currantslip/core/request/SilenceRule.java
+++ b/core/src/main/java/org/currantslip/core/request/SilenceRule.java
@@ -8,5 +8,7 @@
   IDLE,
   /** The response paused while other requests could not connect to the endpoint. */
   UNREACHABLE,
+  /** The call was silent while this node reached no endpoint. */
+  NO_PATH,
   DEADLINE
 }
--- a/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
+++ b/node/src/main/java/org/currantslip/node/peer/PeerLinks.java
@@ -111,14 +111,20 @@
     sendOrQueue(node, frame);
   }
 
+  @Override
+  public boolean trySend(String node, PeerFrame frame) {
+    return sendOrQueue(node, frame);
+  }
+
   @Override
   public CompletableFuture<PeerFrame> request(String node, PeerFrame request, long timeoutMs) {
     if (pendingReplies.size() >= MAX_PENDING_REQUESTS) {
-      return CompletableFuture.failedFuture(PeerException.of("too many pending peer requests"));
+      return CompletableFuture.failedFuture(
+          PeerException.notSent("too many pending peer requests"));
     }
     long correlation = ++lastCorrelation;
     if (!sendOrQueue(node, request.toBuilder().setCorrelation(correlation).build())) {
-      return CompletableFuture.failedFuture(PeerException.of("no link available to " + node));
+      return CompletableFuture.failedFuture(PeerException.notSent("no link available to " + node));
     }
     CompletableFuture<PeerFrame> future = new CompletableFuture<>();
     pendingReplies.put(correlation, future);
@@ -137,7 +143,9 @@
         break;
       }
       deadlines.remove();
-      failRequest(pendingRequest, "timed out waiting for a reply from ");
+      failRequest(
+          pendingRequest,
+          PeerException.of("timed out waiting for a reply from " + pendingRequest.node()));
     }
     replacedLinks.removeIf(replaced -> closeIfExpired(replaced, nowMs));
   }
@@ -155,10 +163,10 @@
     return expired || !replaced.link().isOpen();
   }
 
-  private void failRequest(PendingRequest pendingRequest, String messagePrefix) {
+  private void failRequest(PendingRequest pendingRequest, PeerException failure) {
     CompletableFuture<PeerFrame> future = pendingReplies.remove(pendingRequest.correlation());
     if (future != null) {
-      future.completeExceptionally(PeerException.of(messagePrefix + pendingRequest.node()));
+      future.completeExceptionally(failure);
     }
   }
 
@@ -190,11 +198,11 @@
     return Optional.of(pending);
   }
 
-  private void failRequests(String node, String messagePrefix) {
+  private void failRequests(String node, PeerException failure) {
     deadlines.stream()
         .filter(pendingRequest -> pendingRequest.node().equals(node))
         .toList()
-        .forEach(pendingRequest -> failRequest(pendingRequest, messagePrefix));
+        .forEach(pendingRequest -> failRequest(pendingRequest, failure));
   }
 
   /**
@@ -258,7 +266,7 @@
     public void onClosed(PeerLink link) {
       if (links.remove(link.name(), link)) {
         EventLog.write(LogEvent.LINK_CLOSED, "node=" + link.name());
-        failRequests(link.name(), "link closed to ");
+        failRequests(link.name(), PeerException.of("link closed to " + link.name()));
         dispatcher.onLinkLost(link.peer());
       }
     }
@@ -266,7 +274,7 @@
     @Override
     public void onOpenFailed(String node, String reason) {
       if (pendingConnections.remove(node) != null) {
-        failRequests(node, "connection failed (" + reason + ") to ");
+        failRequests(node, PeerException.notSent("connection failed (" + reason + ") to " + node));
       }
     }
   }
