--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -100,6 +100,14 @@
     return state == PathState.CUT;
   }
 
+  /**
+   * Returns whether a call that was sent at a time and is silent has most likely not arrived, since
+   * the path was known to be lost then and still is.
+   */
+  public boolean isTrial(long sentMs) {
+    return isCut() && sentMs >= cutMs;
+  }
+
   /** Returns whether broken calls may be due to the path, so that they are not judged now. */
   public boolean isDoubtful() {
     return state == PathState.CUT
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -585,7 +585,8 @@
         outcomes().onTick(current);
       }
       if (relay.isLikely()) {
-        if (isLostWithPath(current, nowMs) && selection().trySpendRetry(true)) {
+        if (isLostWithPath(current, nowMs)
+            && (ports.reach().isTrial(current.sentMs()) || selection().trySpendRetry(true))) {
           retryPaid = true;
           silenceRule = SilenceRule.NO_PATH;
           current.failOnTimeout();
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -87,6 +87,11 @@
     return disconnected || finished;
   }
 
+  @Override
+  public synchronized long backlogBytes() {
+    return pendingBytes;
+  }
+
   @Override
   public synchronized void head(ResponseHead head) {
     if (finished) {
--- a/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -22,6 +22,7 @@
   private final ExpectedWaitChooser endpointChooser;
   private final PromptQuarantine quarantine;
   private final QuarantineLinks quarantineLinks;
+  private final RelayLinks relayLinks;
 
   private EdgeFrames(
       HeartbeatMembership membership,
@@ -31,7 +32,8 @@
       ServiceRollouts rollouts,
       ExpectedWaitChooser endpointChooser,
       PromptQuarantine quarantine,
-      QuarantineLinks quarantineLinks) {
+      QuarantineLinks quarantineLinks,
+      RelayLinks relayLinks) {
     this.membership = membership;
     this.mirrors = mirrors;
     this.mirrorGossip = mirrorGossip;
@@ -40,6 +42,7 @@
     this.endpointChooser = endpointChooser;
     this.quarantine = quarantine;
     this.quarantineLinks = quarantineLinks;
+    this.relayLinks = relayLinks;
   }
 
   static EdgeFrames create(
@@ -50,7 +53,8 @@
       ServiceRollouts rollouts,
       ExpectedWaitChooser endpointChooser,
       PromptQuarantine quarantine,
-      QuarantineLinks quarantineLinks) {
+      QuarantineLinks quarantineLinks,
+      RelayLinks relayLinks) {
     return new EdgeFrames(
         membership,
         mirrors,
@@ -59,7 +63,8 @@
         rollouts,
         endpointChooser,
         quarantine,
-        quarantineLinks);
+        quarantineLinks,
+        relayLinks);
   }
 
   @Override
@@ -72,6 +77,7 @@
   @Override
   public void onLinkLost(NodeRecord peer) {
     mirrors.all().forEach(KindMirror::restart);
+    relayLinks.onLinkLost(peer.getId().getName());
   }
 
   @Override
@@ -95,6 +101,8 @@
       case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
       case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
       case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
+      case RELAY_REQUEST, RELAY_HEAD, RELAY_DATA, RELAY_END, RELAY_CREDIT, RELAY_CANCEL ->
+          relayLinks.onFrame(fromNode, frame, reply);
       default -> {
         // Replies have reached their requesters already; frame types of newer nodes are ignored.
       }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -100,6 +100,7 @@
   private final EdgeFrames frames;
   private final QuarantineLinks quarantineLinks;
   private final PromptQuarantine quarantine;
+  private final RelayLinks relayLinks;
   private final SlotQueue requestQueue;
   private final RequestEngine requestEngine;
   private final CallerTraffic callerTraffic;
@@ -205,6 +206,15 @@
     quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
     quarantine = PromptQuarantine.create(clock, quarantineLinks);
     quarantine.setListener(QuarantineLog.create(trace));
+    relayLinks =
+        RelayLinks.create(
+            clock,
+            membership,
+            peerLinks,
+            endpointChooser,
+            quarantine,
+            EdgeOptions.relay(settings),
+            metrics.relayCounts());
     reports =
         FleetReports.create(
             clock, membership, peerLinks, rollouts, rolloutController, endpointChooser);
@@ -217,7 +227,8 @@
             rollouts,
             endpointChooser,
             quarantine,
-            quarantineLinks);
+            quarantineLinks,
+            relayLinks);
     requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
@@ -233,7 +244,10 @@
                 quarantine,
                 RunnerCalls.create(endpointClient, decisions, clock),
                 metrics::record,
-                trace));
+                trace,
+                relayLinks.reach(),
+                relayLinks.relay()));
+    relayLinks.serve(requestEngine, decisions::lagMs, trace);
     RequestIds ids = RequestIds.create(self.getId());
     callerServer =
         FrontDoor.forwarding(
@@ -316,6 +330,7 @@
     endpointCount = endpoints.size();
     endpointChooser.onEndpoints(endpoints);
     rollouts.onEndpoints(endpoints);
+    relayLinks.onEndpoints(endpoints);
     EventLog.write(
         LogEvent.ENDPOINTS_CHANGED,
         "endpoints=%d leaving=%d"
@@ -346,6 +361,7 @@
     TickStep.run("endpoints", endpointRegistry::tick);
     TickStep.run("quarantine", quarantine::tick);
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
+    TickStep.run("request_relay", relayLinks::tick);
     TickStep.run("queue", requestQueue::tick);
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -5,6 +5,7 @@
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.membership.MembershipOptions;
 import org.currantslip.core.membership.PlannedStop;
+import org.currantslip.core.relay.RelayOptions;
 import org.currantslip.node.caller.CallerOptions;
 import org.currantslip.node.peer.PeerOptions;
 import org.currantslip.schema.DomainRegionSettings;
@@ -126,6 +127,11 @@
                 (first, second) -> second));
   }
 
+  static RelayOptions relay(EdgeSettings settings) {
+    return RelayOptions.ofCores(
+        settings.getLimits().getCores() * settings.getLimits().getCpuShare());
+  }
+
   static RetryBudget.Bound retryBound(EdgeSettings settings) {
     var retry = settings.getRetry();
     return new RetryBudget.Bound(
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -23,7 +23,10 @@
   CONFIG_VERSION("currantslip.config.version", Kind.GAUGE, "", List.of()),
   CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of()),
   QUARANTINE_REFUSALS("currantslip.quarantine.refusals", Kind.COUNTER, "", List.of()),
-  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of());
+  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of()),
+  RELAYS_SENT("currantslip.relays.sent", Kind.COUNTER, "", List.of()),
+  RELAYS_ACCEPTED("currantslip.relays.accepted", Kind.COUNTER, "", List.of()),
+  RELAYS_REFUSED("currantslip.relays.refused", Kind.COUNTER, "", List.of());
 
   /** Type of a metric. */
   public enum Kind {
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.function.ToDoubleFunction;
 import org.currantslip.core.common.ResultCode;
+import org.currantslip.core.relay.RelayCounts;
 import org.currantslip.core.request.RequestOutcome;
 
 /** Records the metrics of this node and exports them to Prometheus. */
@@ -34,6 +35,7 @@
   private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
   private final Counter quarantineRefusals =
       Counter.builder(Metric.QUARANTINE_REFUSALS.meterName()).register(registry);
+  private final RelayCounts relayCounts = RelayCounts.create();
   private boolean jvmMetricsBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
 
@@ -49,6 +51,18 @@
     gauge(Metric.QUARANTINED_PARTS, NodeGauges::quarantinedParts);
     FunctionCounter.builder(Metric.PEER_FRAMES.meterName(), this, m -> m.gauges.frames())
         .register(registry);
+    counter(Metric.RELAYS_SENT, RelayCounts::sent);
+    counter(Metric.RELAYS_ACCEPTED, RelayCounts::accepted);
+    counter(Metric.RELAYS_REFUSED, RelayCounts::refused);
+  }
+
+  private void counter(Metric metric, ToDoubleFunction<RelayCounts> value) {
+    FunctionCounter.builder(metric.meterName(), relayCounts, value).register(registry);
+  }
+
+  /** Returns the counts of relayed requests, which are exported as metrics. */
+  public RelayCounts relayCounts() {
+    return relayCounts;
   }
 
   /** Registers the JVM metrics on the first scrape, as this would add 0.1 s to the start. */
