--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -139,7 +139,8 @@
     return switch (state) {
       case REACHING, SUSPECTED -> true;
       case CUT -> tryTrial(repeatable, nowMs);
-      case RETURNING -> window.admits(newCallCount());
+      // After a lapse nothing is known yet, so that the first call is a trial like any other.
+      case RETURNING -> (repeatable || window.hasAnswers()) && window.admits(newCallCount());
     };
   }
 
--- a/core/src/main/java/org/currantslip/core/reach/ReturnWindow.java
+++ b/core/src/main/java/org/currantslip/core/reach/ReturnWindow.java
@@ -35,6 +35,10 @@
     return failures >= MAX_FAILURES;
   }
 
+  boolean hasAnswers() {
+    return answered > 0;
+  }
+
   boolean admits(int openCalls) {
     return openCalls <= answered && failures == 0 || openCalls == 0;
   }
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -291,7 +291,8 @@
                   routes,
                   queue,
                   chooser,
-                  RetryBudget.create(clock, new RetryBudget.Bound(0.9, 52, 10_000), () -> nodes.size()),
+                  RetryBudget.create(
+                      clock, new RetryBudget.Bound(0.9, 52, 10_000), () -> nodes.size()),
                   ServiceRollouts.create(self.getId(), h -> {}),
                   SizeCascade.create(),
                   PromptQuarantine.create(clock, QuarantinePeers.none(name)),
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -117,12 +117,11 @@
   private long idleTimeoutMs;
   private boolean closed;
 
-  private EdgeNode(EdgeSettings settings) throws InterruptedException {
+  private EdgeNode(EdgeSettings settings, HttpClient endpointClient) throws InterruptedException {
     this.settings = settings;
+    this.endpointClient = endpointClient;
     decisions = DecisionThread.create(clock);
     storeClient = HttpClients.startWithoutTls("store", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
-    endpointClient =
-        HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
     decisions.start();
     ObjectsClient store =
         ObjectsClient.open(
@@ -277,7 +276,17 @@
    * for callers opens once the node can serve.
    */
   public static EdgeNode start(EdgeSettings settings) throws Exception {
-    EdgeNode node = new EdgeNode(settings);
+    return start(settings, newEndpointClient());
+  }
+
+  /** Returns a client for calls to endpoints. */
+  static HttpClient newEndpointClient() {
+    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
+  }
+
+  /** Starts a node that calls endpoints through this client and stops it at its end. */
+  static EdgeNode start(EdgeSettings settings, HttpClient endpointClient) throws Exception {
+    EdgeNode node = new EdgeNode(settings, endpointClient);
     try {
       node.peerLinks.listen(node.frames);
       node.managementServer.start();
