--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
@@ -22,6 +23,7 @@
 import org.currantslip.schema.NodeState;
 import org.currantslip.schema.NodeView;
 import org.currantslip.schema.PeerFrame;
+import org.currantslip.schema.ServiceHeard;
 
 /**
  * Membership based on join records in the object store, heartbeats to a bounded number of nodes,
@@ -58,6 +60,7 @@
   private final MembershipOptions options;
   private final JoinRecord joinRecord;
   private final GoneMarker goneMarker;
+  private final ReachExchange reach = ReachExchange.create();
   private final TreeMap<String, Member> members = new TreeMap<>();
   private final HeartbeatWriter writer;
   private BiConsumer<String, List<MirrorRevision>> peerRevisionListener = (node, revisions) -> {};
@@ -85,7 +88,7 @@
     this.options = options;
     joinRecord = JoinRecord.create(self, store, clock);
     goneMarker = GoneMarker.create(store, clock, options.goneAfterMs(), this::mergeRecord);
-    writer = HeartbeatWriter.create(clock, members, options.maxGossip());
+    writer = HeartbeatWriter.create(clock, members, reach, options.maxGossip());
     startedMs = clock.nowMs();
   }
 
@@ -110,6 +113,34 @@
     peerRevisionListener = peers;
   }
 
+  /**
+   * Sets the source of this node's report on its path to endpoints, and the listener for peers'.
+   */
+  public void setReachReports(
+      Supplier<List<ServiceHeard>> own, Consumer<List<ServiceHeard>> peerListener) {
+    reach.connect(own, peerListener);
+  }
+
+  /** Tells peers whether this node reaches no endpoint; to be repeated while it does not. */
+  public void setEndpointsUnreachable(boolean unreachable) {
+    if (reach.setUnreachable(unreachable)) {
+      nextHeartbeatMs = 0;
+    }
+    onMemberChanged(self.getId().getName());
+  }
+
+  /**
+   * Returns the serving nodes other than this one that have not said that they reach no endpoint.
+   */
+  public List<NodeRecord> reachingPeers() {
+    return nodeLists().reaching().stream().filter(n -> !n.getId().equals(self.getId())).toList();
+  }
+
+  /** Exchanges heartbeats with these nodes now, whoever monitors them. */
+  public void exchangeWith(Collection<String> names) {
+    names.forEach(this::sendHeartbeat);
+  }
+
   /** Sets the source of the configuration status sent in heartbeats. */
   public void setConfigStatus(Supplier<ConfigAnnounce> status) {
     writer.setConfigStatus(status);
@@ -152,7 +183,7 @@
     if (cachedLists.isValid(nowMs)) {
       return cachedLists;
     }
-    cachedLists = NodeLists.of(self, members.values(), nowMs, options);
+    cachedLists = NodeLists.of(self, reach.isUnreachable(), members, nowMs, options);
     return cachedLists;
   }
 
@@ -364,6 +395,9 @@
       sender.setReport(
           new NodeReport(heartbeat.getCapacity(), heartbeat.getEndpointsUnreachable()), nowMs);
       markHeard(sender, nowMs);
+      if (reach.onHeartbeat(sender, heartbeat, nowMs)) {
+        onMemberChanged(heartbeat.getNode().getName());
+      }
       peerRevisionListener.accept(sender.nodeRecord().getId().getName(), heartbeat.getMirrorList());
     }
     heartbeat.getViewList().forEach(v -> handleView(v, nowMs));
@@ -386,6 +420,9 @@
       if (nowMs - heardMs < options.silentMs() && member.markHeardByOther(heardMs)) {
         onSuspicionCleared(member);
       }
+      if (reach.onView(member, view, nowMs)) {
+        onMemberChanged(id.getName());
+      }
       return;
     }
     member.noteHeardByOther(heardMs);
--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatWriter.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatWriter.java
@@ -18,6 +18,7 @@
 final class HeartbeatWriter {
   private final Clock clock;
   private final TreeMap<String, Member> members;
+  private final ReachExchange reach;
   private final int maxGossip;
   private final GossipQueue gossip = GossipQueue.create();
   private final ViewRotation viewRotation = ViewRotation.create();
@@ -25,15 +26,18 @@
   private Supplier<List<MirrorRevision>> mirrorRevisions = List::of;
   private Supplier<NodeReport> report = NodeReport::none;
 
-  private HeartbeatWriter(Clock clock, TreeMap<String, Member> members, int maxGossip) {
+  private HeartbeatWriter(
+      Clock clock, TreeMap<String, Member> members, ReachExchange reach, int maxGossip) {
     this.clock = clock;
+    this.reach = reach;
     this.members = members;
     this.maxGossip = maxGossip;
   }
 
   /** Creates a writer that describes these members, which its caller changes. */
-  static HeartbeatWriter create(Clock clock, TreeMap<String, Member> members, int maxGossip) {
-    return new HeartbeatWriter(clock, members, maxGossip);
+  static HeartbeatWriter create(
+      Clock clock, TreeMap<String, Member> members, ReachExchange reach, int maxGossip) {
+    return new HeartbeatWriter(clock, members, reach, maxGossip);
   }
 
   void setConfigStatus(Supplier<ConfigAnnounce> status) {
@@ -65,8 +69,8 @@
             .setConfigVersion(config.getVersion())
             .setConfigAgeMs(config.getAgeMs())
             .addAllMirror(mirrorRevisions.get())
-            .setCapacity(report().capacity())
-            .setEndpointsUnreachable(report().endpointsUnreachable());
+            .setCapacity(report().capacity());
+    reach.addTo(builder);
     Set<String> names = new LinkedHashSet<>(gossip.take(maxGossip));
     names.addAll(viewRotation.next(members));
     names.stream().flatMap(name -> viewOf(name, self)).forEach(builder::addView);
@@ -80,7 +84,7 @@
               .setNode(self)
               .setConfigVersion(configStatus.get().getVersion())
               .setCapacity(report().capacity())
-              .setEndpointsUnreachable(report().endpointsUnreachable())
+              .setEndpointsUnreachable(reach.isUnreachable())
               .build());
     }
     return Optional.ofNullable(members.get(name)).map(this::view).stream();
@@ -93,7 +97,8 @@
         .setConfigVersion(member.configVersion())
         .setSuspected(member.isSuspected())
         .setCapacity(member.report().capacity())
-        .setEndpointsUnreachable(member.report().endpointsUnreachable())
+        .setEndpointsUnreachable(member.isUnreachable(clock.nowMs()))
+        .setReachMsAgo(Math.max(0, clock.nowMs() - member.reachAsOfMs()))
         .build();
   }
 }
--- a/core/src/main/java/org/currantslip/core/membership/NodeLists.java
+++ b/core/src/main/java/org/currantslip/core/membership/NodeLists.java
@@ -1,9 +1,11 @@
 package org.currantslip.core.membership;
 
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.NodeState;
@@ -11,33 +13,60 @@
 /**
  * Node lists derived from the known members.
  *
+ * @param entries nodes that callers may be sent to
+ * @param reaching serving nodes that reach endpoints as far as is known
  * @param untilMs time at which the next suspicion expires and the lists become invalid
  */
 record NodeLists(
-    List<NodeRecord> live, List<NodeRecord> entries, Set<String> targets, long untilMs) {
-  static final NodeLists STALE = new NodeLists(List.of(), List.of(), Set.of(), Long.MIN_VALUE);
+    List<NodeRecord> live,
+    List<NodeRecord> entries,
+    List<NodeRecord> reaching,
+    Set<String> targets,
+    long untilMs) {
+  static final NodeLists STALE =
+      new NodeLists(List.of(), List.of(), List.of(), Set.of(), Long.MIN_VALUE);
 
+  /**
+   * Derives the lists.
+   *
+   * @param selfUnreachable whether this node reaches no endpoint
+   */
   static NodeLists of(
-      NodeRecord self, Collection<Member> members, long nowMs, MembershipOptions options) {
+      NodeRecord self,
+      boolean selfUnreachable,
+      Map<String, Member> members,
+      long nowMs,
+      MembershipOptions options) {
     List<NodeRecord> live =
         Stream.concat(
                 Stream.of(self),
-                members.stream()
+                members.values().stream()
                     .filter(m -> m.isLive(nowMs, options.suspicionMs()))
                     .map(Member::nodeRecord))
             .sorted(Comparator.comparing(n -> n.getId().getName()))
             .toList();
-    long untilMs =
-        members.stream()
+    List<NodeRecord> serving =
+        live.stream().filter(n -> n.getState() == NodeState.SERVING).toList();
+    List<NodeRecord> reaching =
+        serving.stream()
+            .filter(
+                n ->
+                    Optional.ofNullable(members.get(n.getId().getName()))
+                        .map(m -> !m.isUnreachable(nowMs))
+                        .orElse(!selfUnreachable))
+            .toList();
+    LongStream suspicionsEndMs =
+        members.values().stream()
             .filter(m -> m.isSuspected() && m.isLive(nowMs, options.suspicionMs()))
-            .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs())
-            .min()
-            .orElse(Long.MAX_VALUE);
+            .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs());
+    LongStream unreachableUntilMs =
+        members.values().stream().mapToLong(m -> m.unreachableUntilMs(nowMs));
     return new NodeLists(
         live,
-        live.stream().filter(n -> n.getState() == NodeState.SERVING).toList(),
+        reaching.isEmpty() ? serving : reaching,
+        reaching,
         HeartbeatRing.targets(self, live, options),
-        untilMs);
+        LongStream.concat(suspicionsEndMs, unreachableUntilMs).min().orElse(Long.MAX_VALUE));
   }
 
   boolean isValid(long nowMs) {
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -105,6 +105,7 @@
   private final EdgeFrames frames;
   private final QuarantineLinks quarantineLinks;
   private final PromptQuarantine quarantine;
+  private final RelayLinks relayLinks;
   private final SlotQueue requestQueue;
   private final RequestEngine requestEngine;
   private final CallerTraffic callerTraffic;
@@ -124,12 +125,11 @@
   private long idleTimeoutMs;
   private volatile boolean closed;
 
-  private EdgeNode(EdgeSettings settings) throws InterruptedException {
+  private EdgeNode(EdgeSettings settings, HttpClient endpointClient) throws InterruptedException {
     this.settings = settings;
+    this.endpointClient = endpointClient;
     decisions = DecisionThread.create(clock);
     storeClient = HttpClients.startWithoutTls("store", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
-    endpointClient =
-        HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
     decisions.start();
     ObjectsClient store =
         ObjectsClient.open(
@@ -219,6 +219,15 @@
     quarantineLinks = QuarantineLinks.create(membership, peerLinks, clock, seed);
     quarantine = PromptQuarantine.create(clock, quarantineLinks);
     quarantine.setListener(QuarantineLog.create(trace));
+    relayLinks =
+        RelayLinks.create(
+            clock,
+            membership,
+            peerLinks,
+            endpointChooser,
+            quarantine,
+            EdgeOptions.relay(settings),
+            metrics.relayCounts());
     reports =
         FleetReports.create(
             clock, membership, peerLinks, rollouts, rolloutController, endpointChooser);
@@ -231,7 +240,8 @@
             rollouts,
             endpointChooser,
             quarantine,
-            quarantineLinks);
+            quarantineLinks,
+            relayLinks);
     requestQueue = SlotQueue.withHomes(clock, endpointChooser::freeSlots, seed);
     requestEngine =
         RequestEngine.forwarding(
@@ -247,7 +257,10 @@
                 quarantine,
                 RunnerCalls.create(endpointClient, decisions, clock),
                 metrics::record,
-                trace));
+                trace,
+                relayLinks.reach(),
+                relayLinks.relay()));
+    relayLinks.serve(requestEngine, decisions::lagMs, trace);
     RequestIds ids = RequestIds.create(self.getId());
     callerServer =
         FrontDoor.forwarding(
@@ -289,7 +302,17 @@
    * for callers opens once the node can serve.
    */
   public static EdgeNode start(EdgeSettings settings) throws Exception {
-    EdgeNode node = new EdgeNode(settings);
+    return start(settings, newEndpointClient());
+  }
+
+  /** Returns a client for calls to endpoints. */
+  static HttpClient newEndpointClient() {
+    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
+  }
+
+  /** Starts a node that calls endpoints through this client and stops it at its end. */
+  static EdgeNode start(EdgeSettings settings, HttpClient endpointClient) throws Exception {
+    EdgeNode node = new EdgeNode(settings, endpointClient);
     try {
       node.peerLinks.listen(node.frames);
       node.managementServer.start();
@@ -348,6 +371,7 @@
     evacuationDuty.onEndpoints(endpoints);
     endpointChooser.onEndpoints(endpoints);
     rollouts.onEndpoints(endpoints);
+    relayLinks.onEndpoints(endpoints);
     EventLog.write(
         LogEvent.ENDPOINTS_CHANGED,
         "endpoints=%d leaving=%d"
@@ -374,6 +398,7 @@
     TickStep.run("endpoints", endpointRegistry::tick);
     TickStep.run("quarantine", quarantine::tick);
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
+    TickStep.run("request_relay", relayLinks::tick);
     TickStep.run("queue", requestQueue::tick);
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
--- a/node/src/main/java/org/currantslip/node/edge/NodeStart.java
+++ b/node/src/main/java/org/currantslip/node/edge/NodeStart.java
@@ -75,7 +75,9 @@
             : Optional.empty();
   }
 
-  /** Called on any thread for each look-up that names no node, which is that of a waiting caller. */
+  /**
+   * Called on any thread for each look-up that names no node, which is that of a waiting caller.
+   */
   void onCallerWithoutNode() {
     callersWait.set(true);
   }
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -29,7 +29,10 @@
   START_CALLS("currantslip.start.calls", Kind.GAUGE, "", List.of()),
   QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of()),
   EVACUATED_DOMAINS("currantslip.evacuated.domains", Kind.GAUGE, "", List.of()),
-  LOOK_UPS("currantslip.directory.lookups", Kind.COUNTER, "", List.of("result"));
+  LOOK_UPS("currantslip.directory.lookups", Kind.COUNTER, "", List.of("result")),
+  RELAYS_SENT("currantslip.relays.sent", Kind.COUNTER, "", List.of()),
+  RELAYS_ACCEPTED("currantslip.relays.accepted", Kind.COUNTER, "", List.of()),
+  RELAYS_REFUSED("currantslip.relays.refused", Kind.COUNTER, "", List.of());
 
   /** Type of a metric. */
   public enum Kind {
