--- a/core/src/main/java/org/currantslip/core/directory/NodeDirectory.java
+++ b/core/src/main/java/org/currantslip/core/directory/NodeDirectory.java
@@ -69,14 +69,15 @@
         entries.stream().filter(e -> !e.report().endpointsUnreachable()).toList();
     List<Entry> usable = reaching.isEmpty() ? entries : reaching;
     double[] weights = NodeWeights.of(usable.stream().map(e -> e.report().capacity()).toList());
+    boolean weighted = usable.stream().anyMatch(e -> NodeWeights.isKnown(e.report().capacity()));
     long period = (nowMs + Math.floorMod(hash(answering), PERIOD_MS)) / PERIOD_MS;
     ImmutableList.Builder<Weighted> nodes = ImmutableList.builder();
     for (int i = 0; i < weights.length; i++) {
       NodeRecord node = usable.get(i).node();
-      double uniform = uniform(node.getId().getName() + '>' + answering + '>' + period);
+      double uniform =
+          weighted ? uniform(node.getId().getName() + '>' + answering + '>' + period) : 0;
       nodes.add(new Weighted(node, weights[i], uniform / weights[i]));
     }
-    boolean weighted = usable.stream().anyMatch(e -> NodeWeights.isKnown(e.report().capacity()));
     return new NodeDirectory(nodes.build(), weighted, knownNodes, routes);
   }
 
--- a/core/src/main/java/org/currantslip/core/membership/ViewRotation.java
+++ b/core/src/main/java/org/currantslip/core/membership/ViewRotation.java
@@ -1,9 +1,12 @@
 package org.currantslip.core.membership;
 
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Selects members that heartbeats describe in turn besides those that changed, so that a node that
@@ -43,19 +46,15 @@
       String after,
       int count,
       Set<String> names) {
-    String last = after;
-    String name = members.higherKey(after);
-    int left = count;
-    for (int i = 0; i < members.size() && left > 0; i++) {
-      String current = name == null ? members.firstKey() : name;
-      Member member = members.get(current);
-      if (member != null && condition.test(member)) {
-        names.add(current);
-        last = current;
-        left--;
-      }
-      name = members.higherKey(current);
-    }
-    return last;
+    List<String> added =
+        Stream.concat(
+                members.tailMap(after, false).entrySet().stream(),
+                members.headMap(after, true).entrySet().stream())
+            .filter(e -> condition.test(e.getValue()))
+            .limit(count)
+            .map(Map.Entry::getKey)
+            .toList();
+    names.addAll(added);
+    return added.isEmpty() ? after : added.get(added.size() - 1);
   }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -136,6 +136,11 @@
     return contentVersion;
   }
 
+  /** Returns whether the objects are known, if there are any. */
+  public boolean isKnown() {
+    return listComplete || !position.equals(StorePosition.NONE);
+  }
+
   /** Returns whether the last call to the store succeeded. */
   public boolean isConnected() {
     return consecutiveFailures == 0 && !position.equals(StorePosition.NONE);
--- a/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
+++ b/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
@@ -17,6 +17,7 @@
 import org.currantslip.core.route.RouteTable;
 import org.currantslip.node.log.EventLog;
 import org.currantslip.node.metrics.NodeMetrics;
+import org.currantslip.schema.NodeRecord;
 
 /**
  * Answers look-ups on the threads of the management server from a directory that the decision
@@ -31,12 +32,18 @@
 
   private static final long LOG_INTERVAL_MS = 1_000;
 
+  /** Age of the reports of nodes in answers; changes of the nodes themselves do not wait. */
+  private static final long REFRESH_MS = 500;
+
   private final Clock clock;
   private final NodeMetrics metrics;
   private final Map<LookUpResult, AtomicLong> counts = new EnumMap<>(LookUpResult.class);
   private final Map<LookUpResult, Long> logged = new EnumMap<>(LookUpResult.class);
   private volatile NodeDirectory directory = NodeDirectory.empty();
   private long nextLogMs;
+  private long nextRefreshMs;
+  private List<NodeRecord> publishedNodes = List.of();
+  private long publishedVersion;
 
   private DirectoryLookUps(Clock clock, NodeMetrics metrics) {
     this.clock = clock;
@@ -69,8 +76,20 @@
   /** Publishes the nodes that callers may be directed to, and logs failed look-ups. */
   void publish(HeartbeatMembership membership, Supplier<RouteTable> routes) {
     long nowMs = clock.nowMs();
+    if (nowMs >= nextLogMs) {
+      nextLogMs = nowMs + LOG_INTERVAL_MS;
+      logFailures();
+    }
+    List<NodeRecord> nodes = membership.entryNodes();
+    long version = routes.get().version();
+    if (nodes == publishedNodes && version == publishedVersion && nowMs < nextRefreshMs) {
+      return;
+    }
+    publishedNodes = nodes;
+    publishedVersion = version;
+    nextRefreshMs = nowMs + REFRESH_MS;
     List<NodeDirectory.Entry> entries =
-        membership.entryNodes().stream()
+        nodes.stream()
             .map(node -> new NodeDirectory.Entry(node, report(membership, node.getId().getName())))
             .toList();
     directory =
@@ -80,10 +99,6 @@
             membership.live().size() - 1,
             routes.get(),
             nowMs);
-    if (nowMs >= nextLogMs) {
-      nextLogMs = nowMs + LOG_INTERVAL_MS;
-      logFailures();
-    }
   }
 
   private static NodeReport report(HeartbeatMembership membership, String name) {
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -263,7 +263,8 @@
         ManagementServer.create(
             settings, () -> ready, directoryLookUps, MetricsHandler.create(metrics));
     membership.setReport(
-        SelfCapacity.create(settings, decisions::lagMs, callerServer::inFlight)::report);
+        SelfCapacity.create(settings, decisions::lagMs, callerServer::inFlight, () -> false)
+            ::report);
   }
 
   /**
--- a/node/src/main/java/org/currantslip/node/edge/SelfCapacity.java
+++ b/node/src/main/java/org/currantslip/node/edge/SelfCapacity.java
@@ -1,6 +1,7 @@
 package org.currantslip.node.edge;
 
 import com.google.protobuf.Descriptors.FieldDescriptor;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.currantslip.core.membership.NodeReport;
@@ -16,11 +17,17 @@
   private final NodeCapacity limits;
   private final LongSupplier lagMs;
   private final IntSupplier inFlight;
+  private final BooleanSupplier endpointsUnreachable;
 
-  private SelfCapacity(NodeCapacity limits, LongSupplier lagMs, IntSupplier inFlight) {
+  private SelfCapacity(
+      NodeCapacity limits,
+      LongSupplier lagMs,
+      IntSupplier inFlight,
+      BooleanSupplier endpointsUnreachable) {
     this.limits = limits;
     this.lagMs = lagMs;
     this.inFlight = inFlight;
+    this.endpointsUnreachable = endpointsUnreachable;
   }
 
   /**
@@ -28,11 +35,17 @@
    *
    * @param lagMs returns the time by which the node's decisions lag behind its input
    * @param inFlight returns the number of requests in progress
+   * @param endpointsUnreachable returns whether this node cannot reach any endpoint
    */
-  static SelfCapacity create(EdgeSettings settings, LongSupplier lagMs, IntSupplier inFlight) {
+  static SelfCapacity create(
+      EdgeSettings settings,
+      LongSupplier lagMs,
+      IntSupplier inFlight,
+      BooleanSupplier endpointsUnreachable) {
     EdgeLimitSettings named = settings.getLimits();
     if (!namesLimits(named)) {
-      return new SelfCapacity(NodeCapacity.getDefaultInstance(), lagMs, inFlight);
+      return new SelfCapacity(
+          NodeCapacity.getDefaultInstance(), lagMs, inFlight, endpointsUnreachable);
     }
     NodeCapacity limits =
         NodeCapacity.newBuilder()
@@ -41,7 +54,7 @@
             .setMaxDescriptors(named.getMaxDescriptors())
             .setLinkMbps(named.getLinkMbps())
             .build();
-    return new SelfCapacity(limits, lagMs, inFlight);
+    return new SelfCapacity(limits, lagMs, inFlight, endpointsUnreachable);
   }
 
   /** Returns whether a limit differs from the default, which settings without limits have too. */
@@ -55,16 +68,16 @@
     return !fallback.isEmpty() && Double.parseDouble(fallback) == value.doubleValue();
   }
 
-  /** Returns the report for heartbeats, which says nothing if the settings name no limits. */
+  /** Returns the report for heartbeats; without limits in the settings it has no capacity. */
   NodeReport report() {
     if (limits.getMilliCores() == 0) {
-      return NodeReport.none();
+      return new NodeReport(limits, endpointsUnreachable.getAsBoolean());
     }
     NodeCapacity capacity =
         limits.toBuilder()
             .setLagMs((int) Math.min(Integer.MAX_VALUE, lagMs.getAsLong()))
             .setInFlight(inFlight.getAsInt())
             .build();
-    return new NodeReport(capacity, false);
+    return new NodeReport(capacity, endpointsUnreachable.getAsBoolean());
   }
 }
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -111,7 +111,7 @@
   boolean isUsable() {
     return routes.current().version() > 0
         && !endpoints.position().equals(StorePosition.NONE)
-        && evacuations.map(m -> !m.position().equals(StorePosition.NONE)).orElse(true);
+        && evacuations.map(KindMirror::isKnown).orElse(true);
   }
 
   KindMirror config() {
