--- a/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
+++ b/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
@@ -32,8 +32,8 @@
 
   private static final long LOG_INTERVAL_MS = 1_000;
 
-  /** Heartbeats bring new figures about this often; a change of the nodes is published at once. */
-  private static final long REPORTS_INTERVAL_MS = 500;
+  /** Age of the reports of nodes in answers; changes of the nodes themselves do not wait. */
+  private static final long REFRESH_MS = 500;
 
   private final Clock clock;
   private final NodeMetrics metrics;
@@ -42,8 +42,10 @@
   private final Map<LookUpResult, Long> logged = new EnumMap<>(LookUpResult.class);
   private volatile NodeDirectory directory = NodeDirectory.empty();
   private List<NodeRecord> publishedNodes = List.of();
-  private long nextPublishMs;
   private long nextLogMs;
+  private long nextRefreshMs;
+  private List<NodeRecord> publishedNodes = List.of();
+  private long publishedVersion;
 
   private DirectoryLookUps(Clock clock, NodeMetrics metrics, Runnable unansweredListener) {
     this.clock = clock;
@@ -89,14 +91,16 @@
       nextLogMs = nowMs + LOG_INTERVAL_MS;
       logFailures();
     }
-    List<NodeRecord> entryNodes = membership.entryNodes();
-    if (entryNodes == publishedNodes && nowMs < nextPublishMs) {
+    List<NodeRecord> nodes = membership.entryNodes();
+    long version = routes.get().version();
+    if (nodes == publishedNodes && version == publishedVersion && nowMs < nextRefreshMs) {
       return;
     }
-    publishedNodes = entryNodes;
-    nextPublishMs = nowMs + REPORTS_INTERVAL_MS;
+    publishedNodes = nodes;
+    publishedVersion = version;
+    nextRefreshMs = nowMs + REFRESH_MS;
     List<NodeDirectory.Entry> entries =
-        entryNodes.stream()
+        nodes.stream()
             .map(node -> new NodeDirectory.Entry(node, report(membership, node.getId().getName())))
             .toList();
     directory =
