Keep credit that the link did not take, spread the returns after a refusal, judge as before without peers

Credit that a full link dropped would have stalled a relayed response until its deadline. A node to which no peer has reported judges silent calls and crashes as before.

--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -47,7 +47,6 @@
   private final Clock clock;
   private final ReachPeers peers;
   private final ReachListener listener;
-  private final boolean alone;
   private final ServicesHeard heard = ServicesHeard.create();
   private final PathEvidence evidence = PathEvidence.create();
   private final Set<Call> openCalls = new HashSet<>();
@@ -62,8 +61,7 @@
   private long lastTrialMs;
   private long lapseMs = MIN_LAPSE_MS;
 
-  private EndpointReach(Clock clock, ReachPeers peers, ReachListener listener, boolean alone) {
-    this.alone = alone;
+  private EndpointReach(Clock clock, ReachPeers peers, ReachListener listener) {
     this.clock = clock;
     this.peers = peers;
     this.listener = listener;
@@ -71,12 +69,12 @@
 
   /** Creates the reach of a node that has made no call yet. */
   public static EndpointReach create(Clock clock, ReachPeers peers, ReachListener listener) {
-    return new EndpointReach(clock, peers, listener, false);
+    return new EndpointReach(clock, peers, listener);
   }
 
   /** Returns the reach of a node without peers, which never takes itself for cut off. */
   public static EndpointReach alone(Clock clock) {
-    return new EndpointReach(clock, ReachPeers.none(), (from, to, sinceMs) -> {}, true);
+    return create(clock, ReachPeers.none(), (from, to, sinceMs) -> {});
   }
 
   /** Replaces the endpoints that there are. */
@@ -111,16 +109,17 @@
   /** Returns whether broken calls may be due to the path, so that they are not judged now. */
   public boolean isDoubtful() {
     return state == PathState.CUT
-        || (evidence.size() >= MIN_DOUBTED_ENDPOINTS
+        || (!peers.isEmpty()
+            && evidence.size() >= MIN_DOUBTED_ENDPOINTS
             && clock.nowMs() - evidence.firstMs() < MAX_DOUBT_MS);
   }
 
   /**
    * Returns whether a call that was sent at a time may be judged by its silence. That takes some
-   * endpoint that was heard since, except at a node that cannot detect a lost path.
+   * endpoint that was heard since, except at a node without peers.
    */
   public boolean judgesSilence(long sentMs) {
-    return alone || (!isCut() && lastHeardMs >= sentMs);
+    return peers.isEmpty() || (!isCut() && lastHeardMs >= sentMs);
   }
 
   /** Returns the services whose endpoints this node has heard lately, for peers. */
--- a/core/src/main/java/org/currantslip/core/reach/PeerReports.java
+++ b/core/src/main/java/org/currantslip/core/reach/PeerReports.java
@@ -44,6 +44,11 @@
     return services.stream().anyMatch(s -> heardMs.getOrDefault(s, Long.MIN_VALUE) >= sinceMs);
   }
 
+  @Override
+  public boolean isEmpty() {
+    return heardMs.isEmpty();
+  }
+
   @Override
   public void ask() {
     asking.run();
--- a/core/src/main/java/org/currantslip/core/reach/ReachPeers.java
+++ b/core/src/main/java/org/currantslip/core/reach/ReachPeers.java
@@ -7,6 +7,9 @@
   /** Returns whether a peer has heard an endpoint of one of these services since a time. */
   boolean heardSince(Set<String> services, long sinceMs);
 
+  /** Returns whether no peer has ever reported. */
+  boolean isEmpty();
+
   /** Asks peers for their reports; the replies arrive later. */
   void ask();
 
@@ -18,6 +21,11 @@
         return false;
       }
 
+      @Override
+      public boolean isEmpty() {
+        return true;
+      }
+
       @Override
       public void ask() {}
     };
--- a/core/src/main/java/org/currantslip/core/relay/OutgoingRelay.java
+++ b/core/src/main/java/org/currantslip/core/relay/OutgoingRelay.java
@@ -105,13 +105,14 @@
     return !early.isEmpty() && nowMs - gapSinceMs >= MAX_GAP_MS;
   }
 
-  /** Returns the credit that is due to the peer, and takes it as given; zero if none is due. */
-  int takeCredit() {
-    if (owedCredit < WINDOW_BYTES / 2 || terms.backlogBytes().getAsLong() > MAX_BACKLOG_BYTES) {
-      return 0;
-    }
-    int credit = owedCredit;
-    owedCredit = 0;
-    return credit;
+  /** Returns the credit that is due to the peer; zero if none is due. */
+  int dueCredit() {
+    return owedCredit < WINDOW_BYTES / 2 || terms.backlogBytes().getAsLong() > MAX_BACKLOG_BYTES
+        ? 0
+        : owedCredit;
+  }
+
+  void onCreditSent(int bytes) {
+    owedCredit -= bytes;
   }
 }
--- a/core/src/main/java/org/currantslip/core/relay/RelayClient.java
+++ b/core/src/main/java/org/currantslip/core/relay/RelayClient.java
@@ -231,17 +231,18 @@
   }
 
   private void sendCredit(long id, OutgoingRelay relay) {
-    int credit = relay.takeCredit();
-    if (credit > 0) {
-      peers.send(
-          relay.peer(),
-          PeerFrame.newBuilder()
-              .setRelayCredit(
-                  RelayCredit.newBuilder()
-                      .setRelayId(id)
-                      .setOriginIncarnation(incarnation)
-                      .setBytes(credit))
-              .build());
+    int credit = relay.dueCredit();
+    if (credit > 0
+        && peers.trySend(
+            relay.peer(),
+            PeerFrame.newBuilder()
+                .setRelayCredit(
+                    RelayCredit.newBuilder()
+                        .setRelayId(id)
+                        .setOriginIncarnation(incarnation)
+                        .setBytes(credit))
+                .build())) {
+      relay.onCreditSent(credit);
     }
   }
 
--- a/core/src/main/java/org/currantslip/core/relay/RelayServer.java
+++ b/core/src/main/java/org/currantslip/core/relay/RelayServer.java
@@ -83,7 +83,7 @@
   /** Accepts or refuses a request of a peer, and runs it. */
   public void onRequest(String fromNode, RelayRequest request, Consumer<PeerFrame> reply) {
     Key key = new Key(fromNode, request.getOriginIncarnation(), request.getRelayId());
-    RelayEnd.Builder refusal = refusal();
+    RelayEnd.Builder refusal = refusal(retryAfterMs(request));
     if (refusal != null) {
       counts.onRefused();
       trace.record(
@@ -119,21 +119,25 @@
     removeIfDone(key, relay);
   }
 
-  private RelayEnd.@Nullable Builder refusal() {
+  /** Spreads the returns of callers over as much time again. */
+  private static long retryAfterMs(RelayRequest request) {
+    return BUSY_RETRY_AFTER_MS
+        + Math.floorMod(request.getRequestId().hashCode(), BUSY_RETRY_AFTER_MS);
+  }
+
+  private RelayEnd.@Nullable Builder refusal(long retryAfterMs) {
     if (!host.serving().getAsBoolean()) {
-      return RelayCodec.refusal(
-          ResultCode.NODE_LEAVING, BUSY_RETRY_AFTER_MS, "the helper does not serve");
+      return RelayCodec.refusal(ResultCode.NODE_LEAVING, retryAfterMs, "the helper does not serve");
     }
     if (host.reach().isCut()) {
       return RelayCodec.refusal(
-          ResultCode.NO_PATH, BUSY_RETRY_AFTER_MS, "the helper reaches no endpoint either");
+          ResultCode.NO_PATH, retryAfterMs, "the helper reaches no endpoint either");
     }
     long pendingBytes = relays.values().stream().mapToLong(IncomingRelay::pendingBytes).sum();
     if (relays.size() >= options.maxIncoming()
         || pendingBytes >= MAX_PENDING_BYTES
         || host.lagMs().getAsLong() > options.maxLagMs()) {
-      return RelayCodec.refusal(
-          ResultCode.TOO_MANY_IN_FLIGHT, BUSY_RETRY_AFTER_MS, "the helper is busy");
+      return RelayCodec.refusal(ResultCode.TOO_MANY_IN_FLIGHT, retryAfterMs, "the helper is busy");
     }
     return null;
   }
--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -46,7 +46,7 @@
   @Test
   void unsafeRequestOfLostHelperMayHaveRun() {
     Node cut = fleet.cutOff(0);
-    Sent request = cut.send(RelayFleet.UNSAFE);
+    final Sent request = cut.send(RelayFleet.UNSAFE);
     fleet.run(20);
     loseHelper(cut);
     fleet.run(1_000);
@@ -59,7 +59,7 @@
   @Test
   void otherHelperTakesOver() {
     Node cut = fleet.cutOff(0);
-    Sent request = cut.send(RelayFleet.SAFE);
+    final Sent request = cut.send(RelayFleet.SAFE);
     Sent stream = cut.send(RelayFleet.STREAM);
     fleet.run(20);
     while (!stream.text.toString().contains("id: 3")) {
@@ -168,7 +168,7 @@
   @Test
   void dropsForeignFrames() {
     Node cut = fleet.cutOff(0);
-    Sent request = cut.send(RelayFleet.STREAM);
+    final Sent request = cut.send(RelayFleet.STREAM);
     fleet.run(70);
     Node helper = helper();
     for (long id = 0; id < 50; id++) {
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
@@ -51,7 +51,7 @@
     traffic(1_000);
     cutOff.forEach(n -> n.cut = cut);
     traffic(CONTACT_MS);
-    long fromMs = fleet.clock.nowMs();
+    final long fromMs = fleet.clock.nowMs();
     traffic(6_000);
     final long toMs = fleet.clock.nowMs();
     cutOff.forEach(n -> n.cut = RelayFleet.Cut.NONE);
