--- a/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
+++ b/node/src/main/java/org/currantslip/node/edge/DirectoryLookUps.java
@@ -44,7 +44,6 @@
   private List<NodeRecord> publishedNodes = List.of();
   private long nextLogMs;
   private long nextRefreshMs;
-  private List<NodeRecord> publishedNodes = List.of();
   private long publishedVersion;
 
   private DirectoryLookUps(Clock clock, NodeMetrics metrics, Runnable unansweredListener) {
