--- a/core/src/main/java/org/currantslip/core/cascade/SizeCascade.java
+++ b/core/src/main/java/org/currantslip/core/cascade/SizeCascade.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import org.currantslip.core.route.Route;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Selects which of a route's model sizes answers a request: the smallest first, and a larger one
@@ -52,7 +53,24 @@
     }
   }
 
-  private record Key(String route, int from, int bucket, int to) {}
+  private record Key(String route, int from, int bucket, int to) {
+    // Written out: the generated methods run through method handles, which the JVM's first
+    // compiler,
+    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    @Override
+    public boolean equals(@Nullable Object obj) {
+      return obj instanceof Key other
+          && route.equals(other.route)
+          && from == other.from
+          && bucket == other.bucket
+          && to == other.to;
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * (31 * route.hashCode() + from) + bucket) + to;
+    }
+  }
 
   /** How often a size answered with sufficient confidence where a smaller one had not. */
   private static final class ResolutionStats {
--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -12,6 +12,7 @@
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
 import org.currantslip.schema.NodeRecord;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Selects the nodes that watch the store, and the watcher that each other node follows.
@@ -29,7 +30,20 @@
   /** Long enough for the membership to detect that a watcher is gone. */
   private static final long AVOID_MS = 2_000;
 
-  private record Watcher(String name, String domain) {}
+  private record Watcher(String name, String domain) {
+    // Written out: the generated methods run through method handles, which the JVM's first
+    // compiler,
+    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    @Override
+    public boolean equals(@Nullable Object obj) {
+      return obj instanceof Watcher other && name.equals(other.name) && domain.equals(other.domain);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * name.hashCode() + domain.hashCode();
+    }
+  }
 
   private final Membership membership;
   private final Clock clock;
--- a/core/src/main/java/org/currantslip/core/port/StorePosition.java
+++ b/core/src/main/java/org/currantslip/core/port/StorePosition.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.port;
 
 import com.google.common.collect.ComparisonChain;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Point in the history of the store.
@@ -32,4 +33,16 @@
         .compare(revision, other.revision)
         .result();
   }
+
+  // Written out: the generated methods run through method handles, which the JVM's first compiler,
+  // the only one that nodes use, does not inline, and which are linked anew in each process.
+  @Override
+  public boolean equals(@Nullable Object obj) {
+    return obj instanceof StorePosition other && era == other.era && revision == other.revision;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(era) + Long.hashCode(revision);
+  }
 }
--- a/core/src/main/java/org/currantslip/core/quarantine/EndpointInstance.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/EndpointInstance.java
@@ -1,6 +1,7 @@
 package org.currantslip.core.quarantine;
 
 import org.currantslip.schema.EndpointRecord;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One start of an endpoint.
@@ -13,4 +14,18 @@
   public static EndpointInstance of(EndpointRecord endpoint) {
     return new EndpointInstance(endpoint.getId(), endpoint.getStartedMs());
   }
+
+  // Written out: the generated methods run through method handles, which the JVM's first compiler,
+  // the only one that nodes use, does not inline, and which are linked anew in each process.
+  @Override
+  public boolean equals(@Nullable Object obj) {
+    return obj instanceof EndpointInstance other
+        && id.equals(other.id)
+        && startedMs == other.startedMs;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(startedMs);
+  }
 }
--- a/core/src/main/java/org/currantslip/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/Fingerprint.java
@@ -1,5 +1,7 @@
 package org.currantslip.core.quarantine;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Identifies what several requests may share: a prompt part as one service gets it, or all that
  * makes a request the same when it comes again.
@@ -15,4 +17,16 @@
   boolean isRequest() {
     return service.isEmpty();
   }
+
+  // Written out: the generated methods run through method handles, which the JVM's first compiler,
+  // the only one that nodes use, does not inline, and which are linked anew in each process.
+  @Override
+  public boolean equals(@Nullable Object obj) {
+    return obj instanceof Fingerprint other && service.equals(other.service) && id.equals(other.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * service.hashCode() + id.hashCode();
+  }
 }
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -18,6 +18,7 @@
 import org.currantslip.schema.OutcomeReport;
 import org.currantslip.schema.OutcomeSignal;
 import org.currantslip.schema.VersionHalt;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the version of a service for each request during a rollout, and halts the new version
@@ -44,7 +45,22 @@
   /** Makes a lost report good within three seconds. */
   private static final int REPORTS_PER_COMPLETE_REPORT = 10;
 
-  private record Series(String route, String model, OutcomeSignal signal) {}
+  private record Series(String route, String model, OutcomeSignal signal) {
+    // Written out: the generated methods run through method handles, which the JVM's first
+    // compiler, the only one that nodes use, does not inline.
+    @Override
+    public boolean equals(@Nullable Object obj) {
+      return obj instanceof Series other
+          && route.equals(other.route)
+          && model.equals(other.model)
+          && signal == other.signal;
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * route.hashCode() + model.hashCode()) + signal.hashCode();
+    }
+  }
 
   private record CountKey(String version, String route, String model, OutcomeSignal signal) {
     /** Returns the groups of counts that are compared between the versions. */
--- a/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
@@ -12,7 +12,23 @@
 /** States of the known endpoints, grouped by what they serve. */
 final class EndpointPools {
   /** What the endpoints of a pool have in common; an empty version stands for all versions. */
-  record Key(String model, String version, String service) {}
+  record Key(String model, String version, String service) {
+    // Written out: the generated methods run through method handles, which the JVM's first
+    // compiler,
+    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    @Override
+    public boolean equals(@Nullable Object obj) {
+      return obj instanceof Key other
+          && model.equals(other.model)
+          && version.equals(other.version)
+          && service.equals(other.service);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * model.hashCode() + version.hashCode()) + service.hashCode();
+    }
+  }
 
   private final Map<String, EndpointState> states = new HashMap<>();
   private Map<Key, EndpointPool> pools = Map.of();
