--- a/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
+++ b/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
@@ -18,6 +18,23 @@
 final class DisconnectMonitor implements Callback {
   private static final int READ_BUFFER_BYTES = 1_024;
 
+  /** Ends the wait for bytes; only this class sees it, so that one without a stack will do. */
+  private static final CancellationException RESPONSE_COMPLETE =
+      new StacklessCancellation("the response is complete");
+
+  private static final class StacklessCancellation extends CancellationException {
+    private static final long serialVersionUID = 1L;
+
+    private StacklessCancellation(String message) {
+      super(message);
+    }
+
+    @Override
+    public synchronized Throwable fillInStackTrace() {
+      return this;
+    }
+  }
+
   private final AbstractEndPoint endPoint;
   private final Connection connection;
   private final Runnable onDisconnect;
@@ -53,7 +70,7 @@
       }
       stopped = true;
     }
-    endPoint.getFillInterest().onFail(new CancellationException("the response is complete"));
+    endPoint.getFillInterest().onFail(RESPONSE_COMPLETE);
   }
 
   @Override
