--- a/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
@@ -7,7 +7,12 @@
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
-/** Records the decisions on one forwarded request for diagnostics. */
+/**
+ * Records the decisions on one forwarded request for diagnostics.
+ *
+ * <p>The two lines of each request are concatenated, which takes a fraction of the time that a
+ * format string takes.
+ */
 final class ForwardedTrace {
   private final RequestTrace trace;
   private final String requestId;
@@ -33,15 +38,20 @@
         LogEvent.REQUEST_DISPATCHED,
         requestId,
         () ->
-            "route=%s endpoint=%s version=%s model=%s send=%d config_version=%d left_ms=%d"
-                .formatted(
-                    route,
-                    endpoint.getId(),
-                    endpoint.getVersion(),
-                    model,
-                    sendCount,
-                    configVersion,
-                    leftMs));
+            "route="
+                + route
+                + " endpoint="
+                + endpoint.getId()
+                + " version="
+                + endpoint.getVersion()
+                + " model="
+                + model
+                + " send="
+                + sendCount
+                + " config_version="
+                + configVersion
+                + " left_ms="
+                + leftMs);
   }
 
   /** Records what an endpoint said of itself, if that has an effect. */
@@ -115,30 +125,45 @@
         end.code() == ResultCode.OK ? LogEvent.REQUEST_ENDED : LogEvent.REQUEST_FAILED,
         requestId,
         () ->
-            ("route=%s account=%s service=%s config_version=%d code=%d result=%s ran=%s"
-                    + " status=%d sends=%d events=%d wait_ms=%d queue_ms=%d first_byte_ms=%d"
-                    + " total_ms=%d endpoint=%s framing=%s rule=%s lacked=%s silent_ms=%d"
-                    + " end_config_version=%d")
-                .formatted(
-                    route,
-                    end.account(),
-                    service,
-                    configVersion,
-                    end.code().number(),
-                    end.code(),
-                    end.ran().text(),
-                    end.status(),
-                    end.sends(),
-                    end.events(),
-                    end.startWaitMs(),
-                    end.queueMs(),
-                    end.firstByteMs(),
-                    end.totalMs(),
-                    attempt == null ? "" : attempt.endpoint().getId(),
-                    attempt == null ? "" : attempt.head().framing(),
-                    end.rule(),
-                    end.lacked(),
-                    attempt == null ? -1 : attempt.silentMs(),
-                    currentConfigVersion));
+            "route="
+                + route
+                + " account="
+                + end.account()
+                + " service="
+                + service
+                + " config_version="
+                + configVersion
+                + " code="
+                + end.code().number()
+                + " result="
+                + end.code()
+                + " ran="
+                + end.ran().text()
+                + " status="
+                + end.status()
+                + " sends="
+                + end.sends()
+                + " events="
+                + end.events()
+                + " wait_ms="
+                + end.startWaitMs()
+                + " queue_ms="
+                + end.queueMs()
+                + " first_byte_ms="
+                + end.firstByteMs()
+                + " total_ms="
+                + end.totalMs()
+                + " endpoint="
+                + (attempt == null ? "" : attempt.endpoint().getId())
+                + " framing="
+                + (attempt == null ? "" : attempt.head().framing())
+                + " rule="
+                + end.rule()
+                + " lacked="
+                + end.lacked()
+                + " silent_ms="
+                + (attempt == null ? -1 : attempt.silentMs())
+                + " end_config_version="
+                + currentConfigVersion);
   }
 }
--- a/node/src/main/java/org/currantslip/node/log/EventLog.java
+++ b/node/src/main/java/org/currantslip/node/log/EventLog.java
@@ -1,6 +1,7 @@
 package org.currantslip.node.log;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import java.util.logging.Level;
 import org.currantslip.core.common.LogEvent;
 
@@ -8,16 +9,32 @@
 public final class EventLog {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * The calling line is not logged; without this value, each call would search the stack for it.
+   */
+  private static final LogSite NO_SITE = LogSite.INVALID;
+
   private EventLog() {}
 
   /** Writes an event with its fields, such as {@code node=entry-1}. */
   public static void write(LogEvent event, String fields) {
-    logger.at(levelOf(event)).log("%d %s %s", event.number(), event, fields);
+    FluentLogger.Api log = logger.at(levelOf(event));
+    if (log.isEnabled()) {
+      log.withInjectedLogSite(NO_SITE).log(line(event, fields));
+    }
   }
 
   /** Writes an event with its fields and cause. */
   public static void write(LogEvent event, String fields, Throwable cause) {
-    logger.at(levelOf(event)).withCause(cause).log("%d %s %s", event.number(), event, fields);
+    FluentLogger.Api log = logger.at(levelOf(event));
+    if (log.isEnabled()) {
+      log.withInjectedLogSite(NO_SITE).withCause(cause).log(line(event, fields));
+    }
+  }
+
+  /** Builds the whole line, which costs less than a format string that is parsed at each call. */
+  private static String line(LogEvent event, String fields) {
+    return event.number() + " " + event + " " + fields;
   }
 
   /** Returns whether an event would be logged, to avoid building costly fields in vain. */
