Keep the meters of requests instead of looking them up

Cause: each completed request built three counters and two timers with their tags and buckets and looked them up in the registry.

Change: RequestMeters keeps the meters of a kind of requests; they are registered at the first request of the kind, as before.

--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -3,13 +3,13 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
-import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToDoubleFunction;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.RequestOutcome;
@@ -19,21 +19,13 @@
   private static final String MODEL_KIND = "model";
   private static final String SERVICE_KIND = "service";
   private static final double MS_PER_S = 1_000;
-  private static final Duration[] HISTOGRAM_BUCKETS = {
-    Duration.ofMillis(10),
-    Duration.ofMillis(50),
-    Duration.ofMillis(200),
-    Duration.ofMillis(550),
-    Duration.ofSeconds(1),
-    Duration.ofSeconds(5),
-    Duration.ofSeconds(30)
-  };
 
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final JvmGcMetrics gcMetrics = new JvmGcMetrics();
   private final Counter quarantineRefusals =
       Counter.builder(Metric.QUARANTINE_REFUSALS.meterName()).register(registry);
+  private final Map<String, RequestMeters> metersByKind = new ConcurrentHashMap<>();
   private boolean jvmMetricsBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
 
@@ -69,22 +61,10 @@
   /** Records a completed request. */
   public void record(RequestOutcome outcome) {
     String kind = outcome.service().isEmpty() ? MODEL_KIND : SERVICE_KIND;
-    Counter.builder(Metric.REQUESTS.meterName())
-        .tag("kind", kind)
-        .tag("code", String.valueOf(outcome.code().number()))
-        .tag("ran", outcome.ran().text())
-        .register(registry)
-        .increment();
+    metersByKind.computeIfAbsent(kind, k -> RequestMeters.register(registry, k)).record(outcome);
     if (outcome.code() == ResultCode.PROMPT_QUARANTINED) {
       quarantineRefusals.increment();
     }
-    timer(Metric.REQUEST_DURATION, kind).record(Duration.ofMillis(outcome.totalMs()));
-    timer(Metric.FIRST_BYTE, kind).record(Duration.ofMillis(outcome.firstByteMs()));
-    Counter.builder(Metric.ENDPOINT_CALLS.meterName())
-        .tag("kind", kind)
-        .register(registry)
-        .increment(outcome.attempts());
-    Counter.builder(Metric.COST.meterName()).register(registry).increment(outcome.costMicros());
   }
 
   /** Publishes the values of the gauges. */
@@ -104,13 +84,6 @@
     registry.close();
   }
 
-  private Timer timer(Metric metric, String kind) {
-    return Timer.builder(metric.meterName())
-        .tag("kind", kind)
-        .serviceLevelObjectives(HISTOGRAM_BUCKETS)
-        .register(registry);
-  }
-
   private void gauge(Metric metric, ToDoubleFunction<NodeGauges> value) {
     Gauge.Builder<NodeMetrics> gauge =
         Gauge.builder(metric.meterName(), this, m -> value.applyAsDouble(m.gauges));
