Add a benchmark of the processor time of an edge node

bin/bench cost starts an edge node in its own JVM with the deployment's command line against a store and an endpoint on loopback, and reports the processor time of its threads by kind of request and by the position of the request in the life of the process, the compiler and the collector apart, with and without the class archive; of the start, of an idle node, the waits of threads, and peak memory.

--- a/bench/src/main/java/org/currantslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/currantslip/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.currantslip.bench.cascade.CascadeBench;
 import org.currantslip.bench.config.ConfigSpreadBench;
+import org.currantslip.bench.cost.CostBench;
 import org.currantslip.bench.exposure.ExposureBench;
 import org.currantslip.bench.ledger.LedgerBench;
 import org.currantslip.bench.ledger.UsageBench;
@@ -22,6 +23,7 @@
       List.of(
           CascadeBench.create(),
           ConfigSpreadBench.create(),
+          CostBench.create(),
           ExposureBench.create(),
           LedgerBench.create(),
           MembershipBench.create(),
