--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -3,6 +3,9 @@
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.currantslip.core.common.Clock;
 import org.currantslip.core.port.KindChanges;
 import org.currantslip.core.port.KindPage;
 import org.currantslip.core.port.KindStore;
@@ -23,16 +26,21 @@
   private final KindStore store;
   private final PeerNetwork peers;
   private final StoreWatchers watchers;
+  private final StoreGate gate;
 
-  private RelayedFeed(KindStore store, PeerNetwork peers, StoreWatchers watchers) {
+  private RelayedFeed(
+      KindStore store, PeerNetwork peers, StoreWatchers watchers, StoreGate gate) {
     this.store = store;
     this.peers = peers;
     this.watchers = watchers;
+    this.gate = gate;
   }
 
   /** Returns a feed that prefers watchers over the store. */
-  public static RelayedFeed create(KindStore store, PeerNetwork peers, StoreWatchers watchers) {
-    return new RelayedFeed(store, peers, watchers);
+  public static RelayedFeed create(
+      KindStore store, PeerNetwork peers, StoreWatchers watchers, Clock clock) {
+    return new RelayedFeed(
+        store, peers, watchers, StoreGate.create(clock, watchers::isWatcher));
   }
 
   @Override
@@ -44,14 +52,37 @@
                 askWatcher(name, kind, StorePosition.NONE, 0)
                     .thenApply(RelayedFeed::toPage)
                     .exceptionallyCompose(failure -> listKind(kind, startAfter)))
-        .orElseGet(() -> store.listKind(kind, startAfter));
+        .orElseGet(
+            () ->
+                fromStore(
+                    () -> store.listKind(kind, startAfter),
+                    name ->
+                        askWatcher(name, kind, StorePosition.NONE, 0)
+                            .thenApply(RelayedFeed::toPage)));
   }
 
   @Override
   public CompletableFuture<KindPage> listKindStale(String kind, String startAfter) {
     return watchers.watcher().isPresent()
         ? listKind(kind, startAfter)
-        : store.listKindStale(kind, startAfter);
+        : gate.call(() -> store.listKindStale(kind, startAfter));
+  }
+
+  /** Makes a call to the store, or asks a watcher instead while the store fails. */
+  private <T> CompletableFuture<T> fromStore(
+      Supplier<CompletableFuture<T>> storeCall, Function<String, CompletableFuture<T>> ask) {
+    Optional<String> watcher =
+        gate.isClosed() ? watchers.watcherDuringOutage() : Optional.empty();
+    return watcher
+        .map(
+            name ->
+                ask.apply(name)
+                    .exceptionallyCompose(
+                        failure ->
+                            CompletableFuture.failedFuture(
+                                StoreException.of(
+                                    StoreException.Kind.NOT_DONE, "the store fails, " + failure))))
+        .orElseGet(() -> gate.call(storeCall));
   }
 
   private static KindPage toPage(MirrorChanges copy) {
@@ -66,7 +97,13 @@
     return watchers
         .watcher()
         .map(name -> askWatcher(name, kind, after, waitMs).thenApply(MirrorCodec::changesFromProto))
-        .orElseGet(() -> store.watchKind(kind, after, waitMs));
+        .orElseGet(
+            () ->
+                fromStore(
+                    () -> store.watchKind(kind, after, waitMs),
+                    name ->
+                        askWatcher(name, kind, after, waitMs)
+                            .thenApply(MirrorCodec::changesFromProto)));
   }
 
   @Override
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -69,7 +69,7 @@
       mirror =
           KindMirror.create(
               KIND,
-              RelayedFeed.create(link, peers, watchers),
+              RelayedFeed.create(link, peers, watchers, events.clock()),
               events.clock(),
               MirrorOptions.defaults(),
               name.hashCode());
@@ -308,4 +308,18 @@
     advance(1_000);
     assertPresence("b", true);
   }
+
+  /** Each mirror of each node used to poll the store during an outage, two to three times a second. */
+  @Test
+  void outageOfStoreCostsFewCalls() {
+    store.put("a");
+    start(40);
+    int calls = store.calls();
+    nodes.values().forEach(n -> n.link.setRefused(true));
+    advance(4_000);
+    int perWatcher = 4_000 / 400 + 2;
+    int perFollower = 4;
+    assertThat(store.calls() - calls)
+        .isAtMost(DOMAINS * perWatcher + (nodes.size() - DOMAINS) * perFollower);
+  }
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -161,7 +161,7 @@
     storeWatchers = StoreWatchers.create(membership, clock);
     mirrors =
         StoreMirrors.create(
-            RelayedFeed.create(store, peerLinks, storeWatchers),
+            RelayedFeed.create(store, peerLinks, storeWatchers, clock),
             clock,
             seed,
             EdgeOptions.regions(settings),
