A caller's close is read from its socket before its request begins and is written

A close is noticed by the selector thread of the callers' server only. That thread also parses and dispatches the requests of all connections, so on a node without processor time the close waits unread in the kernel: for a caller that closed before its request was read, until after the dispatch; for one that closed later, while the request waits for the decision thread or for its connection to the endpoint. The check at the write (ForwardedEndpointCall.onBegin) asked a flag that only the selector thread sets.

Change: CallerSink.isAbandoned reads the socket by DisconnectMonitor.hasClosed; it is asked at the dispatch, when the decision thread begins the request, and at the write. Bytes of a further request go to the connection as before. A wake-up of the monitor without bytes no longer ends the monitoring.

--- a/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerExchange.java
@@ -48,7 +48,7 @@
   }
 
   private void start(RouterRequest request, CallerSink sink) {
-    if (disconnected || !begunOrWithdrawn.compareAndSet(false, true)) {
+    if (disconnected || sink.isAbandoned() || !begunOrWithdrawn.compareAndSet(false, true)) {
       return;
     }
     try {
--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -251,6 +251,9 @@
     sink.setDisconnectMonitor(
         DisconnectMonitor.start(
             request.getConnectionMetaData().getConnection(), sink::markDisconnected));
+    if (sink.isAbandoned()) {
+      return;
+    }
     try {
       RouterRequest routerRequest = pending.complete(requestId, body);
       openRequest.setId(routerRequest.requestId());
--- a/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
+++ b/node/src/main/java/org/currantslip/node/caller/DisconnectMonitor.java
@@ -14,6 +14,9 @@
  * <p>Jetty does not read between a request and its response, so a disconnect would only be detected
  * by the next write. If bytes of a pipelined request arrive instead, they are passed back to the
  * connection. A caller that closes only its sending side counts as disconnected.
+ *
+ * <p>A close stays unread in the socket until the selector thread gets to it, which on a node
+ * without processor time takes seconds. {@link #hasClosed} therefore reads the socket itself.
  */
 final class DisconnectMonitor implements Callback {
   private static final int READ_BUFFER_BYTES = 1_024;
@@ -21,7 +24,9 @@
   private final AbstractEndPoint endPoint;
   private final Connection connection;
   private final Runnable onDisconnect;
-  private boolean stopped;
+  private boolean monitoring;
+  private volatile boolean stopped;
+  private volatile boolean closed;
 
   private DisconnectMonitor(
       AbstractEndPoint endPoint, Connection connection, Runnable onDisconnect) {
@@ -35,11 +40,43 @@
     AbstractEndPoint endPoint = (AbstractEndPoint) connection.getEndPoint();
     DisconnectMonitor monitor = new DisconnectMonitor(endPoint, connection, onDisconnect);
     if (!hasPipelinedBytes(connection)) {
-      endPoint.tryFillInterested(monitor);
+      monitor.begin();
     }
     return monitor;
   }
 
+  private void begin() {
+    synchronized (this) {
+      monitoring = true;
+    }
+    if (!endPoint.tryFillInterested(this)) {
+      synchronized (this) {
+        monitoring = false;
+      }
+    }
+  }
+
+  /**
+   * Returns whether the caller has closed the connection, as far as its socket knows now; may be
+   * called on any thread.
+   */
+  boolean hasClosed() {
+    synchronized (this) {
+      if (stopped || !monitoring) {
+        return closed;
+      }
+      if (!readOnce()) {
+        return false;
+      }
+      stopped = true;
+    }
+    endPoint.getFillInterest().onFail(new CancellationException("the connection was read"));
+    if (closed) {
+      onDisconnect.run();
+    }
+    return closed;
+  }
+
   /** The connection's buffer might not have room for more bytes of the next request. */
   private static boolean hasPipelinedBytes(Connection connection) {
     return connection instanceof HttpConnection http && !http.isRequestBufferEmpty();
@@ -58,16 +95,16 @@
 
   @Override
   public void succeeded() {
-    boolean disconnected;
     synchronized (this) {
       if (stopped) {
         return;
       }
-      disconnected = readUntilClosed();
-      stopped = true;
+      stopped = readOnce();
     }
-    if (disconnected) {
+    if (closed) {
       onDisconnect.run();
+    } else if (!stopped) {
+      endPoint.tryFillInterested(this);
     }
   }
 
@@ -87,16 +124,18 @@
     return InvocationType.NON_BLOCKING;
   }
 
-  /** Reads once; returns whether the caller has closed the connection. */
-  private boolean readUntilClosed() {
+  /** Reads what has arrived; returns whether that was a close or a further request. */
+  private boolean readOnce() {
     ByteBuffer buffer = ByteBuffer.allocate(READ_BUFFER_BYTES).limit(0);
     try {
       int count = endPoint.fill(buffer);
       if (count > 0 && connection instanceof Connection.UpgradeTo upgradeTarget) {
         upgradeTarget.onUpgradeTo(buffer);
       }
-      return count < 0;
+      closed = count < 0;
+      return count != 0;
     } catch (IOException e) {
+      closed = true;
       return true;
     }
   }
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -44,7 +44,7 @@
   private boolean truncating;
   private boolean completed;
   private ByteString body = ByteString.EMPTY;
-  private @Nullable DisconnectMonitor disconnectMonitor;
+  private volatile @Nullable DisconnectMonitor disconnectMonitor;
 
   private ResponseSink(
       CallerProtocol protocol,
@@ -82,9 +82,14 @@
         protocol, response, callback, maxPendingBytes, leaving, onClose, onDisconnect);
   }
 
+  /** Also notices a close that the selector thread has not read yet. */
   @Override
   public boolean isAbandoned() {
-    return disconnected || finished;
+    if (disconnected || finished) {
+      return true;
+    }
+    DisconnectMonitor monitor = disconnectMonitor;
+    return monitor != null && monitor.hasClosed();
   }
 
   @Override
@@ -168,7 +173,7 @@
   }
 
   /** Sets the monitor that is stopped before the last part of the response is written. */
-  synchronized void setDisconnectMonitor(DisconnectMonitor monitor) {
+  void setDisconnectMonitor(DisconnectMonitor monitor) {
     disconnectMonitor = monitor;
   }
 
@@ -236,8 +241,9 @@
     boolean last = pending.getLast().last();
     ByteBuffer bytes = pending.size() == 1 ? pending.getFirst().bytes() : mergePending();
     pending.clear();
-    if (last && disconnectMonitor != null) {
-      disconnectMonitor.stop();
+    DisconnectMonitor monitor = disconnectMonitor;
+    if (last && monitor != null) {
+      monitor.stop();
     }
     int size = bytes.remaining();
     response.write(last, bytes, Callback.from(() -> onWritten(size, last), this::onWriteFailed));
