--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -28,8 +28,7 @@
   private final StoreWatchers watchers;
   private final StoreGate gate;
 
-  private RelayedFeed(
-      KindStore store, PeerNetwork peers, StoreWatchers watchers, StoreGate gate) {
+  private RelayedFeed(KindStore store, PeerNetwork peers, StoreWatchers watchers, StoreGate gate) {
     this.store = store;
     this.peers = peers;
     this.watchers = watchers;
@@ -39,8 +38,7 @@
   /** Returns a feed that prefers watchers over the store. */
   public static RelayedFeed create(
       KindStore store, PeerNetwork peers, StoreWatchers watchers, Clock clock) {
-    return new RelayedFeed(
-        store, peers, watchers, StoreGate.create(clock, watchers::isWatcher));
+    return new RelayedFeed(store, peers, watchers, StoreGate.create(clock, watchers::isWatcher));
   }
 
   @Override
@@ -71,8 +69,7 @@
   /** Makes a call to the store, or asks a watcher instead while the store fails. */
   private <T> CompletableFuture<T> fromStore(
       Supplier<CompletableFuture<T>> storeCall, Function<String, CompletableFuture<T>> ask) {
-    Optional<String> watcher =
-        gate.isClosed() ? watchers.watcherDuringOutage() : Optional.empty();
+    Optional<String> watcher = gate.isClosed() ? watchers.watcherDuringOutage() : Optional.empty();
     return watcher
         .map(
             name ->
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -309,7 +309,9 @@
     assertPresence("b", true);
   }
 
-  /** Each mirror of each node used to poll the store during an outage, two to three times a second. */
+  /**
+   * Each mirror of each node used to poll the store during an outage, two to three times a second.
+   */
   @Test
   void outageOfStoreCostsFewCalls() {
     store.put("a");
--- a/node/src/main/java/org/currantslip/node/log/EventLog.java
+++ b/node/src/main/java/org/currantslip/node/log/EventLog.java
@@ -15,6 +15,7 @@
 
     private Discarded() {}
   }
+
   /**
    * The calling line is not logged; without this value, each call would search the stack for it.
    */
