Gather what endpoints bear in package core.allowance

The bounds on sends to an endpoint lay in the package of the choice, in three classes that the chooser asked one by one. EndpointAllowances is their one face; RequestLimits, SendRestrictions and the shares move with their tests, whose checks are unchanged.

--- a/core/src/main/java/org/currantslip/core/routing/RequestLimit.java
+++ b/core/src/main/java/org/currantslip/core/allowance/RequestLimit.java
@@ -1,4 +1,4 @@
-package org.currantslip.core.routing;
+package org.currantslip.core.allowance;
 
 /**
  * What a response says of the requests that its endpoint accepts from all nodes together.
--- a/core/src/main/java/org/currantslip/core/routing/SendRestrictions.java
+++ b/core/src/main/java/org/currantslip/core/allowance/SendRestrictions.java
@@ -1,4 +1,4 @@
-package org.currantslip.core.routing;
+package org.currantslip.core.allowance;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/core/src/main/java/org/currantslip/core/routing/SenderShares.java
+++ b/core/src/main/java/org/currantslip/core/allowance/SenderShares.java
@@ -1,4 +1,4 @@
-package org.currantslip.core.routing;
+package org.currantslip.core.allowance;
 
 /** Divides the request limit of an endpoint among the nodes. */
 public interface SenderShares {
--- a/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointResponseHead.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
-import org.currantslip.core.routing.EndpointNotice;
+import org.currantslip.core.allowance.EndpointNotice;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.currantslip.core.allowance.EndpointNotice;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
@@ -15,7 +16,6 @@
 import org.currantslip.core.route.RouteKind;
 import org.currantslip.core.route.RouteTable;
 import org.currantslip.core.routing.EndpointLoad;
-import org.currantslip.core.routing.EndpointNotice;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
--- a/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedTrace.java
@@ -1,9 +1,9 @@
 package org.currantslip.core.request;
 
+import org.currantslip.core.allowance.EndpointNotice;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
-import org.currantslip.core.routing.EndpointNotice;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
 
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.currantslip.core.allowance.EndpointNotice;
 import org.currantslip.schema.EndpointRecord;
 
 /** Selects the endpoint that serves a request. */
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -10,6 +10,9 @@
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import org.currantslip.core.allowance.EndpointAllowances;
+import org.currantslip.core.allowance.EndpointNotice;
+import org.currantslip.core.allowance.SenderShares;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.PromptPart;
 import org.currantslip.schema.EndpointLimits;
@@ -56,14 +59,13 @@
   private final Map<String, MeanPrefillTime> meanPrefillTimes = new HashMap<>();
   private final PeerPrefills peerPrefills = PeerPrefills.create();
   private final SentPrompts sentPrompts = SentPrompts.create();
-  private final SendRestrictions restrictions = SendRestrictions.create();
-  private final RequestLimits limits;
+  private final EndpointAllowances allowances;
 
   private ExpectedWaitChooser(
-      Clock clock, String localFailureDomain, long seed, SenderShares shares) {
+      Clock clock, String localFailureDomain, long seed, EndpointAllowances allowances) {
     this.clock = clock;
     this.localFailureDomain = localFailureDomain;
-    limits = RequestLimits.create(shares);
+    this.allowances = allowances;
     random = new SplittableRandom(seed);
   }
 
@@ -75,14 +77,20 @@
   /** Creates a chooser without endpoints, of a node that has a share of their request limits. */
   public static ExpectedWaitChooser create(
       Clock clock, String localFailureDomain, long seed, SenderShares shares) {
-    return new ExpectedWaitChooser(clock, localFailureDomain, seed, shares);
+    return create(clock, localFailureDomain, seed, EndpointAllowances.create(shares));
+  }
+
+  /** Creates a chooser without endpoints, which sends to them within these allowances. */
+  public static ExpectedWaitChooser create(
+      Clock clock, String localFailureDomain, long seed, EndpointAllowances allowances) {
+    return new ExpectedWaitChooser(clock, localFailureDomain, seed, allowances);
   }
 
   @Override
   public void onEndpoints(List<EndpointRecord> endpoints) {
     pools.replace(endpoints);
     peerPrefills.retain(pools.ids());
-    restrictions.retain(pools.ids(), clock.nowMs());
+    allowances.onEndpoints(endpoints, clock.nowMs());
   }
 
   /** Returns the prompts that this node has sent, to be reported to other nodes. */
@@ -158,32 +166,28 @@
   }
 
   private boolean isUsable(EndpointState state, long nowMs) {
-    return state.isUsable(nowMs)
-        && restrictions.permits(state.endpoint(), nowMs)
-        && limits.permits(state.endpoint(), nowMs);
+    return state.isUsable(nowMs) && allowances.permits(state.endpoint(), nowMs);
   }
 
   @Override
   public EndpointNotice.Effect onNotice(
       EndpointRecord endpoint, EndpointNotice notice, long sentMs) {
-    EndpointNotice.Effect restricted = restrictions.add(endpoint, notice, clock.nowMs());
-    EndpointNotice.Effect limited = limits.add(endpoint, notice.limit(), sentMs, clock.nowMs());
-    return restricted == EndpointNotice.Effect.NONE ? limited : restricted;
+    return allowances.onNotice(endpoint, notice, sentMs, clock.nowMs());
   }
 
   /** Returns the request limits that other nodes must learn of, if there are any. */
   public Optional<EndpointLimits> limitReport() {
-    return limits.report(clock.nowMs());
+    return allowances.limitReport(clock.nowMs());
   }
 
   /** Applies request limits that another node has learned of. */
   public void onLimitReport(EndpointLimits report) {
-    limits.onReport(report, clock.nowMs());
+    allowances.onLimitReport(report, clock.nowMs());
   }
 
   private void onSent(EndpointState state) {
     state.onDispatched(clock.nowMs());
-    limits.onSent(state.endpoint(), clock.nowMs());
+    allowances.onSent(state.endpoint(), clock.nowMs());
   }
 
   private static boolean isSmallServicePool(EndpointPool pool, EndpointQuery query) {
@@ -250,7 +254,7 @@
         + uncachedTokens(state, query, prefixOwner) * perToken
         + state.failureRate(now) * FAILURE_PENALTY_MS
         + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
-        - (limits.isLeftToFew(state.endpoint()) ? LIMITED_ENDPOINT_BONUS_MS : 0);
+        - (allowances.isLeftToFew(state.endpoint()) ? LIMITED_ENDPOINT_BONUS_MS : 0);
   }
 
   private double backlogMs(EndpointState state, EndpointQuery query, long now) {
--- a/core/src/test/java/org/currantslip/core/routing/RequestLimitsTest.java
+++ b/core/src/test/java/org/currantslip/core/allowance/RequestLimitsTest.java
@@ -1,4 +1,4 @@
-package org.currantslip.core.routing;
+package org.currantslip.core.allowance;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/core/src/test/java/org/currantslip/core/routing/SendRestrictionsTest.java
+++ b/core/src/test/java/org/currantslip/core/allowance/SendRestrictionsTest.java
@@ -1,11 +1,13 @@
-package org.currantslip.core.routing;
+package org.currantslip.core.allowance;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
 import java.util.Set;
+import org.currantslip.core.allowance.EndpointNotice.Effect;
 import org.currantslip.core.common.ManualClock;
-import org.currantslip.core.routing.EndpointNotice.Effect;
+import org.currantslip.core.routing.EndpointQuery;
+import org.currantslip.core.routing.ExpectedWaitChooser;
 import org.currantslip.schema.EndpointRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
