Bound what all nodes send to cold and to brittle endpoints

Cold endpoints had no bound, a brittle endpoint was refused requests for lack of room as often as nodes guessed wrong, and what an endpoint asked for was known to the node alone that it had told.

Cold: a node sends if its place in the endpoint's order of nodes is low enough. The order has all nodes that are not gone, so that silence and cuts move no place, and a node that starts uses its own only after it has seen all known nodes alive for contact_ms. No message is needed.

Brittle: the first node in the order lends the endpoint's slots (frame 59); a request waits in SlotQueue until its node has one. A random order of late and lost messages, pauses and a keeper's death found two faults on the way: a slot whose grant was lost lapsed at the keeper while the next answer showed it to its holder, and the end of a request on a lapsed slot freed another one.

Peers are told of endpoints that leave or want no requests (frame 60). If no endpoint of a service may get a request, the refusal comes at once and names the earliest time, spread; it was 0.5 to 1 s whatever the endpoints had said.

RunnerCallsTest: a brittle bound that cannot be read was taken for none, which would end a brittle period; it is NaN now, and is logged.

--- a/core/src/main/java/org/currantslip/core/allowance/EndpointNotice.java
+++ b/core/src/main/java/org/currantslip/core/allowance/EndpointNotice.java
@@ -9,7 +9,8 @@
  * @param retryAfterS time in seconds for which it wants no requests; zero if it names none, NaN if
  *     the value cannot be read
  * @param limit number of requests that it accepts from all nodes together
- * @param brittlePerS refusals a second for lack of room that it bears, if it is brittle
+ * @param brittlePerS refusals a second for lack of room that it bears, if it is brittle; NaN if the
+ *     value is negative or cannot be read
  */
 public record EndpointNotice(
     boolean leaving, double retryAfterS, RequestLimit limit, OptionalDouble brittlePerS) {
--- a/core/src/main/java/org/currantslip/core/allowance/RequestLimits.java
+++ b/core/src/main/java/org/currantslip/core/allowance/RequestLimits.java
@@ -95,6 +95,18 @@
     return statement.tokens >= 1;
   }
 
+  /** Returns the time until this node may send to the endpoint, if nothing else happens. */
+  long permittedInMs(EndpointRecord endpoint, long nowMs) {
+    Statement statement = statementOf(endpoint);
+    if (statement == null || permits(endpoint, nowMs)) {
+      return 0;
+    }
+    double partPerS = USED_FRACTION * shareOf(endpoint.getId(), statement.perS);
+    return partPerS <= 0
+        ? Long.MAX_VALUE
+        : 1 + (long) ((1 - statement.tokens) / partPerS * MS_PER_S);
+  }
+
   /** Returns whether some nodes must leave the endpoint to others. */
   boolean isLeftToFew(EndpointRecord endpoint) {
     Statement statement = statementOf(endpoint);
--- a/core/src/main/java/org/currantslip/core/allowance/SendRestrictions.java
+++ b/core/src/main/java/org/currantslip/core/allowance/SendRestrictions.java
@@ -1,9 +1,13 @@
 package org.currantslip.core.allowance;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.currantslip.schema.EndpointRecord;
+import org.currantslip.schema.EndpointRestriction;
 
 /**
  * Restrictions that endpoints have asked for in their responses.
@@ -19,6 +23,7 @@
   private static final long RETENTION_MS = 120_000;
 
   private final Map<String, Restriction> restrictions = new HashMap<>();
+  private final Set<String> untold = new HashSet<>();
 
   private SendRestrictions() {}
 
@@ -54,6 +59,7 @@
     if (!isLonger && !isNewlyLeaving) {
       return timeReadable ? EndpointNotice.Effect.NONE : EndpointNotice.Effect.UNREADABLE;
     }
+    untold.add(endpoint.getId());
     restrictions.put(
         endpoint.getId(),
         new Restriction(
@@ -64,6 +70,35 @@
     return EndpointNotice.Effect.RESTRICTED;
   }
 
+  /** Returns the time until the endpoint accepts requests, zero if it accepts them now. */
+  long permittedInMs(EndpointRecord endpoint, long nowMs) {
+    Restriction restriction = restrictions.get(endpoint.getId());
+    if (restriction == null || permits(endpoint, nowMs)) {
+      return 0;
+    }
+    return restriction.leaving ? Long.MAX_VALUE : restriction.untilMs - nowMs;
+  }
+
+  /** Returns the restrictions that were added or prolonged since the last call. */
+  List<EndpointRestriction> takeNew(long nowMs) {
+    List<EndpointRestriction> added =
+        untold.stream()
+            .flatMap(id -> Stream.ofNullable(restrictions.get(id)).map(r -> toProto(id, r, nowMs)))
+            .toList();
+    untold.clear();
+    return added;
+  }
+
+  private static EndpointRestriction toProto(String id, Restriction restriction, long nowMs) {
+    return EndpointRestriction.newBuilder()
+        .setEndpoint(id)
+        .setStartedMs(restriction.startedMs)
+        .setLeaving(restriction.leaving)
+        .setWaitMs((int) Math.max(0, restriction.untilMs - nowMs))
+        .setAgeMs(Math.max(0, nowMs - restriction.changedMs))
+        .build();
+  }
+
   /** Removes old restrictions of endpoints that are not among these. */
   void retain(Set<String> endpointIds, long nowMs) {
     restrictions
--- a/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
+++ b/core/src/main/java/org/currantslip/core/limits/SlotQueue.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.ToIntFunction;
+import java.util.function.ToLongFunction;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.RefusalException;
 import org.currantslip.core.common.ResultCode;
@@ -52,13 +53,16 @@
 
   private final Clock clock;
   private final ToIntFunction<String> freeSlots;
+  private final ToLongFunction<String> closedForMs;
   private final SplittableRandom random;
   private final Map<String, ServiceQueue> queuesByService = new HashMap<>();
   private long lastSequence;
 
-  private SlotQueue(Clock clock, ToIntFunction<String> freeSlots, long seed) {
+  private SlotQueue(
+      Clock clock, ToIntFunction<String> freeSlots, ToLongFunction<String> closedForMs, long seed) {
     this.clock = clock;
     this.freeSlots = freeSlots;
+    this.closedForMs = closedForMs;
     random = new SplittableRandom(seed);
   }
 
@@ -68,7 +72,18 @@
    * @param freeSlots returns how many requests of a service can start without waiting
    */
   public static SlotQueue create(Clock clock, ToIntFunction<String> freeSlots, long seed) {
-    return new SlotQueue(clock, freeSlots, seed);
+    return create(clock, freeSlots, service -> 0, seed);
+  }
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param freeSlots returns how many requests of a service can start without waiting
+   * @param closedForMs returns for how long no endpoint of a service may get a request
+   */
+  public static SlotQueue create(
+      Clock clock, ToIntFunction<String> freeSlots, ToLongFunction<String> closedForMs, long seed) {
+    return new SlotQueue(clock, freeSlots, closedForMs, seed);
   }
 
   /**
@@ -81,9 +96,10 @@
     }
     long nowMs = clock.nowMs();
     long latestStartMs = latestStart(query);
-    long waitMs = serviceQueue.expectedWaitMs(query, nowMs);
+    long closedMs = closedForMs.applyAsLong(query.service());
+    long waitMs = Math.max(serviceQueue.expectedWaitMs(query, nowMs), closedMs);
     if (nowMs + waitMs > latestStartMs || serviceQueue.waiting.size() >= MAX_WAITING) {
-      return CompletableFuture.failedFuture(refusal(waitMs, "no slot expected in time"));
+      return CompletableFuture.failedFuture(refusal(waitMs, closedMs, "no slot expected in time"));
     }
     QueuedQuery queued =
         new QueuedQuery(query, new CompletableFuture<>(), latestStartMs, ++lastSequence);
@@ -97,10 +113,11 @@
     return Math.min(latestOnTimeStartMs, query.deadlineMs());
   }
 
-  private RefusalException refusal(long waitMs, String detail) {
+  private RefusalException refusal(long waitMs, long closedMs, String detail) {
     double jitterFactor = 1 + RETRY_JITTER * random.nextDouble();
+    long maxMs = Math.max(MAX_RETRY_AFTER_MS, (long) (closedMs * jitterFactor));
     long retryAfterMs =
-        Math.max(MIN_RETRY_AFTER_MS, Math.min((long) (waitMs * jitterFactor), MAX_RETRY_AFTER_MS));
+        Math.max(MIN_RETRY_AFTER_MS, Math.min((long) (waitMs * jitterFactor), maxMs));
     return RefusalException.notRunRetryable(ResultCode.OVERLOADED, retryAfterMs, detail);
   }
 
@@ -114,6 +131,12 @@
     return queuesByService.values().stream().mapToInt(q -> q.waiting.size()).sum();
   }
 
+  /** Returns the number of queued requests of a service. */
+  public int queuedCount(String service) {
+    ServiceQueue queue = queuesByService.get(service);
+    return queue == null ? 0 : queue.waiting.size();
+  }
+
   /** Queue and release history of one service. */
   private final class ServiceQueue {
     private final String service;
@@ -135,7 +158,7 @@
           w ->
               w.future()
                   .completeExceptionally(
-                      refusal(expectedWaitMs(w.query(), nowMs), "no slot became free in time")));
+                      refusal(expectedWaitMs(w.query(), nowMs), 0, "no slot became free in time")));
       grantFreeSlots();
     }
 
--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -59,6 +59,7 @@
   private long nextGoneCheckMs;
   private long heartbeatRounds;
   private String lastProbed = "";
+  private boolean recordsRead;
 
   private HeartbeatMembership(
       NodeRecord self,
@@ -117,6 +118,16 @@
     return nodeLists().entries();
   }
 
+  @Override
+  public List<NodeRecord> known() {
+    return nodeLists().known();
+  }
+
+  @Override
+  public boolean isFleetKnown() {
+    return recordsRead && isJoined();
+  }
+
   /** Returns the node lists, rebuilt only after a node changed or a suspicion expired. */
   private NodeLists nodeLists() {
     long nowMs = clock.nowMs();
@@ -137,8 +148,14 @@
             .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs())
             .min()
             .orElse(Long.MAX_VALUE);
+    List<NodeRecord> known =
+        Stream.concat(
+                Stream.of(self),
+                members.values().stream().filter(m -> !m.isGone()).map(Member::nodeRecord))
+            .toList();
     cachedLists =
         new NodeLists(
+            known.equals(cachedLists.known()) ? cachedLists.known() : known,
             live,
             live.stream().filter(n -> n.getState() == NodeState.SERVING).toList(),
             HeartbeatRing.targets(self, live, options),
@@ -152,8 +169,13 @@
    * @param untilMs time at which the next suspicion expires and the lists become invalid
    */
   private record NodeLists(
-      List<NodeRecord> live, List<NodeRecord> entries, Set<String> targets, long untilMs) {
-    static final NodeLists STALE = new NodeLists(List.of(), List.of(), Set.of(), Long.MIN_VALUE);
+      List<NodeRecord> known,
+      List<NodeRecord> live,
+      List<NodeRecord> entries,
+      Set<String> targets,
+      long untilMs) {
+    static final NodeLists STALE =
+        new NodeLists(List.of(), List.of(), List.of(), Set.of(), Long.MIN_VALUE);
 
     boolean isValid(long nowMs) {
       return nowMs < untilMs;
@@ -463,6 +485,8 @@
               page.stream().flatMap(o -> JoinRecord.parse(o).stream()).forEach(this::mergeRecord);
               if (page.size() == LIST_PAGE_SIZE) {
                 refreshFrom(page.get(page.size() - 1).name());
+              } else {
+                recordsRead = true;
               }
             })
         .exceptionally(failure -> null);
--- a/core/src/main/java/org/currantslip/core/membership/Membership.java
+++ b/core/src/main/java/org/currantslip/core/membership/Membership.java
@@ -16,6 +16,19 @@
   /** Returns the nodes that callers may be directed to: live and serving. */
   List<NodeRecord> entryNodes();
 
+  /**
+   * Returns the nodes that are not permanently gone, including this one, whether they are live or
+   * not. The list is the same object until it changes.
+   */
+  default List<NodeRecord> known() {
+    return live();
+  }
+
+  /** Returns whether this node has joined and has read the join records of all others. */
+  default boolean isFleetKnown() {
+    return true;
+  }
+
   /** Returns the live node with this name, if there is one. */
   Optional<NodeRecord> find(String name);
 
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -246,6 +246,9 @@
     if (!head.correlation().equals(request.correlation())) {
       fail(Fault.CROSSED);
     } else if (head.notRun()) {
+      if (head.status() == HttpStatus.SERVICE_UNAVAILABLE) {
+        tracker.onNoRoom();
+      }
       fail(Fault.NOT_RUN);
     } else if (listener.isFault(this, head)) {
       fail(Fault.ERROR_STATUS);
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -469,11 +469,15 @@
    */
   private RefusalException notServedRefusal(ResultCode code, String detail) {
     if (history.ran() == Ran.NO) {
-      long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
+      long closedMs =
+          assignment == null ? 0 : ports.chooser().closedForMs(assignment.request().service());
+      long earliestMs = closedMs > 0 ? closedMs : NO_ENDPOINT_RETRY_AFTER_MS;
+      // Callers that were refused together come back spread over half of the time or more.
+      long spreadMs = Math.max(NO_ENDPOINT_RETRY_AFTER_MS, earliestMs / 2);
+      long jitterMs = Math.floorMod(request.requestId().hashCode(), spreadMs);
       ResultCode notRun =
           deadlineExpired ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.NO_ENDPOINT;
-      return RefusalException.notRunRetryable(
-          notRun, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
+      return RefusalException.notRunRetryable(notRun, earliestMs + jitterMs, detail);
     }
     ResultCode reportedCode = code == ResultCode.NO_ENDPOINT ? ResultCode.ENDPOINT_FAILED : code;
     return RefusalException.of(reportedCode, history.ran(), 0, detail);
--- a/core/src/main/java/org/currantslip/core/request/HttpStatus.java
+++ b/core/src/main/java/org/currantslip/core/request/HttpStatus.java
@@ -5,6 +5,7 @@
   static final int OK = 200;
   static final int TOO_MANY_REQUESTS = 429;
   static final int INTERNAL_SERVER_ERROR = 500;
+  static final int SERVICE_UNAVAILABLE = 503;
   private static final int MULTIPLE_CHOICES = 300;
 
   private HttpStatus() {}
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -61,6 +61,14 @@
     return EndpointNotice.Effect.NONE;
   }
 
+  /**
+   * Returns for how long no endpoint of a service wants or may get a request of this node; zero if
+   * one may get one now, or if that is unknown.
+   */
+  default long closedForMs(String service) {
+    return 0;
+  }
+
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
@@ -15,9 +16,11 @@
 import org.currantslip.core.allowance.SenderShares;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.PromptPart;
+import org.currantslip.schema.AllowanceReport;
 import org.currantslip.schema.EndpointLimits;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.PrefillReport;
+import org.currantslip.schema.RestrictionReport;
 import org.currantslip.schema.SentPrompt;
 import org.jspecify.annotations.Nullable;
 
@@ -114,6 +117,7 @@
     EndpointState state = pools.state(load.endpointId());
     if (state != null) {
       state.setLoad(load);
+      allowances.onLoad(state.endpoint(), load.waiting());
     }
   }
 
@@ -162,9 +166,30 @@
         best = state;
       }
     }
+    for (EndpointState state : scanAll ? List.<EndpointState>of() : ownParts(query, now)) {
+      double costMs = expectedCostMs(state, query, state == prefixOwner, prefillRate, now);
+      if (costMs < lowestCostMs) {
+        lowestCostMs = costMs;
+        best = state;
+      }
+    }
     return best;
   }
 
+  /** Returns some usable endpoints that few other nodes may use, and that chance rarely finds. */
+  private List<EndpointState> ownParts(EndpointQuery query, long now) {
+    List<String> parts = allowances.parts(query.service(), now);
+    int start = parts.isEmpty() ? 0 : random.nextInt(parts.size());
+    return IntStream.range(0, Math.min(parts.size(), MAX_SAMPLES))
+        .mapToObj(i -> pools.state(parts.get((start + i) % parts.size())))
+        .filter(Objects::nonNull)
+        .filter(s -> s.endpoint().getService().equals(query.service()))
+        .filter(s -> query.version().isEmpty() || s.endpoint().getVersion().equals(query.version()))
+        .filter(s -> isUsable(s, now) && !query.excluded().contains(s.endpoint().getId()))
+        .limit(RANDOM_CANDIDATES)
+        .toList();
+  }
+
   private boolean isUsable(EndpointState state, long nowMs) {
     return state.isUsable(nowMs) && allowances.permits(state.endpoint(), nowMs);
   }
@@ -185,9 +210,20 @@
     allowances.onLimitReport(report, clock.nowMs());
   }
 
-  private void onSent(EndpointState state) {
+  /** Applies what another node says of brittle services and of slots. */
+  public void onAllowanceReport(String node, AllowanceReport report) {
+    allowances.onReport(node, report, clock.nowMs());
+  }
+
+  /** Applies what another node says of endpoints that leave or want no requests. */
+  public void onRestrictions(String node, RestrictionReport report) {
+    allowances.onRestrictions(node, report, clock.nowMs());
+  }
+
+  /** Records a request that is sent; returns whether it uses a lent slot. */
+  private boolean onSent(EndpointState state) {
     state.onDispatched(clock.nowMs());
-    allowances.onSent(state.endpoint(), clock.nowMs());
+    return allowances.onSent(state.endpoint(), clock.nowMs());
   }
 
   private static boolean isSmallServicePool(EndpointPool pool, EndpointQuery query) {
@@ -254,7 +290,7 @@
         + uncachedTokens(state, query, prefixOwner) * perToken
         + state.failureRate(now) * FAILURE_PENALTY_MS
         + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
-        - (allowances.isLeftToFew(state.endpoint()) ? LIMITED_ENDPOINT_BONUS_MS : 0);
+        - (allowances.isLeftToFew(state.endpoint(), now) ? LIMITED_ENDPOINT_BONUS_MS : 0);
   }
 
   private double backlogMs(EndpointState state, EndpointQuery query, long now) {
@@ -300,6 +336,7 @@
     private final double backlogMs;
     private final double expectedFirstTokenMs;
     private boolean prefillPending;
+    private boolean usesSlot;
 
     private TrackedUse(EndpointState state, EndpointQuery query, PrefillRateEstimator prefillRate) {
       this.state = state;
@@ -318,7 +355,7 @@
 
     @Override
     public void onStarted(long expectedTokens) {
-      onSent(state);
+      usesSlot = onSent(state);
       state.addPendingPrompts(1, prefillMs);
       meanPrefillTime(query).update(prefillMs);
       state.promptCache().add(query.engineModel(), query.prompt());
@@ -337,6 +374,11 @@
       }
     }
 
+    @Override
+    public void onNoRoom() {
+      allowances.onDeclined(state.endpoint());
+    }
+
     @Override
     public void onHeard() {
       state.onHeard(clock.nowMs());
@@ -359,6 +401,10 @@
         state.addPendingPrompts(-1, -prefillMs);
       }
       state.onFinished(clock.nowMs(), result);
+      if (usesSlot) {
+        usesSlot = false;
+        allowances.onSlotFree(state.endpoint(), clock.nowMs());
+      }
     }
   }
 
@@ -372,6 +418,24 @@
         : OptionalDouble.of(expectedCostMs(best, query, false, prefillRate(query), clock.nowMs()));
   }
 
+  @Override
+  public long closedForMs(String service) {
+    long now = clock.nowMs();
+    EndpointPool pool = pools.pool("", "", service);
+    if (pool == null) {
+      return 0;
+    }
+    int start = pool.size() <= MAX_SAMPLES ? 0 : random.nextInt(pool.size());
+    long closedMs =
+        IntStream.range(0, Math.min(MAX_SAMPLES, pool.size()))
+            .mapToObj(i -> pool.member((start + i) % pool.size()))
+            .filter(s -> s.isUsable(now))
+            .mapToLong(s -> allowances.permittedInMs(s.endpoint(), now))
+            .min()
+            .orElse(0);
+    return closedMs == Long.MAX_VALUE ? 0 : closedMs;
+  }
+
   /** Returns how many requests of a service can start without waiting. */
   public int freeSlots(String service) {
     long now = clock.nowMs();
@@ -381,7 +445,7 @@
         : IntStream.range(0, pool.size())
             .mapToObj(pool::member)
             .filter(s -> isUsable(s, now))
-            .mapToInt(s -> s.freeSlots(now))
+            .mapToInt(s -> allowances.room(s.endpoint(), s.freeSlots(now), now))
             .sum();
   }
 
@@ -389,7 +453,7 @@
   public void onDispatched(String endpointId, long expectedTokens) {
     EndpointState state = pools.state(endpointId);
     if (state != null) {
-      onSent(state);
+      boolean unused = onSent(state);
     }
   }
 
--- a/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
+++ b/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
@@ -27,6 +27,9 @@
   /** Called when the connection to the endpoint failed. */
   default void onConnectFailure() {}
 
+  /** Called when the endpoint refused the request for lack of room, before its end. */
+  default void onNoRoom() {}
+
   /** Called when the request has ended at this endpoint. */
   void onFinished(CallResult result);
 }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -94,6 +94,8 @@
       case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
       case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
       case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
+      case ALLOWANCE -> endpointChooser.onAllowanceReport(fromNode, frame.getAllowance());
+      case RESTRICTIONS -> endpointChooser.onRestrictions(fromNode, frame.getRestrictions());
       case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
       default -> {
         // Replies have reached their requesters already; frame types of newer nodes are ignored.
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import org.currantslip.adapter.http.HttpClients;
+import org.currantslip.core.allowance.EndpointAllowances;
+import org.currantslip.core.allowance.FleetPlaces;
 import org.currantslip.core.allowance.RankedSenders;
 import org.currantslip.core.cascade.SizeCascade;
 import org.currantslip.core.common.Clock;
@@ -93,6 +95,7 @@
   private final MirrorRelay mirrorRelay;
   private final StoreProbe storeProbe;
   private final EndpointRegistry endpointRegistry;
+  private final EndpointAllowances allowances;
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
@@ -166,9 +169,16 @@
     membership.setMirrorRevisions(mirrorGossip::revisions, mirrorGossip::onRevisions);
     mirrorGossip.setCopyListener(membership::advanceHeartbeat);
     mirrors.onNewConfig(membership::advanceHeartbeat);
+    allowances =
+        EndpointAllowances.create(
+            RankedSenders.create(membership),
+            FleetPlaces.create(membership, clock, settings.getBounds().getContactMs()),
+            EdgeOptions.allowance(settings),
+            service -> mirrors.routes().current().service(service),
+            EventLog::write,
+            seed);
     endpointChooser =
-        ExpectedWaitChooser.create(
-            clock, settings.getFailureDomain(), seed, RankedSenders.create(membership));
+        ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed, allowances);
     rollouts = ServiceRollouts.create(self.getId(), this::onHalt);
     endpointRegistry =
         EndpointRegistry.create(
@@ -218,7 +228,9 @@
             endpointChooser,
             quarantine,
             quarantineLinks);
-    requestQueue = SlotQueue.create(clock, endpointChooser::freeSlots, seed);
+    requestQueue =
+        SlotQueue.create(clock, endpointChooser::freeSlots, endpointChooser::closedForMs, seed);
+    allowances.connect(AllowanceFrames.create(membership, peerLinks, reports, requestQueue));
     requestEngine =
         RequestEngine.forwarding(
             new ForwardPorts(
@@ -347,6 +359,7 @@
     TickStep.run("quarantine", quarantine::tick);
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
     TickStep.run("queue", requestQueue::tick);
+    TickStep.run("allowances", () -> allowances.tick(clock.nowMs()));
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
     TickStep.run("links", peerLinks::tick);
@@ -435,6 +448,7 @@
             routeTable.version(),
             0,
             quarantine.quarantinedCount()));
+    metrics.publish(allowances.counts(clock.nowMs()));
   }
 
   /** Begins a graceful shutdown. */
--- a/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeOptions.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
+import org.currantslip.core.allowance.AllowanceOptions;
 import org.currantslip.core.limits.RetryBudget;
 import org.currantslip.core.membership.MembershipOptions;
 import org.currantslip.core.membership.PlannedStop;
@@ -116,6 +117,11 @@
     return new PlannedStop.Options(leavingMs, Math.max(0, drainMs), 0, MARK_TIMEOUT_MS);
   }
 
+  static AllowanceOptions allowance(EdgeSettings settings) {
+    var allowance = settings.getAllowance();
+    return new AllowanceOptions(allowance.getColdExcess(), allowance.getColdSlack());
+  }
+
   /** Returns the region of each failure domain that the settings name. */
   static ImmutableMap<String, String> regions(EdgeSettings settings) {
     return settings.getDomainList().stream()
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -23,7 +23,11 @@
   CONFIG_VERSION("currantslip.config.version", Kind.GAUGE, "", List.of()),
   CONFIG_AGE("currantslip.config.age", Kind.GAUGE, "seconds", List.of()),
   QUARANTINE_REFUSALS("currantslip.quarantine.refusals", Kind.COUNTER, "", List.of()),
-  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of());
+  QUARANTINED_PARTS("currantslip.quarantine.parts", Kind.GAUGE, "", List.of()),
+  COLD_ENDPOINTS("currantslip.endpoints.cold", Kind.GAUGE, "", List.of()),
+  BRITTLE_SERVICES("currantslip.services.brittle", Kind.GAUGE, "", List.of()),
+  SLOTS_LENT("currantslip.slots.lent", Kind.GAUGE, "", List.of()),
+  SLOTS_HELD("currantslip.slots.held", Kind.GAUGE, "", List.of());
 
   /** Type of a metric. */
   public enum Kind {
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -11,6 +11,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.function.ToDoubleFunction;
+import org.currantslip.core.allowance.AllowanceCounts;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.RequestOutcome;
 
@@ -36,6 +37,7 @@
       Counter.builder(Metric.QUARANTINE_REFUSALS.meterName()).register(registry);
   private boolean jvmMetricsBound;
   private volatile NodeGauges gauges = NodeGauges.empty();
+  private volatile AllowanceCounts allowances = new AllowanceCounts(0, 0, 0, 0);
 
   private NodeMetrics() {
     gauge(Metric.IN_FLIGHT, NodeGauges::inFlight);
@@ -47,6 +49,10 @@
     gauge(Metric.CONFIG_VERSION, NodeGauges::configVersion);
     gauge(Metric.CONFIG_AGE, g -> g.configAgeMs() / MS_PER_S);
     gauge(Metric.QUARANTINED_PARTS, NodeGauges::quarantinedParts);
+    allowanceGauge(Metric.COLD_ENDPOINTS, AllowanceCounts::coldEndpoints);
+    allowanceGauge(Metric.BRITTLE_SERVICES, AllowanceCounts::brittleServices);
+    allowanceGauge(Metric.SLOTS_LENT, AllowanceCounts::lentSlots);
+    allowanceGauge(Metric.SLOTS_HELD, AllowanceCounts::heldSlots);
     FunctionCounter.builder(Metric.PEER_FRAMES.meterName(), this, m -> m.gauges.frames())
         .register(registry);
   }
@@ -92,6 +98,11 @@
     gauges = values;
   }
 
+  /** Publishes the figures of the endpoint allowances. */
+  public void publish(AllowanceCounts counts) {
+    allowances = counts;
+  }
+
   /** Returns the metrics in the Prometheus text format. */
   public String page() {
     bindJvmMetrics();
@@ -111,6 +122,11 @@
         .register(registry);
   }
 
+  private void allowanceGauge(Metric metric, ToDoubleFunction<AllowanceCounts> value) {
+    Gauge.builder(metric.meterName(), this, m -> value.applyAsDouble(m.allowances))
+        .register(registry);
+  }
+
   private void gauge(Metric metric, ToDoubleFunction<NodeGauges> value) {
     Gauge.Builder<NodeMetrics> gauge =
         Gauge.builder(metric.meterName(), this, m -> value.applyAsDouble(m.gauges));
