--- a/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
+++ b/core/src/main/java/org/currantslip/core/membership/HeartbeatMembership.java
@@ -74,6 +74,7 @@
   private long heartbeatRounds;
   private boolean peersListed;
   private String lastProbed = "";
+  private boolean recordsRead;
 
   private HeartbeatMembership(
       NodeRecord self,
@@ -177,13 +178,23 @@
     return nodeLists().entries();
   }
 
+  @Override
+  public List<NodeRecord> known() {
+    return nodeLists().known();
+  }
+
+  @Override
+  public boolean isFleetKnown() {
+    return recordsRead && isJoined();
+  }
+
   /** Returns the node lists, rebuilt only after a node changed or a suspicion expired. */
   private NodeLists nodeLists() {
     long nowMs = clock.nowMs();
     if (cachedLists.isValid(nowMs)) {
       return cachedLists;
     }
-    cachedLists = NodeLists.of(self, reach.isUnreachable(), members, nowMs, options);
+    cachedLists = NodeLists.of(self, reach.isUnreachable(), members, nowMs, options, cachedLists);
     return cachedLists;
   }
 
@@ -509,6 +520,8 @@
               peersListed = true;
               if (page.size() == LIST_PAGE_SIZE) {
                 refreshFrom(page.get(page.size() - 1).name());
+              } else {
+                recordsRead = true;
               }
             })
         .exceptionally(failure -> null);
--- a/core/src/main/java/org/currantslip/core/membership/NodeLists.java
+++ b/core/src/main/java/org/currantslip/core/membership/NodeLists.java
@@ -13,30 +13,34 @@
 /**
  * Node lists derived from the known members.
  *
+ * @param known nodes that are not gone; the same list as long as they are the same nodes
  * @param entries nodes that callers may be sent to
  * @param reaching serving nodes that reach endpoints as far as is known
  * @param untilMs time at which the next suspicion expires and the lists become invalid
  */
 record NodeLists(
+    List<NodeRecord> known,
     List<NodeRecord> live,
     List<NodeRecord> entries,
     List<NodeRecord> reaching,
     Set<String> targets,
     long untilMs) {
   static final NodeLists STALE =
-      new NodeLists(List.of(), List.of(), List.of(), Set.of(), Long.MIN_VALUE);
+      new NodeLists(List.of(), List.of(), List.of(), List.of(), Set.of(), Long.MIN_VALUE);
 
   /**
    * Derives the lists.
    *
    * @param selfUnreachable whether this node reaches no endpoint
+   * @param previous the lists before
    */
   static NodeLists of(
       NodeRecord self,
       boolean selfUnreachable,
       Map<String, Member> members,
       long nowMs,
-      MembershipOptions options) {
+      MembershipOptions options,
+      NodeLists previous) {
     List<NodeRecord> live =
         Stream.concat(
                 Stream.of(self),
@@ -61,7 +65,13 @@
             .mapToLong(m -> nowMs - m.suspectedForMs(nowMs) + options.suspicionMs());
     LongStream unreachableUntilMs =
         members.values().stream().mapToLong(m -> m.unreachableUntilMs(nowMs));
+    List<NodeRecord> known =
+        Stream.concat(
+                Stream.of(self),
+                members.values().stream().filter(m -> !m.isGone()).map(Member::nodeRecord))
+            .toList();
     return new NodeLists(
+        known.equals(previous.known()) ? previous.known() : known,
         live,
         reaching.isEmpty() ? serving : reaching,
         reaching,
--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -3,9 +3,9 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import org.currantslip.core.allowance.EndpointNotice;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.routing.CallResult;
-import org.currantslip.core.routing.EndpointNotice;
 import org.currantslip.core.routing.RequestTracker;
 import org.currantslip.schema.EndpointRecord;
 import org.jspecify.annotations.Nullable;
@@ -246,6 +246,9 @@
     if (!head.correlation().equals(request.correlation())) {
       fail(Fault.CROSSED);
     } else if (head.notRun()) {
+      if (head.status() == HttpStatus.SERVICE_UNAVAILABLE) {
+        tracker.onNoRoom();
+      }
       fail(Fault.NOT_RUN);
     } else if (listener.isFault(this, head)) {
       fail(Fault.ERROR_STATUS);
--- a/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
@@ -70,10 +70,16 @@
     };
   }
 
-  /** Returns the refusal of a request that did not run, with a jittered retry delay. */
+  /**
+   * Returns the refusal of a request that did not run, with the time at which an endpoint may get a
+   * request again. Callers that were refused together come back spread over half of it or more.
+   */
   RefusalException notServed(ResultCode code, String detail) {
-    long jitterMs = Math.floorMod(request.requestId().hashCode(), NO_ENDPOINT_RETRY_AFTER_MS);
-    return RefusalException.notRunRetryable(code, NO_ENDPOINT_RETRY_AFTER_MS + jitterMs, detail);
+    long closedMs = ports.chooser().closedForMs(service);
+    long earliestMs = closedMs > 0 ? closedMs : NO_ENDPOINT_RETRY_AFTER_MS;
+    long spreadMs = Math.max(NO_ENDPOINT_RETRY_AFTER_MS, earliestMs / 2);
+    long jitterMs = Math.floorMod(request.requestId().hashCode(), spreadMs);
+    return RefusalException.notRunRetryable(code, earliestMs + jitterMs, detail);
   }
 
   /** Returns whether a request that was chosen for an endpoint must not be sent there any more. */
--- a/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.currantslip.core.allowance.EndpointNotice;
 import org.currantslip.core.route.Homes;
 import org.currantslip.schema.EndpointRecord;
 
@@ -71,6 +72,14 @@
     return false;
   }
 
+  /**
+   * Returns for how long no endpoint of a service wants or may get a request of this node; zero if
+   * one may get one now, or if that is unknown.
+   */
+  default long closedForMs(String service) {
+    return 0;
+  }
+
   /** Returns all known endpoints. */
   List<EndpointRecord> endpoints();
 
--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -7,17 +7,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.currantslip.core.allowance.EndpointAllowances;
+import org.currantslip.core.allowance.EndpointNotice;
+import org.currantslip.core.allowance.SenderShares;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.route.Homes;
 import org.currantslip.core.route.PromptPart;
+import org.currantslip.schema.AllowanceReport;
 import org.currantslip.schema.EndpointLimits;
 import org.currantslip.schema.EndpointRecord;
 import org.currantslip.schema.PrefillReport;
+import org.currantslip.schema.RestrictionReport;
 import org.currantslip.schema.SentPrompt;
 import org.jspecify.annotations.Nullable;
 
@@ -59,15 +65,14 @@
   private final Map<String, MeanPrefillTime> meanPrefillTimes = new HashMap<>();
   private final PeerPrefills peerPrefills = PeerPrefills.create();
   private final SentPrompts sentPrompts = SentPrompts.create();
-  private final SendRestrictions restrictions = SendRestrictions.create();
-  private final RequestLimits limits;
+  private final EndpointAllowances allowances;
   private volatile ImmutableSet<String> evacuatedDomains = ImmutableSet.of();
 
   private ExpectedWaitChooser(
-      Clock clock, String localFailureDomain, long seed, SenderShares shares) {
+      Clock clock, String localFailureDomain, long seed, EndpointAllowances allowances) {
     this.clock = clock;
     this.localFailureDomain = localFailureDomain;
-    limits = RequestLimits.create(shares);
+    this.allowances = allowances;
     random = new SplittableRandom(seed);
   }
 
@@ -79,14 +84,20 @@
   /** Creates a chooser without endpoints, of a node that has a share of their request limits. */
   public static ExpectedWaitChooser create(
       Clock clock, String localFailureDomain, long seed, SenderShares shares) {
-    return new ExpectedWaitChooser(clock, localFailureDomain, seed, shares);
+    return create(clock, localFailureDomain, seed, EndpointAllowances.create(shares));
+  }
+
+  /** Creates a chooser without endpoints, which sends to them within these allowances. */
+  public static ExpectedWaitChooser create(
+      Clock clock, String localFailureDomain, long seed, EndpointAllowances allowances) {
+    return new ExpectedWaitChooser(clock, localFailureDomain, seed, allowances);
   }
 
   @Override
   public void onEndpoints(List<EndpointRecord> endpoints) {
     pools.replace(endpoints);
     peerPrefills.retain(pools.ids());
-    restrictions.retain(pools.ids(), clock.nowMs());
+    allowances.onEndpoints(endpoints, clock.nowMs());
   }
 
   /** Returns the prompts that this node has sent, to be reported to other nodes. */
@@ -110,6 +121,7 @@
     EndpointState state = pools.state(load.endpointId());
     if (state != null) {
       state.setLoad(load);
+      allowances.onLoad(state.endpoint(), load.waiting());
     }
   }
 
@@ -189,36 +201,64 @@
         best = state;
       }
     }
+    for (EndpointState state : scanAll ? List.<EndpointState>of() : ownParts(query, now)) {
+      double costMs = expectedCostMs(state, query, state == prefixOwner, prefillRate, now);
+      if (costMs < lowestCostMs) {
+        lowestCostMs = costMs;
+        best = state;
+      }
+    }
     return best;
   }
 
+  /** Returns some usable endpoints that few other nodes may use, and that chance rarely finds. */
+  private List<EndpointState> ownParts(EndpointQuery query, long now) {
+    List<String> parts = allowances.parts(query.service(), now);
+    int start = parts.isEmpty() ? 0 : random.nextInt(parts.size());
+    return IntStream.range(0, Math.min(parts.size(), MAX_SAMPLES))
+        .mapToObj(i -> pools.state(parts.get((start + i) % parts.size())))
+        .filter(Objects::nonNull)
+        .filter(s -> s.endpoint().getService().equals(query.service()))
+        .filter(s -> query.version().isEmpty() || s.endpoint().getVersion().equals(query.version()))
+        .filter(s -> isUsable(s, now) && !query.excluded().contains(s.endpoint().getId()))
+        .limit(RANDOM_CANDIDATES)
+        .toList();
+  }
+
   private boolean isUsable(EndpointState state, long nowMs) {
-    return state.isUsable(nowMs)
-        && restrictions.permits(state.endpoint(), nowMs)
-        && limits.permits(state.endpoint(), nowMs);
+    return state.isUsable(nowMs) && allowances.permits(state.endpoint(), nowMs);
   }
 
   @Override
   public EndpointNotice.Effect onNotice(
       EndpointRecord endpoint, EndpointNotice notice, long sentMs) {
-    EndpointNotice.Effect restricted = restrictions.add(endpoint, notice, clock.nowMs());
-    EndpointNotice.Effect limited = limits.add(endpoint, notice.limit(), sentMs, clock.nowMs());
-    return restricted == EndpointNotice.Effect.NONE ? limited : restricted;
+    return allowances.onNotice(endpoint, notice, sentMs, clock.nowMs());
   }
 
   /** Returns the request limits that other nodes must learn of, if there are any. */
   public Optional<EndpointLimits> limitReport() {
-    return limits.report(clock.nowMs());
+    return allowances.limitReport(clock.nowMs());
   }
 
   /** Applies request limits that another node has learned of. */
   public void onLimitReport(EndpointLimits report) {
-    limits.onReport(report, clock.nowMs());
+    allowances.onLimitReport(report, clock.nowMs());
+  }
+
+  /** Applies what another node says of brittle services and of slots. */
+  public void onAllowanceReport(String node, AllowanceReport report) {
+    allowances.onReport(node, report, clock.nowMs());
+  }
+
+  /** Applies what another node says of endpoints that leave or want no requests. */
+  public void onRestrictions(String node, RestrictionReport report) {
+    allowances.onRestrictions(node, report, clock.nowMs());
   }
 
-  private void onSent(EndpointState state) {
+  /** Records a request that is sent; returns whether it uses a lent slot. */
+  private boolean onSent(EndpointState state) {
     state.onDispatched(clock.nowMs());
-    limits.onSent(state.endpoint(), clock.nowMs());
+    return allowances.onSent(state.endpoint(), clock.nowMs());
   }
 
   /** Lifts the ejections of endpoints whose calls have failed for lack of a path since a time. */
@@ -290,7 +330,7 @@
         + uncachedTokens(state, query, prefixOwner) * perToken
         + state.failureRate(now) * FAILURE_PENALTY_MS
         + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
-        - (limits.isLeftToFew(state.endpoint()) ? LIMITED_ENDPOINT_BONUS_MS : 0);
+        - (allowances.isLeftToFew(state.endpoint(), now) ? LIMITED_ENDPOINT_BONUS_MS : 0);
   }
 
   private double backlogMs(EndpointState state, EndpointQuery query, long now) {
@@ -336,6 +376,7 @@
     private final double backlogMs;
     private final double expectedFirstTokenMs;
     private boolean prefillPending;
+    private boolean usesSlot;
 
     private TrackedUse(EndpointState state, EndpointQuery query, PrefillRateEstimator prefillRate) {
       this.state = state;
@@ -354,7 +395,7 @@
 
     @Override
     public void onStarted(long expectedTokens) {
-      onSent(state);
+      usesSlot = onSent(state);
       state.addPendingPrompts(1, prefillMs);
       meanPrefillTime(query).update(prefillMs);
       state.promptCache().add(query.engineModel(), query.prompt());
@@ -373,6 +414,11 @@
       }
     }
 
+    @Override
+    public void onNoRoom() {
+      allowances.onDeclined(state.endpoint());
+    }
+
     @Override
     public void onHeard() {
       state.onHeard(clock.nowMs());
@@ -395,6 +441,10 @@
         state.addPendingPrompts(-1, -prefillMs);
       }
       state.onFinished(clock.nowMs(), result);
+      if (usesSlot) {
+        usesSlot = false;
+        allowances.onSlotFree(state.endpoint(), clock.nowMs());
+      }
     }
   }
 
@@ -413,10 +463,28 @@
     long now = clock.nowMs();
     return states(service, homes)
         .filter(s -> isUsable(s, now))
-        .mapToInt(s -> s.freeSlots(now))
+        .mapToInt(s -> allowances.room(s.endpoint(), s.freeSlots(now), now))
         .sum();
   }
 
+  @Override
+  public long closedForMs(String service) {
+    long now = clock.nowMs();
+    EndpointPool pool = pools.pool("", "", service, Homes.all());
+    if (pool == null) {
+      return 0;
+    }
+    int start = pool.size() <= MAX_SAMPLES ? 0 : random.nextInt(pool.size());
+    long closedMs =
+        IntStream.range(0, Math.min(MAX_SAMPLES, pool.size()))
+            .mapToObj(i -> pool.member((start + i) % pool.size()))
+            .filter(s -> s.isUsable(now))
+            .mapToLong(s -> allowances.permittedInMs(s.endpoint(), now))
+            .min()
+            .orElse(0);
+    return closedMs == Long.MAX_VALUE ? 0 : closedMs;
+  }
+
   /** Returns how many requests of a service can start without waiting. */
   public int freeSlots(String service) {
     return freeSlots(service, Homes.all());
@@ -426,7 +494,7 @@
   public void onDispatched(String endpointId, long expectedTokens) {
     EndpointState state = pools.state(endpointId);
     if (state != null) {
-      onSent(state);
+      boolean unused = onSent(state);
     }
   }
 
--- a/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
+++ b/core/src/main/java/org/currantslip/core/routing/RequestTracker.java
@@ -30,6 +30,9 @@
   /** Called when the connection broke before the response was complete. */
   default void onBroken() {}
 
+  /** Called when the endpoint refused the request for lack of room, before its end. */
+  default void onNoRoom() {}
+
   /** Called when the request has ended at this endpoint. */
   void onFinished(CallResult result);
 }
--- a/core/src/test/java/org/currantslip/core/request/RestrictedEndpointsTest.java
+++ b/core/src/test/java/org/currantslip/core/request/RestrictedEndpointsTest.java
@@ -47,7 +47,7 @@
           new ForwardPorts(
               clock,
               routes,
-              SlotQueue.withHomes(clock, chooser::freeSlots, 1),
+              SlotQueue.withHomes(clock, chooser::freeSlots, service -> 0, 1),
               chooser,
               retryBudget,
               ServiceRollouts.create(NodeId.getDefaultInstance(), h -> {}),
--- a/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -100,6 +100,8 @@
       case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
       case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
       case ENDPOINT_LIMITS -> endpointChooser.onLimitReport(frame.getEndpointLimits());
+      case ALLOWANCE -> endpointChooser.onAllowanceReport(fromNode, frame.getAllowance());
+      case RESTRICTIONS -> endpointChooser.onRestrictions(fromNode, frame.getRestrictions());
       case VERSION_HALT -> rollouts.onHalt(frame.getVersionHalt());
       case RELAY_REQUEST, RELAY_HEAD, RELAY_DATA, RELAY_END, RELAY_CREDIT, RELAY_CANCEL ->
           relayLinks.onFrame(fromNode, frame, reply);
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -6,6 +6,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import org.currantslip.adapter.http.HttpClients;
+import org.currantslip.core.allowance.EndpointAllowances;
+import org.currantslip.core.allowance.FleetPlaces;
+import org.currantslip.core.allowance.RankedSenders;
 import org.currantslip.core.cascade.SizeCascade;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
@@ -28,7 +31,6 @@
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.routing.EndpointRegistry;
 import org.currantslip.core.routing.ExpectedWaitChooser;
-import org.currantslip.core.routing.RankedSenders;
 import org.currantslip.node.caller.CallerTraffic;
 import org.currantslip.node.caller.EntryView;
 import org.currantslip.node.caller.FrontDoor;
@@ -97,6 +99,7 @@
   private final MirrorRelay mirrorRelay;
   private final StoreProbe storeProbe;
   private final EndpointRegistry endpointRegistry;
+  private final EndpointAllowances allowances;
   private final ExpectedWaitChooser endpointChooser;
   private final ServiceRollouts rollouts;
   private final ServiceRolloutController rolloutController;
@@ -178,9 +181,16 @@
     membership.setMirrorRevisions(mirrorGossip::revisions, mirrorGossip::onRevisions);
     mirrorGossip.setCopyListener(membership::advanceHeartbeat);
     mirrors.onNewConfig(membership::advanceHeartbeat);
+    allowances =
+        EndpointAllowances.create(
+            RankedSenders.create(membership),
+            FleetPlaces.create(membership, clock, settings.getBounds().getContactMs()),
+            EdgeOptions.allowance(settings),
+            service -> mirrors.routes().current().service(service),
+            EventLog::write,
+            seed);
     endpointChooser =
-        ExpectedWaitChooser.create(
-            clock, settings.getFailureDomain(), seed, RankedSenders.create(membership));
+        ExpectedWaitChooser.create(clock, settings.getFailureDomain(), seed, allowances);
     rollouts = ServiceRollouts.create(self.getId(), this::onHalt);
     endpointRegistry =
         EndpointRegistry.create(
@@ -242,7 +252,9 @@
             quarantine,
             quarantineLinks,
             relayLinks);
-    requestQueue = SlotQueue.withHomes(clock, endpointChooser::freeSlots, seed);
+    requestQueue =
+        SlotQueue.withHomes(clock, endpointChooser::freeSlots, endpointChooser::closedForMs, seed);
+    allowances.connect(AllowanceFrames.create(membership, peerLinks, reports, requestQueue));
     requestEngine =
         RequestEngine.forwarding(
             new ForwardPorts(
@@ -401,6 +413,7 @@
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
     TickStep.run("request_relay", relayLinks::tick);
     TickStep.run("queue", requestQueue::tick);
+    TickStep.run("allowances", () -> allowances.tick(clock.nowMs()));
     TickStep.run("requests", requestEngine::tick);
     TickStep.run("rollout_control", rolloutController::tick);
     TickStep.run("evacuation", evacuationDuty::tick);
@@ -501,6 +514,7 @@
             routeTable.version(),
             0,
             quarantine.quarantinedCount()));
+    metrics.publish(allowances.counts(clock.nowMs()));
   }
 
   /** Begins a graceful shutdown. */
--- a/node/src/main/java/org/currantslip/node/metrics/Metric.java
+++ b/node/src/main/java/org/currantslip/node/metrics/Metric.java
@@ -32,7 +32,11 @@
   LOOK_UPS("currantslip.directory.lookups", Kind.COUNTER, "", List.of("result")),
   RELAYS_SENT("currantslip.relays.sent", Kind.COUNTER, "", List.of()),
   RELAYS_ACCEPTED("currantslip.relays.accepted", Kind.COUNTER, "", List.of()),
-  RELAYS_REFUSED("currantslip.relays.refused", Kind.COUNTER, "", List.of());
+  RELAYS_REFUSED("currantslip.relays.refused", Kind.COUNTER, "", List.of()),
+  COLD_ENDPOINTS("currantslip.endpoints.cold", Kind.GAUGE, "", List.of()),
+  BRITTLE_SERVICES("currantslip.services.brittle", Kind.GAUGE, "", List.of()),
+  SLOTS_LENT("currantslip.slots.lent", Kind.GAUGE, "", List.of()),
+  SLOTS_HELD("currantslip.slots.held", Kind.GAUGE, "", List.of());
 
   /** Type of a metric. */
   public enum Kind {
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
+import org.currantslip.core.allowance.AllowanceCounts;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.directory.LookUpResult;
 import org.currantslip.core.relay.RelayCounts;
@@ -35,6 +36,7 @@
   private volatile NodeGauges gauges = NodeGauges.empty();
   private volatile StartFigures start = StartFigures.none();
   private volatile int evacuatedDomains;
+  private volatile AllowanceCounts allowances = new AllowanceCounts(0, 0, 0, 0);
 
   private NodeMetrics() {
     gauge(Metric.IN_FLIGHT, NodeGauges::inFlight);
@@ -52,6 +54,10 @@
     startGauge(Metric.START_CALLS, StartFigures::calls);
     Stream.of(LookUpResult.values()).forEach(this::lookUps);
     gauge(Metric.EVACUATED_DOMAINS, g -> evacuatedDomains);
+    allowanceGauge(Metric.COLD_ENDPOINTS, AllowanceCounts::coldEndpoints);
+    allowanceGauge(Metric.BRITTLE_SERVICES, AllowanceCounts::brittleServices);
+    allowanceGauge(Metric.SLOTS_LENT, AllowanceCounts::lentSlots);
+    allowanceGauge(Metric.SLOTS_HELD, AllowanceCounts::heldSlots);
     FunctionCounter.builder(Metric.PEER_FRAMES.meterName(), this, m -> m.gauges.frames())
         .register(registry);
     counter(Metric.RELAYS_SENT, RelayCounts::sent);
@@ -118,6 +124,11 @@
     start = figures;
   }
 
+  /** Publishes the figures of the endpoint allowances. */
+  public void publish(AllowanceCounts counts) {
+    allowances = counts;
+  }
+
   /** Returns the metrics in the Prometheus text format. */
   public String page() {
     bindJvmMetrics();
@@ -134,6 +145,10 @@
     register(metric, m -> value.applyAsDouble(m.gauges));
   }
 
+  private void allowanceGauge(Metric metric, ToDoubleFunction<AllowanceCounts> value) {
+    register(metric, m -> value.applyAsDouble(m.allowances));
+  }
+
   private void startGauge(Metric metric, ToDoubleFunction<StartFigures> value) {
     register(metric, m -> value.applyAsDouble(m.start));
   }
