--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -279,11 +279,6 @@
     return start(settings, newEndpointClient());
   }
 
-  /** Returns a client for calls to endpoints. */
-  static HttpClient newEndpointClient() {
-    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
-  }
-
   /** Starts a node that calls endpoints through this client and stops it at its end. */
   static EdgeNode start(EdgeSettings settings, HttpClient endpointClient) throws Exception {
     EdgeNode node = new EdgeNode(settings, endpointClient);
@@ -306,6 +301,11 @@
     return node;
   }
 
+  /** Returns a client for calls to endpoints. */
+  static HttpClient newEndpointClient() {
+    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
+  }
+
   private synchronized void openCallerPort() throws Exception {
     if (!closed) {
       callerServer.start();
