--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -318,11 +318,6 @@
     return start(settings, newEndpointClient());
   }
 
-  /** Returns a client for calls to endpoints. */
-  static HttpClient newEndpointClient() {
-    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
-  }
-
   /** Starts a node that calls endpoints through this client and stops it at its end. */
   static EdgeNode start(EdgeSettings settings, HttpClient endpointClient) throws Exception {
     EdgeNode node = new EdgeNode(settings, endpointClient);
@@ -345,6 +340,11 @@
     return node;
   }
 
+  /** Returns a client for calls to endpoints. */
+  static HttpClient newEndpointClient() {
+    return HttpClients.startWithoutTls("endpoint", HTTP_CLIENT_THREADS, CONNECT_TIMEOUT_MS);
+  }
+
   private void openCallerPort() throws Exception {
     WarmUp.Result warmUp = nodeStart.warmUp();
     synchronized (this) {
