--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -116,7 +116,7 @@
   private long nextPublishMs;
   private int endpointCount;
   private long idleTimeoutMs;
-  private volatile boolean closed;
+  private boolean closed;
 
   private EdgeNode(EdgeSettings settings) throws InterruptedException {
     this.settings = settings;
@@ -381,9 +381,9 @@
   }
 
   private void serveIfReady() {
-    if (membership.self().getState() == NodeState.JOINING) {
-      boolean stopping = closed || plannedStop.phase() != PlannedStop.Phase.RUNNING;
-      nodeStart.tick(mirrors.isUsable() && !stopping);
+    boolean joining = membership.self().getState() == NodeState.JOINING;
+    nodeStart.tick(joining && !superseded && mirrors.isUsable());
+    if (joining) {
       callerPort.tick(mirrors.isUsable());
       if (callerPort.isOpen() && mirrors.routes().current().version() > 0) {
         membership.serve();
--- a/node/src/test/java/org/currantslip/node/edge/WarmUpTest.java
+++ b/node/src/test/java/org/currantslip/node/edge/WarmUpTest.java
@@ -141,6 +141,22 @@
     awaitCondition(interrupted::get);
   }
 
+  /** Guards against a node that warms up while it stops. */
+  @Test
+  void endsOnceNodeIsStopped() {
+    AtomicLong questions = new AtomicLong();
+    WarmUp.Result result =
+        WarmUp.create(
+                clock,
+                MAX_MS,
+                () -> 0,
+                () -> questions.incrementAndGet() > 3 ? Optional.empty() : Optional.of(FIRST_START),
+                this::openPath)
+            .run();
+    assertThat(result.end()).isAnyOf(End.WITHDRAWN, End.CUT);
+    assertThat(result.calls()).isLessThan(WarmUpCall.values().length);
+  }
+
   /** Guards against a warm-up of a node that has lost the configuration or stops. */
   @Test
   void doesNotBeginWhileNodeCannotServe() {
