--- a/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
+++ b/core/src/main/java/org/currantslip/core/routing/ExpectedWaitChooser.java
@@ -475,6 +475,11 @@
         .sum();
   }
 
+  /** Returns how many requests of a service can start without waiting. */
+  public int freeSlots(String service) {
+    return freeSlots(service, Homes.all());
+  }
+
   @Override
   public long closedForMs(String service) {
     long now = clock.nowMs();
@@ -495,11 +500,6 @@
     return closedMs == Long.MAX_VALUE ? 0 : closedMs;
   }
 
-  /** Returns how many requests of a service can start without waiting. */
-  public int freeSlots(String service) {
-    return freeSlots(service, Homes.all());
-  }
-
   @Override
   public void onDispatched(String endpointId, long expectedTokens) {
     EndpointState state = pools.state(endpointId);
--- a/core/src/test/java/org/currantslip/core/reach/EndpointReachTest.java
+++ b/core/src/test/java/org/currantslip/core/reach/EndpointReachTest.java
@@ -31,6 +31,7 @@
       EndpointReach.create(clock, peers, (from, to, sinceMs) -> states.add(to));
   private final List<CallResult> results = new ArrayList<>();
   private int connectFailures;
+  private double expectedHeadMs;
   private String peersHear = SERVICE;
 
   /** How calls to endpoints fail. */
@@ -63,6 +64,11 @@
         reach.track(
             endpoint,
             new RequestTracker() {
+              @Override
+              public double expectedHeadMs() {
+                return expectedHeadMs;
+              }
+
               @Override
               public void onStarted(long expectedTokens) {}
 
@@ -266,6 +272,17 @@
     assertThat(reach.state()).isEqualTo(PathState.REACHING);
   }
 
+  /** Guards against moving the running requests of endpoints that only take their usual time. */
+  @Test
+  void longPlainResponsesAreNoLossOfThePath() {
+    expectedHeadMs = 1_500;
+    List<EndpointRecord> endpoints = endpoints(6, 3);
+    reach.onEndpoints(endpoints);
+    endpoints.forEach(this::call);
+    advance(3_000);
+    assertThat(reach.state()).isEqualTo(PathState.REACHING);
+  }
+
   /** The refusals of brittle endpoints were lost, since one event was not passed on. */
   @Test
   void passesOnAllEventsOfCall() {
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -64,7 +64,6 @@
   static final String STREAM = "/stream/";
   static final int EVENTS = 10;
 
-
   /** Home region of endpoints, in which there is no node. */
   static final String ENDPOINT_REGION = "r9";
 
@@ -324,7 +323,7 @@
               .mapToObj(
                   i ->
                       EndpointRecord.newBuilder()
-                        .setRegion(ENDPOINT_REGION)
+                          .setRegion(ENDPOINT_REGION)
                           .setId("i" + i)
                           .setService("s")
                           .setFailureDomain("fd" + i % DOMAINS)
--- a/node/src/test/java/org/currantslip/node/caller/CallerGoneTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/CallerGoneTest.java
@@ -3,7 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.util.concurrent.Uninterruptibles;
+import com.google.protobuf.ByteString;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -18,7 +21,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.currantslip.core.common.Ran;
+import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.CallerSink;
+import org.currantslip.core.request.ResponseHead;
 import org.currantslip.node.duty.DecisionThread;
 import org.currantslip.schema.AccountSettings;
 import org.junit.jupiter.api.AfterEach;
@@ -150,6 +156,29 @@
     return next;
   }
 
+  private static void answer(Started request) {
+    ResponseHead head =
+        new ResponseHead(
+            "n1.1.1",
+            ResultCode.OK,
+            Ran.YES,
+            200,
+            "text/plain",
+            false,
+            "",
+            "v1",
+            1,
+            List.of(),
+            0,
+            "",
+            false,
+            false,
+            "");
+    request.sink().head(head);
+    request.sink().data(ByteString.copyFromUtf8("body of " + request.path() + "\n"));
+    request.sink().finish(head);
+  }
+
   private static void awaitCondition(BooleanSupplier condition) {
     long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S);
     while (!condition.getAsBoolean()) {
@@ -158,6 +187,38 @@
     }
   }
 
+  /** Guards against the loss of a request that the check for its caller's close has read. */
+  @Test
+  void pipelinedRequestThatTheCheckReadsIsAnsweredInOrder() throws Exception {
+    try (Socket caller = send("first")) {
+      caller.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+      Started first = takeStarted();
+      final Gate selector = holdSelector();
+      takeStarted();
+      caller
+          .getOutputStream()
+          .write(REQUEST.formatted("second").getBytes(StandardCharsets.US_ASCII));
+      assertThat(first.sink().isAbandoned()).isFalse();
+      selector.opened().countDown();
+      answer(first);
+      Started second = takeStarted();
+      assertThat(second.path()).endsWith("second");
+      answer(second);
+      BufferedReader answers =
+          new BufferedReader(
+              new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII));
+      List<String> bodies = new ArrayList<>();
+      while (bodies.size() < 2) {
+        String line = answers.readLine();
+        if (line.startsWith("body of ")) {
+          bodies.add(line);
+        }
+      }
+      assertThat(bodies.get(0)).endsWith("first");
+      assertThat(bodies.get(1)).contains("second");
+    }
+  }
+
   /** Guards against a request that is sent while its caller's close waits for the selector. */
   @Test
   void closeIsNoticedAtTheWriteWhileSelectorIsHeldUp() throws Exception {
