--- a/core/src/main/java/org/currantslip/core/allowance/ColdEndpoints.java
+++ b/core/src/main/java/org/currantslip/core/allowance/ColdEndpoints.java
@@ -102,7 +102,7 @@
       if (unreadable.add(endpoint.getId())) {
         log.accept(
             LogEvent.ALLOWANCE_VALUE_REFUSED,
-            "endpoint=%s field=cold_left_ms".formatted(endpoint.getId()));
+            "endpoint=%s field=cold_time".formatted(endpoint.getId()));
       }
       return;
     }
--- a/core/src/main/java/org/currantslip/core/allowance/EndpointAllowances.java
+++ b/core/src/main/java/org/currantslip/core/allowance/EndpointAllowances.java
@@ -237,7 +237,7 @@
     peerRestrictions.onReport(node, report, nowMs);
   }
 
-  /** Tells peers of restrictions that none of them has told of. */
+  /** Reports restrictions to peers, except those that a peer has reported already. */
   private void reportRestrictions(long nowMs) {
     if (nowMs < nextRestrictionReportMs) {
       return;
--- a/core/src/main/java/org/currantslip/core/allowance/PeerRestrictions.java
+++ b/core/src/main/java/org/currantslip/core/allowance/PeerRestrictions.java
@@ -16,7 +16,7 @@
  * bounded time only.
  */
 final class PeerRestrictions {
-  /** By then the entry of an endpoint that leaves says so, or is gone. */
+  /** The entry of an endpoint that leaves says so, or is gone, within this time. */
   private static final long MAX_HOLD_MS = 10_000;
 
   /** Older word was held up on its way. */
--- a/core/src/main/java/org/currantslip/core/allowance/SlotHolder.java
+++ b/core/src/main/java/org/currantslip/core/allowance/SlotHolder.java
@@ -291,7 +291,7 @@
     Loans loans = loans(grant.getEndpoint());
     Long sentMs = loans.sentMsBySequence.get(grant.getSequence());
     if (sentMs == null) {
-      // A grant that was held up for long may name slots that were lent anew since.
+      // A grant that was held up for long may name slots that were lent again since.
       return;
     }
     loans.answeredSentMs = Math.max(loans.answeredSentMs, sentMs);
--- a/core/src/main/java/org/currantslip/core/cascade/SizeCascade.java
+++ b/core/src/main/java/org/currantslip/core/cascade/SizeCascade.java
@@ -56,7 +56,7 @@
   private record Key(String route, int from, int bucket, int to) {
     // Written out: the generated methods run through method handles, which the JVM's first
     // compiler,
-    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    // the only one that nodes use, does not inline, and which each process links again.
     @Override
     public boolean equals(@Nullable Object obj) {
       return obj instanceof Key other
--- a/core/src/main/java/org/currantslip/core/directory/NodeWeights.java
+++ b/core/src/main/java/org/currantslip/core/directory/NodeWeights.java
@@ -7,8 +7,8 @@
 /**
  * Estimates what nodes can carry.
  *
- * <p>The figures per request are chosen from the sizes of usual requests, not measured. Only the
- * ratios between nodes matter, and which resource of a node is the scarcest.
+ * <p>The figures per request are those of usual requests. Only the ratios between nodes matter, and
+ * which resource of a node is the scarcest.
  */
 final class NodeWeights {
   /** A warm request costs a few milliseconds of processor time. */
--- a/core/src/main/java/org/currantslip/core/membership/GoneMarker.java
+++ b/core/src/main/java/org/currantslip/core/membership/GoneMarker.java
@@ -60,7 +60,7 @@
         .thenAccept(version -> recordListener.accept(gone));
   }
 
-  /** Starts the observation of a node anew, because it is live again. */
+  /** Restarts the observation of a node that is live again. */
   void onLive(String name) {
     unchangedRecords.remove(JoinRecord.objectName(name));
   }
--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -33,7 +33,7 @@
   private record Watcher(String name, String domain) {
     // Written out: the generated methods run through method handles, which the JVM's first
     // compiler,
-    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    // the only one that nodes use, does not inline, and which each process links again.
     @Override
     public boolean equals(@Nullable Object obj) {
       return obj instanceof Watcher other && name.equals(other.name) && domain.equals(other.domain);
--- a/core/src/main/java/org/currantslip/core/port/StorePosition.java
+++ b/core/src/main/java/org/currantslip/core/port/StorePosition.java
@@ -35,7 +35,7 @@
   }
 
   // Written out: the generated methods run through method handles, which the JVM's first compiler,
-  // the only one that nodes use, does not inline, and which are linked anew in each process.
+  // the only one that nodes use, does not inline, and which each process links again.
   @Override
   public boolean equals(@Nullable Object obj) {
     return obj instanceof StorePosition other && era == other.era && revision == other.revision;
--- a/core/src/main/java/org/currantslip/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/currantslip/core/quarantine/Fingerprint.java
@@ -19,7 +19,7 @@
   }
 
   // Written out: the generated methods run through method handles, which the JVM's first compiler,
-  // the only one that nodes use, does not inline, and which are linked anew in each process.
+  // the only one that nodes use, does not inline, and which each process links again.
   @Override
   public boolean equals(@Nullable Object obj) {
     return obj instanceof Fingerprint other && service.equals(other.service) && id.equals(other.id);
--- a/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
@@ -27,7 +27,7 @@
   record Key(String model, String version, String service) {
     // Written out: the generated methods run through method handles, which the JVM's first
     // compiler,
-    // the only one that nodes use, does not inline, and which are linked anew in each process.
+    // the only one that nodes use, does not inline, and which each process links again.
     @Override
     public boolean equals(@Nullable Object obj) {
       return obj instanceof Key other
