--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -294,8 +294,7 @@
             metrics,
             !allocation.firstStart());
     callerPort = CallerPort.create(clock, MAX_PORT_CLOSED_MS, this::openCallerPort);
-    callerTraffic =
-        CallerTraffic.create(callerServer, requestEngine, relayLinks::openPeerRequests);
+    callerTraffic = CallerTraffic.create(callerServer, requestEngine, relayLinks::openPeerRequests);
     plannedStop =
         PlannedStop.create(
             membership,
--- a/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/currantslip/node/metrics/NodeMetrics.java
@@ -119,16 +119,16 @@
     gauges = values;
   }
 
-  /** Records how the node started. */
-  public void recordStart(StartFigures figures) {
-    start = figures;
-  }
-
   /** Publishes the figures of the endpoint allowances. */
   public void publish(AllowanceCounts counts) {
     allowances = counts;
   }
 
+  /** Records how the node started. */
+  public void recordStart(StartFigures figures) {
+    start = figures;
+  }
+
   /** Returns the metrics in the Prometheus text format. */
   public String page() {
     bindJvmMetrics();
