--- a/core/src/main/java/org/currantslip/core/membership/GoneMarker.java
+++ b/core/src/main/java/org/currantslip/core/membership/GoneMarker.java
@@ -65,7 +65,7 @@
     unchangedRecords.remove(JoinRecord.objectName(name));
   }
 
-  /** Starts all observations anew, because the store may assign versions a second time. */
+  /** Clears all observations, because the store may assign versions a second time. */
   void onStoreRestored() {
     unchangedRecords.clear();
   }
--- a/core/src/main/java/org/currantslip/core/reach/ReachListener.java
+++ b/core/src/main/java/org/currantslip/core/reach/ReachListener.java
@@ -1,6 +1,6 @@
 package org.currantslip.core.reach;
 
-/** Is told of changes in a node's path to endpoints. */
+/** Receives changes of a node's path to endpoints. */
 public interface ReachListener {
   /**
    * Called when the state changes.
--- a/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
+++ b/core/src/main/java/org/currantslip/core/request/EndpointSelection.java
@@ -82,7 +82,7 @@
     return RefusalException.notRunRetryable(code, earliestMs + jitterMs, detail);
   }
 
-  /** Returns whether a request that was chosen for an endpoint must not be sent there any more. */
+  /** Returns whether a request that was chosen for an endpoint must no longer be sent there. */
   boolean isWithdrawnFrom(EndpointRecord endpoint) {
     return ports.chooser().isEvacuated(endpoint);
   }
