--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -223,6 +223,12 @@
     return shown;
   }
 
+  /** Returns the status of an object, as the operator reads it. */
+  synchronized Object status(String kind, String name) {
+    Obj object = kind(kind).get(name);
+    return object == null ? null : object.status;
+  }
+
   synchronized void remove(String kind, String name) {
     Obj object = kind(kind).remove(name);
     if (object != null) {
