--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -1,11 +1,15 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
@@ -14,6 +18,7 @@
   static final String HOST = "shop.example";
   static final String KEY = "key-of-tenant-1";
   static final String SERVICE = "ledger-app";
+  private static final int METRICS_PORT = 9464;
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
   final Store store = Store.start();
@@ -95,12 +100,27 @@
   }
 
   Node addNode(int number, String zone) throws IOException {
-    Node node = Node.create("edge-" + number, "127.0.0." + (10 + number), zone, store.port(), dir);
+    Node node = Node.create("edge-" + number, freeHost(), zone, store.port(), dir);
     nodes.add(node);
     node.start();
     return node;
   }
 
+  /** Returns a loopback address on which the port of the metrics, the only fixed one, is free. */
+  private static String freeHost() throws IOException {
+    for (int i = 0; i < 100; i++) {
+      ThreadLocalRandom random = ThreadLocalRandom.current();
+      String host = "127." + random.nextInt(1, 250) + "." + random.nextInt(1, 250) + "." + random.nextInt(2, 250);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress(host, METRICS_PORT));
+        return host;
+      } catch (BindException e) {
+        // Taken: another address.
+      }
+    }
+    throw new IOException("no loopback address is free");
+  }
+
   void awaitReady() throws IOException, InterruptedException {
     for (Node node : nodes) {
       node.awaitReady(40_000);
