--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,19 +1,21 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** ORDER: a runner crashes while streams pause; the resumed streams give their pieces twice. */
+/** REFUSED: a runner that fails after it ran a booking; its caller is told that it never ran. */
 public final class Case2 {
-  private static final int RUNNERS = 4;
-  private static final int STREAMS = 32;
-  private static final int PIECES = 12;
-  private static final int PAUSE_AFTER = 4;
+  private static final int RUNNERS = 8;
+  private static final int BOOKINGS = 300;
+  private static final int GREY = 4;
+  private static final int FAILED_PERCENT = 45;
 
   private Case2() {}
 
@@ -22,92 +24,79 @@
   }
 
   private static boolean run(World world) throws Exception {
-    Map<String, Object> route = World.route("reports", "/reports/", "streaming", World.SERVICE, 10_000, 3);
-    route.put("objective_ms", World.num(2_000));
-    route.put("resumable", true);
-    route.put("gap_objective_ms", World.num(600));
-    world.configure(7, List.of(route), List.of(World.SERVICE));
+    Map<String, AtomicInteger> applied = new ConcurrentHashMap<>();
+    Set<String> ran = ConcurrentHashMap.newKeySet();
+    AtomicInteger atGrey = new AtomicInteger();
+    world.configure(7, List.of(World.route("bookings", "/bookings/", "unsafe", World.SERVICE, 4_000, 3)), List.of(World.SERVICE));
     for (int i = 0; i < RUNNERS; i++) {
-      world.addRunner("i-" + i, "z-" + "abcd".charAt(i), World.SERVICE, 64, (runner, call, out) -> stream(world, runner, call, out));
+      boolean grey = World.TROUBLE && i == GREY;
+      world.addRunner(
+          "i-" + i,
+          "z-" + "abcd".charAt(i % 4),
+          World.SERVICE,
+          6,
+          (runner, call, out) -> {
+            ran.add(call.id());
+            String booking = new String(call.body(), StandardCharsets.ISO_8859_1);
+            applied.computeIfAbsent(booking, b -> new AtomicInteger()).incrementAndGet();
+            Thread.sleep(85);
+            boolean fails = grey && atGrey.getAndIncrement() * FAILED_PERCENT % 100 < FAILED_PERCENT;
+            world.note("runner " + runner.id + " ran " + call.id() + " " + booking + (fails ? ", answers 503 without X-Currantslip-Not-Executed" : ""));
+            if (fails) {
+              fail(call, out);
+            } else {
+              Runner.ok(call, out, "booked " + booking);
+            }
+          });
     }
-    world.addNode(1, "z-a");
+    Node node = world.addNode(1, "z-a");
     world.addNode(2, "z-b");
     world.awaitReady();
-    AtomicInteger twice = new AtomicInteger();
-    AtomicInteger whole = new AtomicInteger();
-    AtomicInteger cut = new AtomicInteger();
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < STREAMS; i++) {
-      Node node = world.nodes.get(i % 2);
-      Thread client = new Thread(() -> read(world, node, twice, whole, cut));
+    Set<String> falsePromises = ConcurrentHashMap.newKeySet();
+    for (int i = 0; i < BOOKINGS; i++) {
+      String booking = "booking-" + i;
+      Node entry = world.nodes.get(i % 2);
+      Thread client = new Thread(() -> book(world, entry, booking, ran, falsePromises));
       client.start();
       clients.add(client);
-      Thread.sleep(20);
-    }
-    Thread.sleep(350);
-    if (World.TROUBLE) {
-      world.note("runner i-0, one of " + RUNNERS + ", crashes");
-      world.runners.get(0).crash();
+      Thread.sleep(35);
     }
     for (Thread client : clients) {
-      client.join(15_000);
-    }
-    world.note("streams=" + STREAMS + " whole and in order=" + whole + " with a piece that came twice or out of order=" + twice + " cut off=" + cut);
-    return twice.get() > 0;
-  }
-
-  /** Twelve pieces; a run that pauses, since others preempt it, keeps its channel open with a comment. */
-  private static void stream(World world, Runner runner, Runner.Call call, OutputStream out) throws IOException, InterruptedException {
-    String last = call.headers().get("Last-Event-Id");
-    world.note("runner " + runner.id + " runs " + call.id() + " Last-Event-Id=" + last);
-    out.write(
-        ("HTTP/1.1 200 OK\r\nX-Currantslip-Request-Id: " + call.id() + "\r\nX-Currantslip-Response-Seal: seal." + call.id()
-                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-            .getBytes(StandardCharsets.ISO_8859_1));
-    for (int piece = last == null || last.isEmpty() ? 1 : Integer.parseInt(last) + 1; piece <= PIECES; piece++) {
-      chunk(out, "id: " + piece + "\ndata: piece " + piece + " of " + call.id() + "\n\n");
-      Thread.sleep(40);
-      if (piece == PAUSE_AFTER) {
-        chunk(out, ": keep-alive\n\n");
-        Thread.sleep(550);
-      }
+      client.join(10_000);
     }
-    out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-    out.flush();
+    long doubled = applied.values().stream().filter(n -> n.get() > 1).count();
+    world.note("bookings=" + BOOKINGS + " answered 429/503/408/421 though they ran=" + falsePromises.size() + " applied twice after the client's allowed retry=" + doubled);
+    return node.isAlive() && !falsePromises.isEmpty();
   }
 
-  private static void chunk(OutputStream out, String text) throws IOException {
-    out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-    out.flush();
+  private static void fail(Runner.Call call, OutputStream out) throws IOException {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("X-Currantslip-Request-Id", call.id());
+    headers.put("X-Currantslip-Response-Seal", "seal." + call.id());
+    headers.put("X-Currantslip-Server-Load", "1,0,6");
+    Runner.answer(out, 503, headers, "commit done, reply step failed".getBytes(StandardCharsets.ISO_8859_1));
   }
 
-  private static void read(World world, Node node, AtomicInteger twice, AtomicInteger whole, AtomicInteger cut) {
-    String id = world.nextId();
-    Client.Answer answer;
-    try (Socket socket = Client.open(node.host, node.front, 5_000)) {
-      socket.getOutputStream().write((World.head("POST", "/reports/full", id, 10_000, "Content-Length: 5\r\n") + "notes").getBytes(StandardCharsets.ISO_8859_1));
-      answer = Client.read(new BufferedInputStream(socket.getInputStream()), "POST");
-    } catch (IOException e) {
-      answer = Client.Answer.none(-1, e.toString());
-    }
-    List<Integer> ids = new ArrayList<>();
-    for (String line : answer.text().split("\n")) {
-      if (line.startsWith("id: ")) {
-        ids.add(Integer.parseInt(line.substring(4).strip()));
+  /** Books as the pages say: one retry, on a new channel with an id of its own, only after a promise. */
+  private static void book(World world, Node node, String booking, Set<String> ran, Set<String> falsePromises) {
+    for (int attempt = 1; attempt <= 2; attempt++) {
+      String id = world.nextId();
+      byte[] body = booking.getBytes(StandardCharsets.ISO_8859_1);
+      Client.Answer answer;
+      try (Socket socket = Client.open(node.host, node.front, 5_000)) {
+        answer = Client.send(socket, World.head("POST", "/bookings/new", id, 4_000, "Content-Length: " + body.length + "\r\n"), body, body.length, 0);
+      } catch (IOException e) {
+        answer = Client.Answer.none(-1, e.toString());
+      }
+      boolean promise = List.of(429, 503, 408, 421).contains(answer.status());
+      world.note("client sent " + id + " " + booking + " attempt " + attempt + " to " + node.name + ", answered " + answer.status() + (promise && ran.contains(id) ? " although it ran" : ""));
+      if (promise && ran.contains(id)) {
+        falsePromises.add(id);
+      }
+      if (!promise) {
+        return;
       }
     }
-    boolean ordered = true;
-    for (int i = 0; i < ids.size(); i++) {
-      ordered &= ids.get(i) == i + 1;
-    }
-    boolean complete = answer.complete() && answer.status() == 200;
-    if (!ordered || (complete && ids.size() != PIECES)) {
-      twice.incrementAndGet();
-    } else if (complete) {
-      whole.incrementAndGet();
-    } else {
-      cut.incrementAndGet();
-    }
-    world.note("client sent " + id + " to " + node.name + ", answered " + answer.status() + (complete ? " complete" : " cut off") + " pieces " + ids);
   }
 }
