Fault: a failed request that ran reached its caller with a status that says "not run"

Cause: an endpoint states "not run" by a header field, callers read it from the status; the response was judged by the field and its status (408, 429, 503) relayed as it came. Ruled out: a second sending (each id ran once), a refusal of the node itself (body and seal were the endpoint's). A 408 of an endpoint counts as its failure.

--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -279,8 +279,7 @@
   @Override
   public void passBody(EndpointResponseHead head, ByteString body) {
     recordFirstByte();
-    response.relayHead(head);
-    response.sendComplete(head.status(), head.contentType(), body, Ran.YES, false);
+    response.relayComplete(head, body);
     end(head.isSuccess() ? ResultCode.OK : ResultCode.ENDPOINT_FAILED);
   }
 
@@ -487,9 +486,7 @@
     }
     if (!response.isStarted()) {
       recordFirstByte();
-      response.relayHead(a.head());
-      response.sendComplete(
-          a.status(), a.contentType(), ByteString.copyFrom(a.bufferedData()), Ran.YES, false);
+      response.relayComplete(a.head(), ByteString.copyFrom(a.bufferedData()));
     } else if (success) {
       response.endStream();
     } else {
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -401,6 +401,36 @@
     assertThat(sink.status() == 503).isEqualTo(!ran);
   }
 
+  /**
+   * Guards against a request that ran and is answered with a status by which its caller may take it
+   * for not run, and repeat it.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "unsafe, 408",
+    "unsafe, 429",
+    "unsafe, 503",
+    "once, 408",
+    "once, 429",
+    "once, 503",
+    "safe, 408",
+    "safe, 429",
+    "safe, 503",
+    "stream, 503"
+  })
+  void endpointStatusThatImpliesNotRunIsReplacedIfTheRequestRan(String routeName, int status) {
+    send(routeName);
+    for (int i = 0; i < calls.calls.size(); i++) {
+      respond(call(i), status);
+    }
+    assertThat(sink.status()).isEqualTo(502);
+    assertThat(sink.firstHead().ran()).isEqualTo(Ran.YES);
+    assertThat(sink.firstHead().endpointHead()).isNull();
+    assertThat(sink.text()).isEmpty();
+    assertThat(outcomes.get(0).code()).isEqualTo(ResultCode.ENDPOINT_FAILED);
+    assertThat(outcomes.get(0).httpStatus()).isEqualTo(502);
+  }
+
   private void fail(FakeEndpointClient.Call call, String fault) {
     switch (fault) {
       case "NOT_SENT" -> call.listener().onFailure(CallFailure.NOT_SENT, "");
