Fault: several endless responses together fill the heap of a node

Cause: each response is bounded (16 MB a body, 1 MB an event), their sum is not. Errors of memory are logged like any failed task. Ruled out: a single unbounded place (EndlessResponseTest has 21 of them). Test: EndlessResponseTest.endlessResponsesShareTheMemoryForResponses timed out before and passes.

--- /dev/null
+++ b/core/src/test/java/org/currantslip/core/common/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of what all packages share. */
+@NullMarked
+package org.currantslip.core.common;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -11,6 +11,7 @@
 import org.currantslip.adapter.caller.CallerProtocol;
 import org.currantslip.adapter.caller.PendingRequest;
 import org.currantslip.adapter.caller.RequestHead;
+import org.currantslip.core.common.ByteBudget;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.common.Ran;
@@ -36,6 +37,12 @@
   /** A request that waits longer for the decision thread is served sooner by another node. */
   static final long MAX_DECISION_LAG_MS = 300;
 
+  /** Memory for responses that their callers have not read yet. */
+  private static final long MAX_UNREAD_RESPONSE_BYTES = 16L << 20;
+
+  /** More than a usual response or event, so that slow callers do not affect others. */
+  private static final long UNLIMITED_BYTES_PER_RESPONSE = 4 << 10;
+
   /** Leaves the decision thread the time to answer by itself. */
   private static final long OVERDUE_MARGIN_MS = 100;
 
@@ -49,6 +56,8 @@
   private final Supplier<String> requestIds;
   private final Supplier<EntryView> entryView;
   private final BodyBudget bodyBudget;
+  private final ByteBudget unreadResponses =
+      ByteBudget.of(MAX_UNREAD_RESPONSE_BYTES, UNLIMITED_BYTES_PER_RESPONSE);
   private final RequestGate gate = RequestGate.create();
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile boolean leaving;
@@ -130,6 +139,7 @@
             response,
             afterBody(request, callback, answered),
             options.maxPendingBytes(),
+            unreadResponses.open(),
             () -> leaving,
             rule -> closeLog.record(rule, openRequest),
             exchange::disconnect);
--- a/node/src/main/java/org/currantslip/node/caller/ProtocolErrorHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/ProtocolErrorHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.currantslip.adapter.caller.CallerProtocol;
+import org.currantslip.core.common.ByteBudget;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.ResponseHead;
 import org.eclipse.jetty.http.HttpStatus;
@@ -46,8 +47,16 @@
             false,
             false,
             HttpStatus.getMessage(response.getStatus()));
+    ByteBudget.Share unlimited = ByteBudget.of(0, Long.MAX_VALUE).open();
     ResponseSink.create(
-            protocol, response, callback, Long.MAX_VALUE, () -> false, rule -> {}, () -> {})
+            protocol,
+            response,
+            callback,
+            Long.MAX_VALUE,
+            unlimited,
+            () -> false,
+            rule -> {},
+            () -> {})
         .finish(head);
     return true;
   }
--- a/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
+++ b/node/src/main/java/org/currantslip/node/caller/ResponseSink.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.currantslip.adapter.caller.CallerProtocol;
+import org.currantslip.core.common.ByteBudget;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.request.CallerSink;
 import org.currantslip.core.request.ResponseHead;
@@ -20,8 +21,8 @@
 /**
  * Writes one response to a caller, as a stream or as a complete body.
  *
- * <p>Data that the caller has not read yet is buffered up to a limit; a caller that falls further
- * behind is disconnected.
+ * <p>Data that the caller has not read yet is buffered up to a limit for this response and one for
+ * all responses; a caller that falls further behind is disconnected.
  */
 final class ResponseSink implements CallerSink {
   private static final byte[] NO_BYTES = {};
@@ -34,6 +35,7 @@
   private final Consumer<CloseLog.Rule> onClose;
   private final Runnable onDisconnect;
   private final long maxPendingBytes;
+  private final ByteBudget.Share memory;
   private final BooleanSupplier leaving;
   private final ArrayDeque<Chunk> pending = new ArrayDeque<>();
   private long pendingBytes;
@@ -51,6 +53,7 @@
       Response response,
       Callback callback,
       long maxPendingBytes,
+      ByteBudget.Share memory,
       BooleanSupplier leaving,
       Consumer<CloseLog.Rule> onClose,
       Runnable onDisconnect) {
@@ -58,6 +61,7 @@
     this.response = response;
     this.callback = callback;
     this.maxPendingBytes = maxPendingBytes;
+    this.memory = memory;
     this.leaving = leaving;
     this.onClose = onClose;
     this.onDisconnect = onDisconnect;
@@ -66,6 +70,7 @@
   /**
    * Creates a sink.
    *
+   * @param memory share of what all responses may buffer
    * @param leaving whether the caller is told to close its connection
    * @param onClose is told why this node closes the connection before the response is complete
    * @param onDisconnect runs once if the caller disconnects before the end
@@ -75,11 +80,12 @@
       Response response,
       Callback callback,
       long maxPendingBytes,
+      ByteBudget.Share memory,
       BooleanSupplier leaving,
       Consumer<CloseLog.Rule> onClose,
       Runnable onDisconnect) {
     return new ResponseSink(
-        protocol, response, callback, maxPendingBytes, leaving, onClose, onDisconnect);
+        protocol, response, callback, maxPendingBytes, memory, leaving, onClose, onDisconnect);
   }
 
   /** Also notices a close that the selector thread has not read yet. */
@@ -145,7 +151,9 @@
     } else {
       writeHead(end);
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.size());
-      enqueue(body.toByteArray(), true);
+      byte[] bytes = body.toByteArray();
+      body = ByteString.EMPTY;
+      enqueue(bytes, true);
     }
     return true;
   }
@@ -207,6 +215,7 @@
       disconnected = true;
       pending.clear();
       pendingBytes = 0;
+      memory.release();
       wasFinished = finished;
     }
     if (!wasFinished) {
@@ -227,7 +236,8 @@
     if (disconnected) {
       return;
     }
-    if (streaming && pendingBytes + bytes.length > maxPendingBytes) {
+    boolean tooLong = streaming && pendingBytes + bytes.length > maxPendingBytes;
+    if (tooLong || !memory.tryResize(pendingBytes + bytes.length)) {
       onClose.accept(CloseLog.Rule.PENDING_BYTES);
       markDisconnected();
       return;
@@ -237,6 +247,13 @@
     writeNext();
   }
 
+  /** Adapts the share of memory to less pending data; a disconnected caller has none. */
+  private void resize() {
+    if (!disconnected && !memory.tryResize(pendingBytes)) {
+      throw new IllegalStateException("a smaller buffer exceeds the memory for responses");
+    }
+  }
+
   /** Writes all pending data at once, so that a slow caller catches up with a single write. */
   private void writeNext() {
     if (writing || pending.isEmpty()) {
@@ -265,6 +282,7 @@
     synchronized (this) {
       writing = false;
       pendingBytes -= size;
+      resize();
       writeNext();
       if (truncating && !writing) {
         abort("the response was truncated");
