Fault: a stopping node sends queued requests that it cuts at the end of its stop

Callers would see: a request accepted before or during a planned stop waits for a slot, is sent shortly before the stop ends, and is broken off or answered 502, though "not run" was true until then. Cause: PlannedStop limits when requests are accepted; a flow knew its caller's deadline only. Ruled out: new requests late in the grace period, which are refused from 2.7 s after SIGTERM on. Change: DrainLimit compares the longest recent response of the route with what is left of the stop; a request that did not run and does not fit is refused at once, as not run. Test: ForwardedFlowTest.stoppingNodeSendsNoRequestThatOutlastsTheStop failed in 4 of 4 rows with a limit that admits everything, and passes.

--- a/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
+++ b/core/src/main/java/org/currantslip/core/membership/PlannedStop.java
@@ -40,8 +40,11 @@
 
   /** The callers of the node. */
   public interface Callers {
-    /** Asks callers to close their connections, but still accepts their requests. */
-    void startLeaving();
+    /**
+     * Asks callers to close their connections, but still accepts requests that can be complete by
+     * {@code endMs}.
+     */
+    void startLeaving(long endMs);
 
     /**
      * Refuses new requests. When this method returns, {@link #activeRequests} counts each request
@@ -113,10 +116,10 @@
   /** Begins a stop that was requested at the given time; its limits count from then. */
   public void beginRequested(long atMs) {
     if (phase == Phase.RUNNING) {
+      requestedMs = atMs;
       membership.startLeaving();
-      callers.startLeaving();
+      callers.startLeaving(drainEndMs());
       enter(Phase.LEAVING);
-      requestedMs = atMs;
       phaseStartedMs = atMs;
     }
   }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -46,6 +46,7 @@
       ImmutableSet.of(RetryObstacle.DECLINES, RetryObstacle.BUDGET, RetryObstacle.NO_ENDPOINT);
 
   private final ForwardPorts ports;
+  private final DrainLimit drainLimit;
   private final RouterRequest request;
   private final ForwardedRequest forwarded;
   private final CallerResponse response;
@@ -88,8 +89,13 @@
       SizeEscalation sizes) {}
 
   private ForwardedFlow(
-      ForwardPorts ports, RouterRequest request, ForwardedRequest forwarded, CallerSink sink) {
+      ForwardPorts ports,
+      DrainLimit drainLimit,
+      RouterRequest request,
+      ForwardedRequest forwarded,
+      CallerSink sink) {
     this.ports = ports;
+    this.drainLimit = drainLimit;
     this.request = request;
     this.forwarded = forwarded;
     response = CallerResponse.create(request, sink);
@@ -101,12 +107,13 @@
     relay = RelayStage.create(ports, request, response, history, this);
   }
 
-  static ForwardedFlow create(ForwardPorts ports, RouterRequest request, CallerSink sink) {
+  static ForwardedFlow create(
+      ForwardPorts ports, DrainLimit drainLimit, RouterRequest request, CallerSink sink) {
     ForwardedRequest forwarded = request.forwarded();
     if (forwarded == null) {
       throw new IllegalArgumentException("not a forwarded request");
     }
-    return new ForwardedFlow(ports, request, forwarded, sink);
+    return new ForwardedFlow(ports, drainLimit, request, forwarded, sink);
   }
 
   private Assignment assigned() {
@@ -178,13 +185,27 @@
                 request.path(),
                 account.name(),
                 request.body()));
-    Optional<RefusalException> refusal =
-        promptGuard.refusal(history.ran()).or(selection::refusalOfLack);
+    Optional<RefusalException> refusal = refusalWhileQueued();
     if (refusal.isPresent()) {
       throw refusal.get();
     }
   }
 
+  /** Returns the refusal of a request that is not sent yet and that cannot be served any more. */
+  private Optional<RefusalException> refusalWhileQueued() {
+    return promptGuard
+        .refusal(history.ran())
+        .or(selection()::refusalOfLack)
+        .or(this::refusalOfStop);
+  }
+
+  /** Returns the refusal of a request that did not run and would outlast the stop of this node. */
+  private Optional<RefusalException> refusalOfStop() {
+    return history.ran() != Ran.NO || drainLimit.admits(route(), ports.clock().nowMs())
+        ? Optional.empty()
+        : Optional.of(Refusals.nodeLeaving());
+  }
+
   private Account authenticate() {
     return table
         .account(forwarded.apiKey())
@@ -219,6 +240,11 @@
       refuse(quarantined.get());
       return;
     }
+    Optional<RefusalException> leaving = refusalOfStop();
+    if (leaving.isPresent()) {
+      refuse(leaving.get());
+      return;
+    }
     if (relay.isDue()) {
       handOver();
       return;
@@ -479,6 +505,7 @@
     history.onAnswering();
     boolean success = a.head().isSuccess();
     promptGuard.onResponse(success);
+    drainLimit.onResponse(route(), a.elapsedMs());
     if (HttpStatus.isEndpointFault(a.status())) {
       outcomes().onFailed(a);
     } else {
@@ -592,7 +619,7 @@
     if (nowMs >= deadlineMs) {
       onDeadline();
     } else if (isIn(Stage.ADMITTING)) {
-      promptGuard.refusal(history.ran()).or(selection()::refusalOfLack).ifPresent(this::refuse);
+      refusalWhileQueued().ifPresent(this::refuse);
     } else if (isIn(Stage.CHOOSING) && nowMs >= nextSuccessorMs) {
       chooseAgain();
     } else if (isIn(Stage.CALLING) && attempt != null && !attempt.isEnded()) {
--- a/core/src/main/java/org/currantslip/core/request/RequestEngine.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestEngine.java
@@ -13,14 +13,18 @@
   private static final long MAX_TICK_GAP_MS = 200;
 
   private final Clock clock;
+  private final DrainLimit drainLimit;
   private final BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private long lastTickMs;
   private boolean stopped;
 
   private RequestEngine(
-      Clock clock, BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory) {
+      Clock clock,
+      DrainLimit drainLimit,
+      BiFunction<RouterRequest, CallerSink, RequestFlow> flowFactory) {
     this.clock = clock;
+    this.drainLimit = drainLimit;
     this.flowFactory = flowFactory;
     lastTickMs = clock.nowMs();
   }
@@ -28,15 +32,20 @@
   /** Returns an engine for requests to the router's own API, which are subject to the rules. */
   public static RequestEngine create(RequestPorts ports, EngineOptions options) {
     return new RequestEngine(
-        ports.clock(), (request, sink) -> GovernedFlow.create(ports, options, request, sink));
+        ports.clock(),
+        DrainLimit.none(),
+        (request, sink) -> GovernedFlow.create(ports, options, request, sink));
   }
 
   /**
    * Returns an engine for requests that are forwarded unchanged to the endpoints of their routes.
    */
   public static RequestEngine forwarding(ForwardPorts ports) {
+    DrainLimit drainLimit = DrainLimit.none();
     return new RequestEngine(
-        ports.clock(), (request, sink) -> ForwardedFlow.create(ports, request, sink));
+        ports.clock(),
+        drainLimit,
+        (request, sink) -> ForwardedFlow.create(ports, drainLimit, request, sink));
   }
 
   /** Starts a request; its response is written to the sink. */
@@ -63,6 +72,14 @@
     flows.removeIf(RequestFlow::isDone);
   }
 
+  /**
+   * Announces that {@link #stop} follows at this time. Forwarded requests that would not be
+   * complete by then are no longer sent.
+   */
+  public void stopAt(long endMs) {
+    drainLimit.setEndMs(endMs);
+  }
+
   /**
    * Ends all active requests and refuses later ones. Requests that no endpoint has are ended first,
    * so that none is sent when another one releases its slot.
--- a/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
+++ b/core/src/test/java/org/currantslip/core/membership/PlannedStopTest.java
@@ -28,7 +28,7 @@
     private boolean ended;
 
     @Override
-    public void startLeaving() {
+    public void startLeaving(long endMs) {
       leaving = true;
     }
 
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -41,6 +41,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the forwarding of requests, with endpoints simulated by the test. */
 final class ForwardedFlowTest {
@@ -354,6 +355,39 @@
     assertThat(calls.calls).hasSize(1);
   }
 
+  /** Guards against a request that is sent so late in a planned stop that its response is cut. */
+  @ParameterizedTest
+  @ValueSource(strings = {"safe", "unsafe", "stream", "once"})
+  void stoppingNodeSendsNoRequestThatOutlastsTheStop(String routeName) {
+    for (int i = 0; i < 4 * SLOTS; i++) {
+      send("safe", "key", 60_000, "b" + i);
+    }
+    send(routeName);
+    engine.stopAt(clock.nowMs() + 2 * OBJECTIVE_MS);
+    advance(OBJECTIVE_MS + 2 * TICK_MS);
+    respond(call(0), 200);
+    assertThat(calls.calls).hasSize(4 * SLOTS);
+    ResponseHead refused = sink.heads().get(0);
+    assertThat(refused.code()).isEqualTo(ResultCode.NODE_LEAVING);
+    assertThat(refused.ran()).isEqualTo(Ran.NO);
+    send(routeName);
+    assertThat(calls.calls).hasSize(4 * SLOTS);
+  }
+
+  /** Guards against a stopping node that refuses what it can still serve. */
+  @Test
+  void stoppingNodeServesRequestsOfUsualLength() {
+    send("safe");
+    advance(100);
+    respond(call(0), 200);
+    engine.stopAt(clock.nowMs() + 150);
+    send("safe");
+    assertThat(calls.calls).hasSize(2);
+    advance(60);
+    send("safe");
+    assertThat(calls.calls).hasSize(2);
+  }
+
   @Test
   void breaksOffStreamInProgressWhenNodeStops() {
     send("stream");
--- a/node/src/main/java/org/currantslip/node/caller/CallerTraffic.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerTraffic.java
@@ -32,8 +32,9 @@
   }
 
   @Override
-  public void startLeaving() {
+  public void startLeaving(long endMs) {
     frontDoor.startLeaving();
+    engine.stopAt(endMs);
   }
 
   @Override
