Fault: one odd entry of another writer hides all endpoints, or opens a withdrawn version

Cause: lists and watches were parsed as one document, and a failure counted as a silent store; a missing version was read as empty, which means any; addresses were parsed at their first use.

--- a/core/src/main/java/org/currantslip/core/request/Attempt.java
+++ b/core/src/main/java/org/currantslip/core/request/Attempt.java
@@ -111,7 +111,14 @@
 
   void start(EndpointClient endpointClient, long expectedTokens) {
     tracker.onStarted(expectedTokens);
-    EndpointCall started = endpointClient.start(endpoint, request, this);
+    EndpointCall started;
+    try {
+      started = endpointClient.start(endpoint, request, this);
+    } catch (RuntimeException e) {
+      // Not the endpoint's fault, as nothing was sent.
+      onFailure(CallFailure.WITHDRAWN, e.toString());
+      return;
+    }
     if (ended) {
       started.cancel();
     } else {
--- a/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
+++ b/core/src/main/java/org/currantslip/core/rollout/ServiceRollouts.java
@@ -161,7 +161,7 @@
     String target = rollout.order.target();
     List<String> others =
         versionsByService.getOrDefault(service, new TreeSet<>()).stream()
-            .filter(v -> !v.equals(target))
+            .filter(v -> !v.isEmpty() && !v.equals(target))
             .toList();
     RolloutOrder.Progress progress = rollout.reached;
     boolean isExcluded = rollout.halted || progress.state() == RolloutOrder.State.ROLLED_BACK;
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -1,11 +1,14 @@
 package org.currantslip.node.edge;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
@@ -37,6 +40,8 @@
   /** Time within which operators write orders again that the store has lost. */
   private static final long ORDER_REWRITE_MS = 10_000;
 
+  private static final int MAX_LOGGED_OBJECTS = 1_024;
+
   private final KindMirror config;
   private final KindMirror endpoints;
   private final KindMirror rollouts;
@@ -44,6 +49,12 @@
   private final RouteHolder routes = RouteHolder.create();
   private final Clock clock;
   private final ImmutableMap<String, String> regionByDomain;
+  private final Map<String, RolloutOrder> readableOrders = new TreeMap<>();
+
+  /** Versions of the unreadable objects that were logged, by kind and name. */
+  private final Cache<String, Long> unreadableVersions =
+      CacheBuilder.newBuilder().maximumSize(MAX_LOGGED_OBJECTS).concurrencyLevel(1).build();
+
   private Runnable ordersReader = () -> {};
   private Runnable restoreListener = () -> {};
   private Runnable configListener = () -> {};
@@ -221,16 +232,17 @@
     return records;
   }
 
+  /** Returns the orders; of one that has become unreadable, its last readable version. */
   private List<RolloutOrder> readOrders() {
-    List<RolloutOrder> orders = new ArrayList<>();
+    readableOrders.keySet().retainAll(rollouts.objects().keySet());
     for (KindObject object : rollouts.objects().values()) {
       try {
-        orders.add(RolloutOrderCodec.read(object));
+        readableOrders.put(object.name(), RolloutOrderCodec.read(object));
       } catch (UnreadableEntryException e) {
         logUnreadable(RolloutOrderCodec.KIND, object, e);
       }
     }
-    return orders;
+    return List.copyOf(readableOrders.values());
   }
 
   private void readEvacuations(KindMirror mirror, Evacuations target) {
@@ -247,7 +259,12 @@
     target.onOrders(orders, unreadable);
   }
 
-  private static void logUnreadable(String kind, KindObject object, UnreadableEntryException e) {
+  private void logUnreadable(String kind, KindObject object, UnreadableEntryException e) {
+    Long loggedVersion =
+        unreadableVersions.asMap().put(kind + '/' + object.name(), object.version());
+    if (loggedVersion != null && loggedVersion == object.version()) {
+      return;
+    }
     EventLog.write(
         LogEvent.ENTRY_UNREADABLE,
         "kind=%s object=%s version=%d reason=%s"
