--- a/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
+++ b/core/src/main/java/org/currantslip/core/routing/EndpointPools.java
@@ -44,6 +44,11 @@
 
   private record HomeKey(Key key, ImmutableSet<String> regions) {}
 
+  /** Prompt parts that are remembered for all endpoints together; about 150 bytes each. */
+  private static final int MAX_PARTS = 100_000;
+
+  private static final int MIN_PARTS_PER_ENDPOINT = 64;
+
   private final Map<String, EndpointState> states = new HashMap<>();
   private final Map<HomeKey, Optional<EndpointPool>> homePools = new HashMap<>();
   private Map<Key, List<EndpointState>> members = Map.of();
@@ -77,6 +82,8 @@
     }
     states.clear();
     states.putAll(newStates);
+    int maxParts = Math.max(MIN_PARTS_PER_ENDPOINT, MAX_PARTS / Math.max(1, states.size()));
+    states.values().forEach(state -> state.promptCache().setMaxParts(maxParts));
     members = newMembers;
     rebuild();
   }
--- a/core/src/main/java/org/currantslip/core/routing/PromptPartCache.java
+++ b/core/src/main/java/org/currantslip/core/routing/PromptPartCache.java
@@ -10,7 +10,8 @@
  * Estimates which prompt parts an endpoint has cached, from the prompts that were sent there.
  *
  * <p>A part counts as cached only if all parts before it are cached. The least recently used parts
- * are evicted first.
+ * are evicted first, by the tokens that an engine can cache and by the number that this node
+ * remembers.
  */
 final class PromptPartCache {
   private static final float LOAD_FACTOR = 0.75f;
@@ -19,9 +20,13 @@
   /** Most of a typical engine's cache; running requests use the rest. */
   private static final long MAX_CACHED_TOKENS = 450_000;
 
+  /** Several times the parts of usual length that fit into an engine's cache. */
+  static final int MAX_PARTS = 2_048;
+
   private final LinkedHashMap<String, Long> tokensById =
       new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
   private long cachedTokens;
+  private int maxParts = MAX_PARTS;
 
   private PromptPartCache() {}
 
@@ -29,6 +34,17 @@
     return new PromptPartCache();
   }
 
+  /** Limits the number of remembered parts. */
+  void setMaxParts(int parts) {
+    maxParts = Math.min(MAX_PARTS, parts);
+    evict();
+  }
+
+  /** Returns the number of remembered parts. */
+  int size() {
+    return tokensById.size();
+  }
+
   private static String key(String model, PromptPart part) {
     return model + '/' + part.id();
   }
@@ -45,15 +61,19 @@
   }
 
   /**
-   * Marks the parts of a prompt as most recently used and evicts the oldest parts over the limit.
+   * Marks the parts of a prompt as most recently used and evicts the oldest parts over the limits.
    */
   void add(String model, List<PromptPart> prompt) {
     for (PromptPart part : prompt) {
       Long previous = tokensById.put(key(model, part), part.tokens());
       cachedTokens += part.tokens() - (previous == null ? 0 : previous);
     }
+    evict();
+  }
+
+  private void evict() {
     Iterator<Map.Entry<String, Long>> eldest = tokensById.entrySet().iterator();
-    while (cachedTokens > MAX_CACHED_TOKENS && eldest.hasNext()) {
+    while ((cachedTokens > MAX_CACHED_TOKENS || tokensById.size() > maxParts) && eldest.hasNext()) {
       cachedTokens -= eldest.next().getValue();
       eldest.remove();
     }
--- a/core/src/main/java/org/currantslip/core/routing/SentPrompts.java
+++ b/core/src/main/java/org/currantslip/core/routing/SentPrompts.java
@@ -14,8 +14,13 @@
   /** Bounds a report; a node sends fewer prompts between two reports. */
   private static final int MAX_SENT_PROMPTS = 64;
 
+  /** Bounds the size of a report; prompts of usual length have a few parts. */
+  private static final int MAX_SENT_PARTS = 1_024;
+
   private final List<SentPrompt> prompts = new ArrayList<>();
 
+  private int partCount;
+
   private SentPrompts() {}
 
   static SentPrompts create() {
@@ -24,9 +29,11 @@
 
   /** Records a prompt that is sent to an endpoint. */
   void add(String endpointId, EndpointQuery query) {
-    if (query.prompt().isEmpty() || prompts.size() >= MAX_SENT_PROMPTS) {
+    int parts = query.prompt().size();
+    if (parts == 0 || prompts.size() >= MAX_SENT_PROMPTS || partCount + parts > MAX_SENT_PARTS) {
       return;
     }
+    partCount += parts;
     SentPrompt.Builder sent =
         SentPrompt.newBuilder().setEndpoint(endpointId).setModel(query.engineModel());
     query
@@ -40,6 +47,7 @@
   PrefillReport report(Collection<EndpointState> states) {
     PrefillReport.Builder report = PrefillReport.newBuilder().addAllSent(prompts);
     prompts.clear();
+    partCount = 0;
     states.stream()
         .filter(state -> state.pendingPrefillMs() >= 1)
         .map(
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -63,6 +63,9 @@
   private static final int HTTP_CLIENT_THREADS = 8;
 
   /** Allows several round trips even between regions; a slower endpoint is considered down. */
+  /** A node whose decisions stand still for longer is not ready. */
+  private static final long MAX_READY_LAG_MS = 1_000;
+
   private static final long CONNECT_TIMEOUT_MS = 400;
 
   private static final long STORE_TIMEOUT_MS = 1_000;
@@ -305,7 +308,10 @@
     directoryLookUps = DirectoryLookUps.create(clock, metrics, nodeStart::onLookUp);
     managementServer =
         ManagementServer.create(
-            settings, () -> ready, directoryLookUps, MetricsHandler.create(metrics));
+            settings,
+            () -> ready && decisions.lagMs() < MAX_READY_LAG_MS,
+            directoryLookUps,
+            MetricsHandler.create(metrics));
     membership.setReport(
         SelfCapacity.create(
                 settings,
