Fault: a stream resumed behind a comment gives its events twice

Cause: any block of lines was kept as the last event; one without an id left no position, so that the next run began again, and nothing without an id was dropped as repeated. Change: StreamPosition keeps the last id and tells comments from events; a stream without increasing numbers as ids is passed on but not continued; EventSplitter takes CR as a line end. Tests: two of ForwardedFlowTest and the row CR of EventSplitterTest failed before. "Always follow" of events without numbers is replaced by the stricter rule that such a stream is not continued.

--- a/adapters/src/test/java/org/currantslip/adapter/endpoint/EventSplitterTest.java
+++ b/adapters/src/test/java/org/currantslip/adapter/endpoint/EventSplitterTest.java
@@ -36,4 +36,22 @@
     splitter.append(ByteBuffer.wrap("data: a\n\n".getBytes(StandardCharsets.UTF_8)));
     assertThat(splitter.isInsideEvent()).isFalse();
   }
+
+  /** Guards against streams that count as one endless event, or as cut, for their line ends. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\n", "\r", "\r\n"})
+  void eventsEndWithAnyLineEndWhereverTheyAreCut(String lineEnd) {
+    String event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+    String stream = event + ": c" + lineEnd + lineEnd + event;
+    byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+    for (int cut = 0; cut <= bytes.length; cut++) {
+      List<String> parts = new ArrayList<>();
+      EventSplitter cutSplitter = EventSplitter.create(e -> parts.add(e.toStringUtf8()));
+      cutSplitter.append(ByteBuffer.wrap(bytes, 0, cut));
+      cutSplitter.append(ByteBuffer.wrap(bytes, cut, bytes.length - cut));
+      assertThat(String.join("", parts)).isEqualTo(stream);
+      assertThat(parts.stream().filter(e -> e.contains("id"))).hasSize(2);
+      assertThat(cutSplitter.isInsideEvent()).isFalse();
+    }
+  }
 }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -76,7 +76,7 @@
   private boolean deadlineExpired;
   private boolean callerDisconnected;
   private int eventCount;
-  private @Nullable ByteString lastEvent;
+  private final StreamPosition position;
   private SilenceRule silenceRule = SilenceRule.DEADLINE;
   private String endRule = "";
   private RetryObstacle obstacle = RetryObstacle.NONE;
@@ -104,6 +104,7 @@
     deadlineMs = request.deadlineMs();
     promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
     trace = ForwardedTrace.create(ports.trace(), request.requestId());
+    position = StreamPosition.after(forwarded.lastEventId());
     relay = RelayStage.create(ports, request, response, history, this);
   }
 
@@ -275,9 +276,16 @@
     }
     retryOwed = false;
     enter(Stage.CALLING);
+    continueStream();
     relay.start();
   }
 
+  private void continueStream() {
+    if (response.isStarted()) {
+      position.onContinued();
+    }
+  }
+
   @Override
   public void guarded(Runnable step) {
     guard(step);
@@ -290,16 +298,36 @@
 
   @Override
   public void passEvent(EndpointResponseHead head, ByteString event) {
-    if (lastEvent != null && !EventIds.isAfter(event, lastEvent)) {
-      return;
-    }
-    if (!response.isStarted()) {
-      response.relayHead(head);
-      recordFirstByte();
+    passBlock(head, event);
+  }
+
+  /**
+   * Passes a block of a stream on as far as the caller lacks it; returns whether it is progress.
+   */
+  private boolean passBlock(EndpointResponseHead head, ByteString received) {
+    ByteString block = position.withoutMark(received);
+    switch (position.accept(block)) {
+      case PASS -> {
+        if (!response.isStarted()) {
+          response.relayHead(head);
+          recordFirstByte();
+        }
+        eventCount++;
+        response.sendEvent(block);
+        return true;
+      }
+      case PASS_COMMENT -> {
+        if (response.isStarted()) {
+          response.sendEvent(block);
+        }
+      }
+      case DROP -> {}
+      case CUT ->
+          refuse(
+              RefusalException.of(
+                  ResultCode.ENDPOINT_FAILED, Ran.YES, 0, "continued stream without event ids"));
     }
-    lastEvent = event;
-    eventCount++;
-    response.sendEvent(event);
+    return false;
   }
 
   @Override
@@ -320,7 +348,7 @@
     endRule = "PEER";
     retryOwed = true;
     failureCode = ResultCode.OUTCOME_UNKNOWN;
-    obstacle = timeObstacle();
+    obstacle = currentObstacle();
     if (obstacle == RetryObstacle.NONE) {
       obstacle = history.obstacle(route(), true);
     }
@@ -371,6 +399,7 @@
   private void dispatch(EndpointSelection.Candidate next) {
     EndpointRecord endpoint = next.endpoint();
     enter(Stage.CALLING);
+    continueStream();
     history.onSent(endpoint.getId());
     model = selection().modelOf(sizes().size());
     outcomes().onDispatched(model);
@@ -404,7 +433,7 @@
 
   @Override
   public String lastEventId() {
-    return lastEvent == null ? forwarded.lastEventId() : EventIds.of(lastEvent);
+    return position.lastId();
   }
 
   @Override
@@ -443,7 +472,7 @@
    * @param forSilence whether the current attempt is merely silent
    */
   private boolean isSuccessorPaid(int size, Set<String> excluded, boolean forSilence) {
-    obstacle = timeObstacle();
+    obstacle = currentObstacle();
     if (obstacle == RetryObstacle.NONE) {
       obstacle = history.obstacleAfterRun(route());
     }
@@ -488,9 +517,10 @@
     if (route().kind() != RouteKind.STREAMING || !a.head().isSuccess()) {
       return false;
     }
-    outcomes().onFirstEvent(a);
-    promptGuard.onEvent();
-    passEvent(a.head(), data);
+    if (passBlock(a.head(), data)) {
+      outcomes().onFirstEvent(a);
+      promptGuard.onEvent();
+    }
     return true;
   }
 
@@ -563,7 +593,7 @@
     retryOwed = fault != Attempt.Fault.NOT_SENT && !retryPaid;
     retryPaid = false;
     failureCode = Refusals.codeOf(fault);
-    obstacle = timeObstacle();
+    obstacle = currentObstacle();
     if (!promptAllows) {
       obstacle = RetryObstacle.QUARANTINE;
     } else if (obstacle == RetryObstacle.NONE) {
@@ -576,14 +606,17 @@
     }
   }
 
-  /** Returns whether the caller or the deadline keeps the request from another endpoint. */
-  private RetryObstacle timeObstacle() {
+  /** Returns whether the caller, the deadline or its stream keeps the request from another run. */
+  private RetryObstacle currentObstacle() {
     if (callerDisconnected || response.isAbandoned()) {
       return RetryObstacle.CALLER_GONE;
     }
     if (deadlineExpired || timeLeftMs() < MIN_RETRY_TIME_LEFT_MS) {
       return RetryObstacle.TIME;
     }
+    if (response.isStarted() && !position.isContinuable()) {
+      return RetryObstacle.NOT_REPEATABLE;
+    }
     return RetryObstacle.NONE;
   }
 
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -607,6 +607,41 @@
     assertThat(sink.end().code()).isEqualTo(ResultCode.OK);
   }
 
+  /** Guards against a stream whose events come twice, as its run broke behind a comment. */
+  @Test
+  void streamThatBreaksBehindCommentResumesAfterItsLastEvent() {
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 1);
+    event(call(0), 2);
+    call(0).data(": keep-alive\n\n");
+    call(0).listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(forwarded(call(1).request()).lastEventId()).isEqualTo("2");
+    head(call(1), 200, false);
+    call(1).data("\ufeff: hello\n\n");
+    event(call(1), 2);
+    event(call(1), 3);
+    call(1).listener().onEnd(EndpointUsage.none());
+    assertThat(sink.text())
+        .isEqualTo(
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\n: keep-alive\n\n: hello\n\n"
+                + "id: 3\ndata: x\n\n");
+  }
+
+  /**
+   * Guards against a run that continues a stream of which it cannot be known what was passed on.
+   */
+  @Test
+  void streamWithEventWithoutIdIsNotResumed() {
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 1);
+    call(0).data("data: y\n\n");
+    call(0).listener().onFailure(CallFailure.BROKEN, "");
+    assertThat(calls.calls).hasSize(1);
+    assertThat(sink.end().code()).isNotEqualTo(ResultCode.OK);
+  }
+
   @Test
   void brokenNonResumableStreamEndsTheResponse() {
     send("once");
