--- a/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
+++ b/adapters/src/main/java/org/currantslip/adapter/http/HttpClients.java
@@ -23,6 +23,10 @@
   private static final int MAX_CONNECTIONS_PER_DESTINATION = 256;
   private static final int MAX_QUEUED_PER_DESTINATION = 1024;
   private static final int MAX_RESPONSE_HEAD_BYTES = 64 << 10;
+
+  /** The largest head that callers may send, and the fields that a node adds. */
+  private static final int MAX_REQUEST_HEAD_BYTES = (64 << 10) + (4 << 10);
+
   private static final int MIN_THREADS = 4;
 
   private HttpClients() {}
@@ -92,6 +96,7 @@
     client.setConnectTimeout(connectTimeoutMs);
     client.setIdleTimeout(IDLE_TIMEOUT_MS);
     client.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT_MS);
+    client.setMaxRequestHeadersSize(MAX_REQUEST_HEAD_BYTES);
     client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
