--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -326,6 +326,7 @@
           refuse(
               RefusalException.of(
                   ResultCode.ENDPOINT_FAILED, Ran.YES, 0, "continued stream without event ids"));
+      default -> throw new IllegalStateException("unknown action");
     }
     return false;
   }
--- a/core/src/test/java/org/currantslip/core/request/EventFieldsTest.java
+++ b/core/src/test/java/org/currantslip/core/request/EventFieldsTest.java
@@ -20,7 +20,7 @@
           " id: 3\n\n", "",
           "id", "",
           "id:", "",
-          "id:  \u00e9", " \u00e9",
+          "id:  é", " é",
           "\ufeffid: 4\n\n", "4",
           "id: 5\nid: 6\u0000\n\n", "5");
 
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -62,10 +62,10 @@
 public final class EdgeNode {
   private static final int HTTP_CLIENT_THREADS = 8;
 
-  /** Allows several round trips even between regions; a slower endpoint is considered down. */
   /** A node whose decisions stand still for longer is not ready. */
   private static final long MAX_READY_LAG_MS = 1_000;
 
+  /** Allows several round trips even between regions; a slower endpoint is considered down. */
   private static final long CONNECT_TIMEOUT_MS = 400;
 
   private static final long STORE_TIMEOUT_MS = 1_000;
