--- a/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
+++ b/adapters/src/main/java/org/currantslip/adapter/endpoint/EventSplitter.java
@@ -7,7 +7,7 @@
 /**
  * Splits a stream of server-sent events (HTML Living Standard, section 9.2.5) into complete events
  * without changing a byte. Each event includes the blank line that ends it. Lines end with LF, CR
- * or CRLF; the LF of a blank line whose CR ended a chunk is passed on alone.
+ * or CRLF.
  */
 public final class EventSplitter {
   private final Consumer<ByteString> events;
