Fault: each body in chunks takes the memory of the largest body until its response ends

Cause: the length is not known when the body begins, and the largest allowed one was reserved. Change: BodyReader reserves what has been read, or the declared length at once; ByteBudget replaces BodyBudget, which did the same without growing. Tests: FrontDoorTest.bodiesInChunksTakeTheMemoryOfTheirBytes failed before, .rejectsBodiesInChunksOverBudget holds before and after; rejectsBodiesOverBudgetUntilOthersComplete is unchanged.

--- a/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/currantslip/node/caller/CallerHandler.java
@@ -22,7 +22,6 @@
 import org.currantslip.node.duty.DecisionThread;
 import org.currantslip.node.log.EventLog;
 import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -55,7 +54,7 @@
   private final CallerRequests requests;
   private final Supplier<String> requestIds;
   private final Supplier<EntryView> entryView;
-  private final BodyBudget bodyBudget;
+  private final ByteBudget bodies;
   private final ByteBudget unreadResponses =
       ByteBudget.of(MAX_UNREAD_RESPONSE_BYTES, UNLIMITED_BYTES_PER_RESPONSE);
   private final RequestGate gate = RequestGate.create();
@@ -81,7 +80,7 @@
     this.requests = requests;
     this.requestIds = requestIds;
     this.entryView = entryView;
-    bodyBudget = BodyBudget.ofBytes(options.maxTotalBodyBytes());
+    bodies = ByteBudget.of(options.maxTotalBodyBytes(), 0);
   }
 
   static CallerHandler create(
@@ -219,16 +218,10 @@
       CallerExchange exchange,
       OpenRequest openRequest,
       PendingRequest pending) {
-    long reservedBytes = request.getLength() < 0 ? options.maxBodyBytes() : request.getLength();
-    if (!bodyBudget.tryReserve(reservedBytes)) {
-      throw RefusalException.notRunRetryable(
-          ResultCode.TOO_MANY_IN_FLIGHT,
-          BUSY_RETRY_AFTER_MS,
-          "too many bytes of concurrent request bodies");
-    }
-    Request.addCompletionListener(request, failure -> bodyBudget.release(reservedBytes));
+    ByteBudget.Share memory = bodies.open();
+    Request.addCompletionListener(request, failure -> memory.release());
     request.addFailureListener(sink::onFailure);
-    Content.Source.asByteArrayAsync(request, options.maxBodyBytes())
+    BodyReader.read(request, request.getLength(), options.maxBodyBytes(), memory)
         .whenComplete(
             (body, failure) -> {
               slowRequestGuard.onBody(request.getConnectionMetaData().getConnection(), openRequest);
@@ -312,9 +305,9 @@
 
   private static RefusalException bodyRefusal(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-    return cause instanceof IllegalStateException
-        ? tooLarge()
-        : RefusalException.notRun(ResultCode.BODY_MALFORMED, "the request body is incomplete");
+    return cause instanceof RefusalException refusal
+        ? refusal
+        : RefusalException.notRun(ResultCode.BODY_MALFORMED, "the request body cannot be read");
   }
 
   private static RefusalException tooLarge() {
--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -13,6 +13,7 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +21,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
@@ -528,6 +530,59 @@
     }
   }
 
+  /** Guards against small bodies in chunks that each take the memory of the largest body. */
+  @Test
+  void bodiesInChunksTakeTheMemoryOfTheirBytes() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < 8; i++) {
+        Socket socket = new Socket("127.0.0.1", server.port());
+        sockets.add(socket);
+        writeInChunks(socket, BODY);
+      }
+      for (int i = 0; i < 8; i++) {
+        assertThat(startedRequests.poll(RESPONSE_TIMEOUT_S, TimeUnit.SECONDS)).isNotNull();
+      }
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  /** Guards against bodies in chunks that together exceed the memory for bodies. */
+  @Test
+  void rejectsBodiesInChunksOverBudget() throws Exception {
+    String large = BODY.replace("hi", "h".repeat(MAX_BODY_BYTES - 100));
+    try (Socket first = openChat(large);
+        Socket second = openChat(large);
+        Socket third = openChat(large);
+        Socket fourth = new Socket("127.0.0.1", server.port())) {
+      assertThat(first.isConnected() && second.isConnected() && third.isConnected()).isTrue();
+      for (int i = 0; i < 3; i++) {
+        assertThat(startedRequests.poll(RESPONSE_TIMEOUT_S, TimeUnit.SECONDS)).isNotNull();
+      }
+      writeInChunks(fourth, large);
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(fourth.getInputStream(), StandardCharsets.UTF_8));
+      assertThat(reader.readLine()).startsWith("HTTP/1.1 503 ");
+      assertThat(startedRequests).isEmpty();
+    }
+  }
+
+  private static void writeInChunks(Socket socket, String body) throws IOException {
+    String head =
+        "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            .formatted(CHAT_PATH, TOKEN);
+    int half = body.length() / 2;
+    String chunks =
+        Stream.of(body.substring(0, half), body.substring(half), "")
+            .map(c -> "%x\r\n%s\r\n".formatted(c.length(), c))
+            .collect(Collectors.joining());
+    socket.getOutputStream().write((head + chunks).getBytes(StandardCharsets.UTF_8));
+  }
+
   private CompletableFuture<ContentResponse> send(String body) {
     return new CompletableResponseListener(
             request("POST", CHAT_PATH, "Authorization:Bearer " + TOKEN, body))
