--- a/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
+++ b/node/src/test/java/org/currantslip/node/caller/FrontDoorTest.java
@@ -573,8 +573,8 @@
 
   private static void writeInChunks(Socket socket, String body) throws IOException {
     String head =
-        "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n"
-            .formatted(CHAT_PATH, TOKEN);
+        "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n".formatted(CHAT_PATH, TOKEN)
+            + "Transfer-Encoding: chunked\r\n\r\n";
     int half = body.length() / 2;
     String chunks =
         Stream.of(body.substring(0, half), body.substring(half), "")
