--- a/review/standins-2/Node.java
+++ b/review/standins-2/Node.java
@@ -102,7 +102,9 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
-    process = builder.start();
+    Process started = builder.start();
+    process = started;
+    Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     record.line("start", name, "pid=" + process.pid());
     process
         .onExit()
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -19,6 +19,8 @@
     void run(Runner runner, Http.Head head, byte[] body, OutputStream out) throws Exception;
   }
 
+  private static final long BEAT_MS = 1_200;
+
   private final Record record;
   private final Store store;
   private final String id;
@@ -32,6 +34,7 @@
   public volatile Work work;
   private volatile String zone = "zone-a";
   private int seq;
+  private String state = "ready";
 
   public Runner(
       Record record, Store store, String id, String service, String version, int slots, Work work)
@@ -56,7 +59,28 @@
     zone = name;
   }
 
-  public void register(String state) {
+  /** Writes its entry now and with each beat from now on. */
+  public void register(String newState) {
+    boolean first = seq == 0;
+    write(newState);
+    if (first) {
+      threads.execute(this::beat);
+    }
+  }
+
+  private void beat() {
+    try {
+      while (!server.isClosed()) {
+        Thread.sleep(BEAT_MS);
+        write(null);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized void write(String newState) {
+    state = newState == null ? state : newState;
     seq++;
     store.put(
         "servers",
