--- a/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -2,9 +2,6 @@
 
 import java.util.function.Consumer;
 import org.currantslip.core.membership.HeartbeatMembership;
-import org.currantslip.core.mirror.KindMirror;
-import org.currantslip.core.mirror.MirrorGossip;
-import org.currantslip.core.mirror.MirrorRelay;
 import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.rollout.ServiceRollouts;
 import org.currantslip.core.routing.ExpectedWaitChooser;
@@ -15,9 +12,7 @@
 /** Dispatches the frames of peers to the components that handle them. */
 final class EdgeFrames implements PeerDispatcher {
   private final HeartbeatMembership membership;
-  private final StoreMirrors mirrors;
-  private final MirrorGossip mirrorGossip;
-  private final MirrorRelay mirrorRelay;
+  private final FleetMirrors mirrors;
   private final ServiceRollouts rollouts;
   private final ExpectedWaitChooser endpointChooser;
   private final PromptQuarantine quarantine;
@@ -26,9 +21,7 @@
 
   private EdgeFrames(
       HeartbeatMembership membership,
-      StoreMirrors mirrors,
-      MirrorGossip mirrorGossip,
-      MirrorRelay mirrorRelay,
+      FleetMirrors mirrors,
       ServiceRollouts rollouts,
       ExpectedWaitChooser endpointChooser,
       PromptQuarantine quarantine,
@@ -36,8 +29,6 @@
       RelayLinks relayLinks) {
     this.membership = membership;
     this.mirrors = mirrors;
-    this.mirrorGossip = mirrorGossip;
-    this.mirrorRelay = mirrorRelay;
     this.rollouts = rollouts;
     this.endpointChooser = endpointChooser;
     this.quarantine = quarantine;
@@ -47,24 +38,14 @@
 
   static EdgeFrames create(
       HeartbeatMembership membership,
-      StoreMirrors mirrors,
-      MirrorGossip mirrorGossip,
-      MirrorRelay mirrorRelay,
+      FleetMirrors mirrors,
       ServiceRollouts rollouts,
       ExpectedWaitChooser endpointChooser,
       PromptQuarantine quarantine,
       QuarantineLinks quarantineLinks,
       RelayLinks relayLinks) {
     return new EdgeFrames(
-        membership,
-        mirrors,
-        mirrorGossip,
-        mirrorRelay,
-        rollouts,
-        endpointChooser,
-        quarantine,
-        quarantineLinks,
-        relayLinks);
+        membership, mirrors, rollouts, endpointChooser, quarantine, quarantineLinks, relayLinks);
   }
 
   @Override
@@ -73,10 +54,9 @@
     quarantineLinks.onLink(peer.getId().getName(), quarantine);
   }
 
-  /** The fault that broke the link may also have interrupted the store watches. */
   @Override
   public void onLinkLost(NodeRecord peer) {
-    mirrors.all().forEach(KindMirror::restart);
+    mirrors.onLinkLost();
     relayLinks.onLinkLost(peer.getId().getName());
   }
 
@@ -87,15 +67,7 @@
       case HEARTBEAT ->
           reply.accept(
               replyFrame.setHeartbeat(membership.onHeartbeat(frame.getHeartbeat())).build());
-      case MIRROR_REQUEST ->
-          mirrorGossip
-              .answer(frame.getMirrorRequest())
-              .ifPresent(s -> reply.accept(replyFrame.setMirrorSnapshot(s).build()));
-      case MIRROR_WATCH ->
-          mirrorRelay.onWatch(
-              fromNode,
-              frame.getMirrorWatch(),
-              changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
+      case MIRROR_REQUEST, MIRROR_WATCH -> mirrors.onFrame(fromNode, frame, reply);
       case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
       case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
       case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
--- a/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeNode.java
@@ -17,12 +17,6 @@
 import org.currantslip.core.membership.HeartbeatMembership;
 import org.currantslip.core.membership.Incarnations;
 import org.currantslip.core.membership.PlannedStop;
-import org.currantslip.core.mirror.KindMirror;
-import org.currantslip.core.mirror.MirrorGossip;
-import org.currantslip.core.mirror.MirrorRelay;
-import org.currantslip.core.mirror.RelayedFeed;
-import org.currantslip.core.mirror.StoreProbe;
-import org.currantslip.core.mirror.StoreWatchers;
 import org.currantslip.core.quarantine.PromptQuarantine;
 import org.currantslip.core.request.ForwardPorts;
 import org.currantslip.core.request.RequestEngine;
@@ -76,9 +70,6 @@
   /** Allows several attempts to read the configuration from the store. */
   private static final long MAX_PORT_CLOSED_MS = 5 * STORE_TIMEOUT_MS;
 
-  /** Time that a starting node waits for the list of its peers before it reads the store itself. */
-  private static final long MAX_DISCOVERY_MS = 1_000;
-
   private static final long PUBLISH_INTERVAL_MS = 50;
 
   /**
@@ -96,11 +87,8 @@
   private final HttpClient endpointClient;
   private final PeerLinks peerLinks;
   private final HeartbeatMembership membership;
+  private final FleetMirrors fleetMirrors;
   private final StoreMirrors mirrors;
-  private final MirrorGossip mirrorGossip;
-  private final StoreWatchers storeWatchers;
-  private final MirrorRelay mirrorRelay;
-  private final StoreProbe storeProbe;
   private final EndpointRegistry endpointRegistry;
   private final EndpointAllowances allowances;
   private final ExpectedWaitChooser endpointChooser;
@@ -126,7 +114,6 @@
   private volatile boolean ready;
   private volatile boolean superseded;
   private long nextPublishMs;
-  private final long mirrorsStartMs = clock.nowMs() + MAX_DISCOVERY_MS;
   private int endpointCount;
   private long idleTimeoutMs;
   private boolean closed;
@@ -164,26 +151,8 @@
     if (allocation.firstStart()) {
       membership.assumeNoJoinRecord();
     }
-    storeWatchers = StoreWatchers.create(membership, clock);
-    mirrors =
-        StoreMirrors.create(
-            RelayedFeed.create(store, peerLinks, storeWatchers, clock),
-            clock,
-            seed,
-            EdgeOptions.regions(settings),
-            EdgeOptions.evacuatesOnOrder(settings));
-    mirrorRelay = MirrorRelay.create(mirrors.all(), storeWatchers::isWatcher, clock);
-    storeProbe = StoreProbe.create(store, mirrorRelay::hasFollowers, clock, this::onStoreSilent);
-    mirrorGossip =
-        MirrorGossip.create(
-            mirrors.all(),
-            peerLinks,
-            clock,
-            (node, failure) ->
-                EventLog.write(LogEvent.COPY_MISSED, "node=%s reason=%s".formatted(node, failure)));
-    membership.setMirrorRevisions(mirrorGossip::revisions, mirrorGossip::onRevisions);
-    mirrorGossip.setCopyListener(membership::advanceHeartbeat);
-    mirrors.onNewConfig(membership::advanceHeartbeat);
+    fleetMirrors = FleetMirrors.create(settings, store, peerLinks, membership, clock, seed);
+    mirrors = fleetMirrors.mirrors();
     allowances =
         EndpointAllowances.create(
             RankedSenders.create(membership),
@@ -202,7 +171,6 @@
             this::onEndpoints);
     mirrors.connectRegistry(endpointRegistry);
     mirrors.connectRollouts(rollouts);
-    mirrors.onStoreRestored(membership::onStoreRestored);
     rolloutController =
         ServiceRolloutController.create(
             membership,
@@ -247,9 +215,7 @@
     frames =
         EdgeFrames.create(
             membership,
-            mirrors,
-            mirrorGossip,
-            mirrorRelay,
+            fleetMirrors,
             rollouts,
             endpointChooser,
             quarantine,
@@ -413,12 +379,7 @@
 
   private void tick() {
     TickStep.run("membership", membership::tick);
-    TickStep.run(
-        "watchers", () -> storeWatchers.pollWatcherChange().ifPresent(this::onWatcherChange));
-    TickStep.run("mirrors", this::tickMirrors);
-    TickStep.run("relay", mirrorRelay::tick);
-    TickStep.run("probe", storeProbe::tick);
-    TickStep.run("gossip", mirrorGossip::tick);
+    fleetMirrors.tick();
     TickStep.run("endpoints", endpointRegistry::tick);
     TickStep.run("quarantine", quarantine::tick);
     TickStep.run("quarantine_links", () -> quarantineLinks.tick(quarantine));
@@ -440,13 +401,6 @@
     }
   }
 
-  /** Lets the mirrors wait for the first list of peers, one of which may have the copies. */
-  private void tickMirrors() {
-    if (membership.isPeersListed() || clock.nowMs() >= mirrorsStartMs) {
-      mirrors.tick();
-    }
-  }
-
   private void serveIfReady() {
     boolean joining = membership.self().getState() == NodeState.JOINING;
     nodeStart.tick(joining && !superseded && mirrors.isUsable());
@@ -493,15 +447,6 @@
     }
   }
 
-  private void onWatcherChange(Optional<String> watcher) {
-    EventLog.write(LogEvent.WATCHER_CHANGED, "watcher=" + watcher.orElse("store"));
-    mirrors.all().forEach(KindMirror::restart);
-  }
-
-  private void onStoreSilent() {
-    mirrors.all().forEach(KindMirror::onStoreSilent);
-  }
-
   private void publish() {
     boolean running = plannedStop.phase() == PlannedStop.Phase.RUNNING;
     var routeTable = mirrors.routes().current();
