Fault: large copies are given up by time and begun again by all nodes at once

Cause: each follower of a watcher was sent the whole configuration of 400 kB over a link of 1.25 MB/s, gave the copy up after a fixed time and asked another node for it from the start, while the first copy still filled the link. Change: changes and copies over 16 kB are sent as a reference to a packed copy (zlib), which receivers fetch in parts. Parts that arrived are kept and the fetch goes on at any other holder, a second source is asked when a part is late, all who wait for a copy share one fetch. A node sends to eight receivers at a time and names to the others those that hold the copy. Nodes that do not say that they accept references receive the objects as before. Ruled out: dropped frames. Result: RelayedMirrorsTest.largeConfigurationReachesAllNodesOverSlowLinksInTime failed at 24, 95 and 420 nodes before, holds now. FakeMembership keeps its list until a change, like the real membership: the case of 420 nodes took 234 s for sorting alone.

--- a/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
@@ -37,6 +37,7 @@
 
   private final ImmutableMap<String, KindMirror> mirrors;
   private final PeerNetwork peers;
+  private final MirrorCopies copies;
   private final Clock clock;
   private final BiConsumer<String, Throwable> failureListener;
   private final Map<String, Behind> behindByKind = new HashMap<>();
@@ -46,10 +47,12 @@
   private MirrorGossip(
       List<KindMirror> mirrors,
       PeerNetwork peers,
+      MirrorCopies copies,
       Clock clock,
       BiConsumer<String, Throwable> failureListener) {
     this.mirrors = Maps.uniqueIndex(mirrors, KindMirror::kind);
     this.peers = peers;
+    this.copies = copies;
     this.clock = clock;
     this.failureListener = failureListener;
   }
@@ -62,9 +65,10 @@
   public static MirrorGossip create(
       List<KindMirror> mirrors,
       PeerNetwork peers,
+      MirrorCopies copies,
       Clock clock,
       BiConsumer<String, Throwable> failureListener) {
-    return new MirrorGossip(mirrors, peers, clock, failureListener);
+    return new MirrorGossip(mirrors, peers, copies, clock, failureListener);
   }
 
   /** Sets the listener that runs after this node has taken a peer's copy. */
@@ -129,12 +133,14 @@
     String kind = mirror.kind();
     requestDeadlineMs.put(kind, nowMs + REQUEST_TIMEOUT_MS);
     mirror.restart();
-    PeerFrame request =
-        PeerFrame.newBuilder().setMirrorRequest(MirrorRequest.newBuilder().setKind(kind)).build();
+    MirrorRequest.Builder mirrorRequest =
+        MirrorRequest.newBuilder().setKind(kind).setAcceptsPacked(true);
+    PeerFrame request = PeerFrame.newBuilder().setMirrorRequest(mirrorRequest).build();
     CompletableFuture<Void> unused =
         peers
             .request(behind.node(), request, REQUEST_TIMEOUT_MS)
-            .thenAccept(reply -> onSnapshot(reply.getMirrorSnapshot()))
+            .thenCompose(reply -> copies.unpack(behind.node(), reply.getMirrorSnapshot()))
+            .thenAccept(this::onSnapshot)
             .exceptionally(
                 failure -> {
                   // The next heartbeat of any peer that is ahead names another source.
@@ -159,6 +165,8 @@
 
   /** Returns the copy that a peer requested; empty if the kind is not mirrored here. */
   public Optional<MirrorSnapshot> answer(MirrorRequest request) {
-    return Optional.ofNullable(mirrors.get(request.getKind())).map(KindMirror::snapshot);
+    return Optional.ofNullable(mirrors.get(request.getKind()))
+        .map(KindMirror::snapshot)
+        .map(snapshot -> request.getAcceptsPacked() ? copies.pack(snapshot) : snapshot);
   }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -33,13 +33,16 @@
 
   private final ImmutableMap<String, KindMirror> mirrors;
   private final BooleanSupplier isWatcher;
+  private final MirrorCopies copies;
   private final Clock clock;
   private final List<PendingWatch> pendingWatches = new ArrayList<>();
   private final List<PendingCopy> pendingCopies = new ArrayList<>();
 
-  private MirrorRelay(List<KindMirror> mirrors, BooleanSupplier isWatcher, Clock clock) {
+  private MirrorRelay(
+      List<KindMirror> mirrors, BooleanSupplier isWatcher, MirrorCopies copies, Clock clock) {
     this.mirrors = Maps.uniqueIndex(mirrors, KindMirror::kind);
     this.isWatcher = isWatcher;
+    this.copies = copies;
     this.clock = clock;
   }
 
@@ -49,15 +52,17 @@
    * @param isWatcher whether this node watches the store itself
    */
   public static MirrorRelay create(
-      List<KindMirror> mirrors, BooleanSupplier isWatcher, Clock clock) {
-    return new MirrorRelay(mirrors, isWatcher, clock);
+      List<KindMirror> mirrors, BooleanSupplier isWatcher, MirrorCopies copies, Clock clock) {
+    return new MirrorRelay(mirrors, isWatcher, copies, clock);
   }
 
   /**
    * Handles a peer's watch; replies at once, on the next change or when the wait ends. A watch
    * replaces the follower's earlier one of the same kind.
    */
-  public void onWatch(String follower, MirrorWatch watch, Consumer<MirrorChanges> reply) {
+  public void onWatch(String follower, MirrorWatch watch, Consumer<MirrorChanges> receiver) {
+    Consumer<MirrorChanges> reply =
+        changes -> receiver.accept(watch.getAcceptsPacked() ? copies.pack(changes) : changes);
     Optional.ofNullable(mirrors.get(watch.getKind()))
         .ifPresent(
             mirror -> {
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.currantslip.core.common.Clock;
@@ -28,20 +29,32 @@
 
   private final KindStore store;
   private final PeerNetwork peers;
+  private final MirrorCopies copies;
   private final StoreWatchers watchers;
   private final StoreGate gate;
 
-  private RelayedFeed(KindStore store, PeerNetwork peers, StoreWatchers watchers, StoreGate gate) {
+  private RelayedFeed(
+      KindStore store,
+      PeerNetwork peers,
+      MirrorCopies copies,
+      StoreWatchers watchers,
+      StoreGate gate) {
     this.store = store;
     this.peers = peers;
+    this.copies = copies;
     this.watchers = watchers;
     this.gate = gate;
   }
 
   /** Returns a feed that prefers watchers over the store. */
   public static RelayedFeed create(
-      KindStore store, PeerNetwork peers, StoreWatchers watchers, Clock clock) {
-    return new RelayedFeed(store, peers, watchers, StoreGate.create(clock, watchers::isWatcher));
+      KindStore store,
+      PeerNetwork peers,
+      MirrorCopies copies,
+      StoreWatchers watchers,
+      Clock clock) {
+    return new RelayedFeed(
+        store, peers, copies, watchers, StoreGate.create(clock, watchers::isWatcher));
   }
 
   @Override
@@ -135,7 +148,8 @@
             .setKind(kind)
             .setEra(after.era())
             .setAfterRevision(after.revision())
-            .setWaitMs((int) waitMs);
+            .setWaitMs((int) waitMs)
+            .setAcceptsPacked(true);
     PeerFrame frame = PeerFrame.newBuilder().setMirrorWatch(watch).build();
     return peers
         .request(watcher, frame, waitMs + REPLY_MARGIN_MS)
@@ -153,6 +167,19 @@
                     StoreException.Kind.HISTORY_GONE, watcher + " returned no complete changes");
               }
               return changes;
-            });
+            })
+        .thenCompose(changes -> copies.unpack(watcher, changes))
+        .exceptionallyCompose(failure -> CompletableFuture.failedFuture(asStoreFailure(failure)));
+  }
+
+  /** A copy that could not be fetched whole is continued when it is asked for again. */
+  private static StoreException asStoreFailure(Throwable failure) {
+    Throwable cause =
+        failure instanceof CompletionException && failure.getCause() != null
+            ? failure.getCause()
+            : failure;
+    return cause instanceof StoreException known
+        ? known
+        : StoreException.of(StoreException.Kind.SOURCE_GONE, cause.toString());
   }
 }
--- a/core/src/test/java/org/currantslip/core/fake/FakeMembership.java
+++ b/core/src/test/java/org/currantslip/core/fake/FakeMembership.java
@@ -16,6 +16,7 @@
   private final NodeRecord self;
   private final Map<String, NodeRecord> live = new TreeMap<>();
   private final Set<NodeId> gone = new HashSet<>();
+  private List<NodeRecord> liveList = List.of();
 
   private FakeMembership(NodeRecord self) {
     this.self = self;
@@ -38,6 +39,7 @@
 
   /** Marks a node as live; an older incarnation of the node becomes gone. */
   public void add(NodeRecord node) {
+    liveList = List.of();
     NodeRecord old = live.put(node.getId().getName(), node);
     if (old != null && old.getId().getIncarnation() < node.getId().getIncarnation()) {
       gone.add(old.getId());
@@ -46,6 +48,7 @@
 
   /** Removes a node from the live list without declaring it gone. */
   public void suspect(String name) {
+    liveList = List.of();
     live.remove(name);
   }
 
@@ -54,6 +57,7 @@
     gone.add(id);
     NodeRecord current = live.get(id.getName());
     if (current != null && current.getId().equals(id)) {
+      liveList = List.of();
       live.remove(id.getName());
     }
   }
@@ -65,7 +69,11 @@
 
   @Override
   public List<NodeRecord> live() {
-    return List.copyOf(live.values());
+    // Like the real list, it is the same one until the membership changes.
+    if (liveList.isEmpty()) {
+      liveList = List.copyOf(live.values());
+    }
+    return liveList;
   }
 
   @Override
--- a/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
+++ b/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
@@ -11,7 +11,10 @@
 import org.currantslip.core.port.PeerNetwork;
 import org.currantslip.schema.PeerFrame;
 
-/** A simulated peer network with fixed latency, link cuts, frame loss and frozen nodes. */
+/**
+ * A simulated peer network with fixed latency and bandwidth, link cuts, frame loss and frozen
+ * nodes.
+ */
 public final class FakePeerNetwork {
   /** Handles the frames received by a node; the reply to a one-way frame is ignored. */
   @FunctionalInterface
@@ -27,13 +30,17 @@
     boolean isLost(String from, String to, PeerFrame frame);
   }
 
+  private static final long MICROS_PER_MS = 1_000;
+
   private final FakeEvents events;
   private final Map<String, Handler> handlers = new HashMap<>();
   private final Set<String> frozen = new HashSet<>();
   private final Map<String, List<Runnable>> queued = new HashMap<>();
   private final Set<String> cuts = new HashSet<>();
   private LossPlan losses = (from, to, frame) -> false;
+  private final Map<String, Long> sentUntilMicros = new HashMap<>();
   private long latencyMs = 1;
+  private long linkBytesPerMs = Long.MAX_VALUE;
   private long frameCount;
   private long byteCount;
 
@@ -96,6 +103,11 @@
     latencyMs = ms;
   }
 
+  /** Sets the rate at which a node sends; its frames follow each other on one link. */
+  public void setLinkBytesPerMs(long bytesPerMs) {
+    linkBytesPerMs = bytesPerMs;
+  }
+
   /** Returns the number of frames sent so far. */
   public long frameCount() {
     return frameCount;
@@ -112,7 +124,15 @@
     if (cuts.contains(from + "|" + to) || losses.isLost(from, to, frame)) {
       return;
     }
-    events.after(latencyMs, () -> arrive(to, action));
+    events.after(latencyMs + sendMs(from, frame), () -> arrive(to, action));
+  }
+
+  private long sendMs(String from, PeerFrame frame) {
+    long nowMicros = MICROS_PER_MS * events.clock().nowMs();
+    long startMicros = Math.max(nowMicros, sentUntilMicros.getOrDefault(from, 0L));
+    long endMicros = startMicros + MICROS_PER_MS * frame.getSerializedSize() / linkBytesPerMs;
+    sentUntilMicros.put(from, endMicros);
+    return (endMicros - nowMicros) / MICROS_PER_MS;
   }
 
   private void arrive(String to, Runnable action) {
--- a/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
@@ -47,9 +47,12 @@
   }
 
   void put(String name) {
+    put(name, ByteString.copyFromUtf8(name));
+  }
+
+  void put(String name, ByteString spec) {
     revision++;
-    KindObject object =
-        new KindObject(name, revision, ByteString.copyFromUtf8(name), ByteString.EMPTY);
+    KindObject object = new KindObject(name, revision, spec, ByteString.EMPTY);
     objects.put(name, object);
     append(new KindChanges.Change(object, false));
   }
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -3,11 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.currantslip.core.common.ManualClock;
@@ -21,6 +24,7 @@
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests mirrors in a fleet where a few nodes watch the store and the others follow them. */
 @Execution(ExecutionMode.CONCURRENT)
@@ -44,6 +48,19 @@
   /** Exceeds the time for which a watcher that was asked before it had a copy is avoided. */
   private static final long SETTLE_MS = 3_000;
 
+  private static final int LARGE_CONFIGURATION_ROUTES = 1_600;
+  private static final String ROUTE =
+      "{\"name\":\"r-%08x\",\"host\":\"host.example\",\"path_prefix\":\"/%08x/\","
+          + "\"kind\":\"streaming\",\"timeout_ms\":8000,\"objective_ms\":2015,\"priority\":1,"
+          + "\"split\":[{\"service\":\"s-%08x\",\"weight\":90}],\"attempts\":3,"
+          + "\"anonymous\":false,\"sticky\":true,\"resumable\":true}";
+
+  /** 10 Mbit/s, the link of the smallest VMs. */
+  private static final long SLOW_LINK_BYTES_PER_MS = 1_250;
+
+  /** Time within which a change must be in force in deployments with these links. */
+  private static final long LARGE_IN_FORCE_MS = 3_000;
+
   private final FakeEvents events = FakeEvents.on(ManualClock.startingAt(1_000_000));
   private final FakeKindStore store = FakeKindStore.on(events);
   private final FakePeerNetwork network = FakePeerNetwork.create(events);
@@ -58,6 +75,7 @@
     private final MirrorRelay relay;
     private final MirrorGossip gossip;
     private final StoreProbe probe;
+    private final MirrorCopies copies;
     private boolean frozen;
 
     private Node(NodeRecord self) {
@@ -66,16 +84,18 @@
       String name = name();
       watchers = StoreWatchers.create(membership, events.clock());
       var peers = network.join(name, this::handle);
+      copies = MirrorCopies.create(peers, events.clock());
       mirror =
           KindMirror.create(
               KIND,
-              RelayedFeed.create(link, peers, watchers, events.clock()),
+              RelayedFeed.create(link, peers, copies, watchers, events.clock()),
               events.clock(),
               MirrorOptions.defaults(),
               name.hashCode());
-      relay = MirrorRelay.create(List.of(mirror), watchers::isWatcher, events.clock());
+      relay = MirrorRelay.create(List.of(mirror), watchers::isWatcher, copies, events.clock());
       probe = StoreProbe.create(link, relay::hasFollowers, events.clock(), mirror::onStoreSilent);
-      gossip = MirrorGossip.create(List.of(mirror), peers, events.clock(), (n, failure) -> {});
+      gossip =
+          MirrorGossip.create(List.of(mirror), peers, copies, events.clock(), (n, failure) -> {});
     }
 
     private String name() {
@@ -88,6 +108,8 @@
       if (frame.hasMirrorWatch()) {
         relay.onWatch(
             from, frame.getMirrorWatch(), c -> reply.complete(answer.setMirrorChanges(c).build()));
+      } else if (frame.hasCopyPartRequest()) {
+        reply.complete(answer.setCopyPart(copies.answer(from, frame.getCopyPartRequest())).build());
       } else {
         gossip
             .answer(frame.getMirrorRequest())
@@ -103,6 +125,7 @@
         relay.tick();
         probe.tick();
         gossip.tick();
+        copies.tick();
       }
     }
   }
@@ -167,6 +190,26 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {24, 95, 420})
+  void largeConfigurationReachesAllNodesOverSlowLinksInTime(int count) {
+    store.put("a");
+    start(count);
+    network.setLinkBytesPerMs(SLOW_LINK_BYTES_PER_MS);
+    store.put("large", configuration(LARGE_CONFIGURATION_ROUTES));
+    advanceWithHeartbeats(LARGE_IN_FORCE_MS);
+    assertPresence("large", true);
+  }
+
+  private static ByteString configuration(int routes) {
+    SplittableRandom random = new SplittableRandom(53);
+    String json =
+        IntStream.range(0, routes)
+            .mapToObj(i -> ROUTE.formatted(random.nextInt(), random.nextInt(), random.nextInt()))
+            .collect(Collectors.joining(","));
+    return ByteString.copyFromUtf8("{\"version\":8,\"routes\":[" + json + "]}");
+  }
+
   private Stream<Node> watchers() {
     return nodes.values().stream().filter(n -> n.watchers.isWatcher());
   }
--- a/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
+++ b/node/src/main/java/org/currantslip/node/edge/EdgeFrames.java
@@ -67,7 +67,8 @@
       case HEARTBEAT ->
           reply.accept(
               replyFrame.setHeartbeat(membership.onHeartbeat(frame.getHeartbeat())).build());
-      case MIRROR_REQUEST, MIRROR_WATCH -> mirrors.onFrame(fromNode, frame, reply);
+      case MIRROR_REQUEST, MIRROR_WATCH, COPY_PART_REQUEST ->
+          mirrors.onFrame(fromNode, frame, reply);
       case OUTCOMES -> rollouts.onReport(frame.getOutcomes());
       case PREFILL -> endpointChooser.onPrefillReport(fromNode, frame.getPrefill());
       case QUARANTINE -> quarantine.onUpdate(fromNode, frame.getQuarantine());
--- a/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
@@ -6,6 +6,7 @@
 import org.currantslip.core.common.LogEvent;
 import org.currantslip.core.membership.HeartbeatMembership;
 import org.currantslip.core.mirror.KindMirror;
+import org.currantslip.core.mirror.MirrorCopies;
 import org.currantslip.core.mirror.MirrorGossip;
 import org.currantslip.core.mirror.MirrorRelay;
 import org.currantslip.core.mirror.RelayedFeed;
@@ -26,6 +27,7 @@
   private final Clock clock;
   private final HeartbeatMembership membership;
   private final StoreWatchers watchers;
+  private final MirrorCopies copies;
   private final StoreMirrors mirrors;
   private final MirrorRelay relay;
   private final StoreProbe probe;
@@ -43,19 +45,21 @@
     this.membership = membership;
     startMs = clock.nowMs() + MAX_DISCOVERY_MS;
     watchers = StoreWatchers.create(membership, clock);
+    copies = MirrorCopies.create(peers, clock);
     mirrors =
         StoreMirrors.create(
-            RelayedFeed.create(store, peers, watchers, clock),
+            RelayedFeed.create(store, peers, copies, watchers, clock),
             clock,
             seed,
             EdgeOptions.regions(settings),
             EdgeOptions.evacuatesOnOrder(settings));
-    relay = MirrorRelay.create(mirrors.all(), watchers::isWatcher, clock);
+    relay = MirrorRelay.create(mirrors.all(), watchers::isWatcher, copies, clock);
     probe = StoreProbe.create(store, relay::hasFollowers, clock, this::onStoreSilent);
     gossip =
         MirrorGossip.create(
             mirrors.all(),
             peers,
+            copies,
             clock,
             (node, failure) ->
                 EventLog.write(LogEvent.COPY_MISSED, "node=%s reason=%s".formatted(node, failure)));
@@ -87,6 +91,7 @@
     TickStep.run("relay", relay::tick);
     TickStep.run("probe", probe::tick);
     TickStep.run("gossip", gossip::tick);
+    TickStep.run("copies", copies::tick);
   }
 
   /** Lets the mirrors wait for the first list of peers, one of which may have the copies. */
@@ -109,6 +114,9 @@
               fromNode,
               frame.getMirrorWatch(),
               changes -> reply.accept(replyFrame.setMirrorChanges(changes).build()));
+      case COPY_PART_REQUEST ->
+          reply.accept(
+              replyFrame.setCopyPart(copies.answer(fromNode, frame.getCopyPartRequest())).build());
       default -> throw new IllegalArgumentException("not a frame of the mirrors");
     }
   }
