--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -81,6 +81,7 @@
   private int consecutiveFailures;
   private long linkLostMs;
   private long lastOutageMs;
+  private String lastFailure = "";
 
   private KindMirror(
       String kind, KindStore kindStore, Clock clock, MirrorOptions options, long seed) {
@@ -165,6 +166,11 @@
     return lastOutageMs;
   }
 
+  /** Returns why the connection to the store was last lost; empty if it never was. */
+  public String lastFailure() {
+    return lastFailure;
+  }
+
   /** Starts the next store call when it is due. */
   public void tick() {
     long nowMs = clock.nowMs();
@@ -363,6 +369,7 @@
     long nowMs = clock.nowMs();
     if (consecutiveFailures == 0) {
       linkLostMs = nowMs;
+      lastFailure = String.valueOf(failure);
       linkListener.accept(Link.LOST);
     }
     int doublings = Math.min(consecutiveFailures, Long.SIZE / 4);
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -191,12 +191,13 @@
         };
     EventLog.write(
         event,
-        "kind=%s era=%d revision=%d outage_ms=%d"
+        "kind=%s era=%d revision=%d outage_ms=%d reason=%s"
             .formatted(
                 mirror.kind(),
                 mirror.position().era(),
                 mirror.position().revision(),
-                mirror.lastOutageMs()));
+                mirror.lastOutageMs(),
+                mirror.lastFailure()));
   }
 
   private void readConfig() {
