Fault: a response of the store is given up by its total time while it arrives

Same class as the copies between nodes: a list of 1 MB takes 0.84 s alone on a link of 1.25 MB/s; beside other traffic it passed the timeout of 1 s, was given up and asked for again from the start.

--- a/core/src/main/java/org/currantslip/core/port/KindStore.java
+++ b/core/src/main/java/org/currantslip/core/port/KindStore.java
@@ -34,6 +34,14 @@
   /** Makes the cheapest possible read and returns the era of the store. */
   CompletableFuture<Long> probe();
 
+  /**
+   * Returns a number that has risen if any part of a successful response has arrived since the
+   * previous call.
+   */
+  default long receivedParts() {
+    return 0;
+  }
+
   /**
    * Replaces the status of an object whose version must be {@code expectedVersion}; returns the new
    * version.
