Fault: a watcher that receives a large response takes the store for silent

The probe has 600 ms and waits on the link behind the very response that it causes to be given up; the followers are then told that the node watches no more. Change: a store that sends parts of any successful response is not silent.

--- a/core/src/main/java/org/currantslip/core/mirror/StoreProbe.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreProbe.java
@@ -9,7 +9,8 @@
  * Detects that the store no longer answers this node, although its watches seem to wait.
  *
  * <p>Followers of a watcher rely on it to notice, because a watch on a silent connection looks like
- * one without changes. Only a node with followers probes.
+ * one without changes. Only a node with followers probes. A probe may wait behind a large response
+ * on a slow link: a store that sends is not silent.
  */
 public final class StoreProbe {
   private static final long INTERVAL_MS = 500;
@@ -25,6 +26,7 @@
   private long currentProbe;
   private long deadlineMs;
   private long nextProbeMs;
+  private long receivedParts;
 
   private StoreProbe(
       KindStore store, BooleanSupplier hasFollowers, Clock clock, Runnable silenceListener) {
@@ -49,7 +51,11 @@
   public void tick() {
     long nowMs = clock.nowMs();
     if (inFlight && nowMs >= deadlineMs) {
-      onResult(currentProbe, false);
+      if (hasReceived()) {
+        deadlineMs = nowMs + TIMEOUT_MS;
+      } else {
+        onResult(currentProbe, false);
+      }
     }
     if (inFlight || nowMs < nextProbeMs || !hasFollowers.getAsBoolean()) {
       return;
@@ -57,6 +63,7 @@
     inFlight = true;
     deadlineMs = nowMs + TIMEOUT_MS;
     nextProbeMs = nowMs + INTERVAL_MS;
+    receivedParts = store.receivedParts();
     long probe = ++currentProbe;
     CompletableFuture<Long> unused =
         store.probe().whenComplete((answer, failure) -> onResult(probe, failure == null));
@@ -67,8 +74,15 @@
       return;
     }
     inFlight = false;
-    if (!answered) {
+    if (!answered && !hasReceived()) {
       silenceListener.run();
     }
   }
+
+  /** Returns whether the store has sent anything since the last look. */
+  private boolean hasReceived() {
+    long before = receivedParts;
+    receivedParts = store.receivedParts();
+    return receivedParts != before;
+  }
 }
