Fault: a stream that lives on hides that new calls get no answer

Cause: data of any call refuted the evidence of silence, and silence was not looked at while anything arrived. Calls that began before the cut may live on, so that they say nothing of new ones. For refused connections this was known; for calls that are not answered it was not. Change: a call without an answer is refuted by the answer of a call that began no earlier; a call that was answered and fell silent by any data. RelayFleetTest.servesCallersWhileMostNodesAreCutOff plays two cuts of 12 s with streams of 20 s: failed for SILENT at 6 and 24 nodes, holds for all five kinds of cut. Class of the fault: evidence about the past is taken for evidence about the present.

--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -55,6 +55,10 @@
   private int endpointCount;
   private int domainCount;
   private long lastHeardMs = Long.MIN_VALUE / 2;
+
+  /** Start of the newest call that was answered. */
+  private long newestAnsweredMs = Long.MIN_VALUE / 2;
+
   private long completeMs = Long.MAX_VALUE;
   private long nextAskMs;
   private long cutMs;
@@ -167,9 +171,10 @@
   /** Judges silent calls and asks peers; called every few milliseconds. */
   public void tick() {
     long nowMs = clock.nowMs();
-    if (nowMs - lastHeardMs >= SILENT_MS) {
-      openCalls.forEach(c -> c.checkSilence(nowMs));
-    }
+    boolean allSilent = nowMs - lastHeardMs >= SILENT_MS;
+    openCalls.stream()
+        .filter(c -> allSilent || c.isNewestUnanswered())
+        .forEach(c -> c.checkSilence(nowMs));
     switch (state) {
       case REACHING, SUSPECTED -> checkEvidence(nowMs);
       case CUT -> checkLapse(nowMs);
@@ -264,10 +269,16 @@
       return startedMs >= cutMs;
     }
 
+    /** Returns whether neither this call nor a later one was answered. */
+    private boolean isNewestUnanswered() {
+      return !answered && startedMs > newestAnsweredMs;
+    }
+
     @Override
     public void onHeard() {
       long nowMs = clock.nowMs();
       lastHeardMs = nowMs;
+      newestAnsweredMs = Math.max(newestAnsweredMs, startedMs);
       callHeardMs = nowMs;
       silent = false;
       serviceTime.set(nowMs);
@@ -294,7 +305,7 @@
       double allowedMs = SILENT_MS + (answered ? 0 : MAX_RELATIVE_TIME * tracker.expectedHeadMs());
       if (!silent && nowMs - callHeardMs >= allowedMs) {
         silent = true;
-        onNoPath(PathEvidence.Kind.SILENT);
+        onNoPath(answered ? PathEvidence.Kind.SILENT : PathEvidence.Kind.UNANSWERED);
       }
     }
 
--- a/core/src/main/java/org/currantslip/core/reach/PathEvidence.java
+++ b/core/src/main/java/org/currantslip/core/reach/PathEvidence.java
@@ -14,7 +14,9 @@
     CONNECT,
     /** An open call broke. The other connections of a lost path break at the same time. */
     BROKEN,
-    /** A call is silent. */
+    /** A call got no answer. Calls that began earlier may live on while new ones do not arrive. */
+    UNANSWERED,
+    /** A call that was answered has fallen silent. */
     SILENT
   }
 
@@ -32,7 +34,7 @@
   private record Entry(EndpointRecord endpoint, Kind kind, long callStartedMs, long atMs) {
     boolean isRefutedBy(String heardEndpoint, long heardCallStartedMs, long nowMs) {
       return switch (kind) {
-        case CONNECT -> heardCallStartedMs >= callStartedMs;
+        case CONNECT, UNANSWERED -> heardCallStartedMs >= callStartedMs;
         case BROKEN -> !heardEndpoint.equals(endpoint.getId()) && nowMs > atMs + MERGE_MS;
         case SILENT -> true;
       };
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -62,7 +63,9 @@
   static final String SAFE = "/safe/";
   static final String UNSAFE = "/unsafe/";
   static final String STREAM = "/stream/";
+  static final String LONG_STREAM = "/long/";
   static final int EVENTS = 10;
+  static final int LONG_EVENTS = 200;
 
   /** Home region of endpoints, in which there is no node. */
   static final String ENDPOINT_REGION = "r9";
@@ -71,15 +74,21 @@
   private static final int MAX_ROUNDS_UNTIL_CUT = 200;
   private static final long ANSWER_MS = 60;
   private static final long EVENT_MS = 20;
+  private static final long LONG_EVENT_MS = 100;
   private static final long TICK_MS = 5;
   private static final long DEADLINE_MS = 3_000;
+  private static final long LONG_DEADLINE_MS = 30_000;
 
   /** How the calls of a node that is cut off end. */
   enum Cut {
     NONE(0),
     REFUSED(1),
     HANGING(400),
-    SILENT(-1);
+    SILENT(-1),
+    /** New calls are refused, and open ones break. */
+    RESET(1),
+    /** New calls hang, and open ones are silent. */
+    DEAF(400);
 
     private final long failsAfterMs;
 
@@ -108,7 +117,8 @@
             List.of(
                 route(SAFE, RouteKind.SAFE, homes),
                 route(UNSAFE, RouteKind.UNSAFE, homes),
-                route(STREAM, RouteKind.STREAMING, homes)),
+                route(STREAM, RouteKind.STREAMING, homes),
+                route(LONG_STREAM, RouteKind.STREAMING, homes)),
             Map.of("key", new Account("account", OptionalInt.empty())),
             CallerLimits.defaults()));
     nodes = IntStream.range(0, nodeCount).mapToObj(Node::new).toList();
@@ -122,7 +132,7 @@
         kind,
         List.of(new WeightedService("s", 1)),
         kind == RouteKind.UNSAFE ? 1 : 3,
-        DEADLINE_MS,
+        deadlineMs(path),
         1_000,
         600,
         1,
@@ -132,6 +142,10 @@
         homes);
   }
 
+  private static long deadlineMs(String path) {
+    return path.startsWith(LONG_STREAM) ? LONG_DEADLINE_MS : DEADLINE_MS;
+  }
+
   void run(long ms) {
     for (long i = 0; i < ms; i++) {
       events.advance(1);
@@ -166,21 +180,31 @@
       return () -> {};
     }
     runs.add(request.correlation());
-    boolean stream = request.path().startsWith(STREAM);
-    events.after(ANSWER_MS, () -> listener.onHead(head(request)));
-    for (int i = 1; i <= EVENTS; i++) {
+    OpenCall call = new OpenCall(listener);
+    node.openCalls.add(call);
+    boolean isLong = request.path().startsWith(LONG_STREAM);
+    int eventCount = isLong ? LONG_EVENTS : request.path().startsWith(STREAM) ? EVENTS : 0;
+    long eventMs = isLong ? LONG_EVENT_MS : EVENT_MS;
+    call.after(ANSWER_MS, () -> listener.onHead(head(request)));
+    for (int i = 1; i <= eventCount; i++) {
       String event = "id: %d\ndata: %s\n\n".formatted(i, eventText);
-      if (stream) {
-        events.after(
-            ANSWER_MS + i * EVENT_MS, () -> listener.onData(ByteString.copyFromUtf8(event)));
-      }
+      call.after(ANSWER_MS + i * eventMs, () -> listener.onData(ByteString.copyFromUtf8(event)));
     }
-    if (!stream) {
-      events.after(ANSWER_MS, () -> listener.onData(ByteString.copyFromUtf8("done")));
+    if (eventCount == 0) {
+      call.after(ANSWER_MS, () -> listener.onData(ByteString.copyFromUtf8("done")));
     }
-    long endMs = ANSWER_MS + (stream ? (EVENTS + 1) * EVENT_MS : 1);
-    events.after(endMs, () -> listener.onEnd(EndpointUsage.none()));
-    return () -> cancelledCalls++;
+    long endMs = ANSWER_MS + (eventCount == 0 ? 1 : (eventCount + 1) * eventMs);
+    call.after(
+        endMs,
+        () -> {
+          node.openCalls.remove(call);
+          listener.onEnd(EndpointUsage.none());
+        });
+    return () -> {
+      call.lost = true;
+      node.openCalls.remove(call);
+      cancelledCalls++;
+    };
   }
 
   private static EndpointResponseHead head(EndpointRequest request) {
@@ -197,6 +221,26 @@
         List.of(new HeaderField("Seal", "of " + request.correlation())));
   }
 
+  /** A call that an endpoint runs; nothing arrives of one that is lost. */
+  private final class OpenCall {
+    private final EndpointListener listener;
+    private boolean lost;
+
+    private OpenCall(EndpointListener listener) {
+      this.listener = listener;
+    }
+
+    private void after(long ms, Runnable event) {
+      events.after(
+          ms,
+          () -> {
+            if (!lost) {
+              event.run();
+            }
+          });
+    }
+  }
+
   /** A caller's request and what came of it. */
   static final class Sent implements CallerSink {
     final long sentMs;
@@ -262,6 +306,8 @@
     private final SlotQueue queue;
     private final RequestEngine engine;
 
+    private final Set<OpenCall> openCalls = new LinkedHashSet<>();
+
     private Node(int index) {
       name = "n" + index;
       self =
@@ -334,6 +380,19 @@
       reach.onEndpoints(endpoints);
     }
 
+    void setCut(Cut next) {
+      cut = next;
+      if (next != Cut.RESET && next != Cut.DEAF) {
+        return;
+      }
+      List<OpenCall> lost = List.copyOf(openCalls);
+      openCalls.clear();
+      lost.forEach(call -> call.lost = true);
+      if (next == Cut.RESET) {
+        lost.forEach(call -> call.listener.onFailure(CallFailure.BROKEN, "reset"));
+      }
+    }
+
     private List<NodeRecord> reachingPeers() {
       return nodes.stream()
           .filter(n -> n != this && !unreachable.contains(n.name))
@@ -381,7 +440,7 @@
                   true,
                   "",
                   "",
-                  clock.nowMs() + DEADLINE_MS,
+                  clock.nowMs() + deadlineMs(path),
                   0,
                   0,
                   0,
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
@@ -10,6 +10,7 @@
 import org.currantslip.core.relay.RelayFleet.Node;
 import org.currantslip.core.relay.RelayFleet.Sent;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests a fleet of which a failure domain loses its path to endpoints. */
@@ -67,4 +68,45 @@
         .isEqualTo(0);
     assertThat(fleet.nodes.stream().mapToInt(n -> n.server.openCount()).sum()).isEqualTo(0);
   }
+
+  /** Most of a small fleet, and most of each failure domain of a larger one, cut off twice. */
+  @ParameterizedTest
+  @CsvSource({
+    "6, 4, REFUSED", "6, 4, HANGING", "6, 4, SILENT", "6, 4, RESET", "6, 4, DEAF",
+    "24, 18, REFUSED", "24, 18, HANGING", "24, 18, SILENT", "24, 18, RESET", "24, 18, DEAF"
+  })
+  void servesCallersWhileMostNodesAreCutOff(int nodeCount, int cutCount, RelayFleet.Cut cut) {
+    RelayFleet most = new RelayFleet(nodeCount, ImmutableSet.of());
+    List<Node> cutOff = most.nodes.subList(0, cutCount);
+    traffic(most, 2_000);
+    for (int round = 0; round < 2; round++) {
+      cutOff.forEach(n -> n.setCut(cut));
+      traffic(most, CONTACT_MS);
+      final long fromMs = most.clock.nowMs();
+      traffic(most, 12_000 - CONTACT_MS);
+      final long toMs = most.clock.nowMs();
+      cutOff.forEach(n -> n.setCut(RelayFleet.Cut.NONE));
+      traffic(most, 9_000);
+      List<Sent> tries =
+          firstTries(cutOff, fromMs, toMs).stream().filter(s -> s.end != null).toList();
+      long failed = tries.stream().filter(s -> !s.isServed()).count();
+      assertThat(tries.size()).isGreaterThan(150);
+      assertThat(failed).isAtMost(10 + tries.size() / 50);
+    }
+  }
+
+  /** Sends each node about six requests a second, one in ten of them a stream of 20 s. */
+  private void traffic(RelayFleet target, long ms) {
+    int count = target.nodes.size();
+    for (long i = 0; i < ms; i++) {
+      if (random.nextInt(1_000) < 6 * count) {
+        boolean isLong = random.nextInt(10) == 0;
+        target
+            .nodes
+            .get(random.nextInt(count))
+            .send(isLong ? RelayFleet.LONG_STREAM : PATHS.get(random.nextInt(PATHS.size())));
+      }
+      target.run(1);
+    }
+  }
 }
