Fault: a broken stream goes on with the body of another kind of response

After a stream broke, a further endpoint that answered 200 with another content type, 204 or 206 was taken for its continuation: its events were joined to the stream, or an empty body ended it as complete. Answers of 4xx and 5xx were not. Change: a stream goes on only with a response of the same status and media type; relayed heads carry the endpoint's content type. Open: an empty text/event-stream that declares its length still ends a resumed stream, since the run before may have sent all events.

--- a/core/src/main/java/org/currantslip/core/relay/RelayCodec.java
+++ b/core/src/main/java/org/currantslip/core/relay/RelayCodec.java
@@ -97,7 +97,10 @@
             .setConfigVersion(head.configVersion());
     EndpointResponseHead endpoint = head.endpointHead();
     if (endpoint != null) {
-      message.setFromEndpoint(true).addAllField(fields(endpoint.fields()));
+      message
+          .setFromEndpoint(true)
+          .setContentType(endpoint.contentType())
+          .addAllField(fields(endpoint.fields()));
     }
     return message;
   }
--- a/core/src/main/java/org/currantslip/core/request/CallerResponse.java
+++ b/core/src/main/java/org/currantslip/core/request/CallerResponse.java
@@ -1,5 +1,7 @@
 package org.currantslip.core.request;
 
+import com.google.common.base.Ascii;
+import com.google.common.base.Splitter;
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.TreeSet;
@@ -10,6 +12,9 @@
 
 /** Builds the response to one request and tracks what has already been sent to the caller. */
 final class CallerResponse {
+  /** Separates the media type from its parameters. */
+  private static final Splitter MEDIA_TYPE = Splitter.on(';').trimResults();
+
   private static final String JSON = "application/json";
   private static final String EVENT_STREAM = "text/event-stream";
 
@@ -112,6 +117,21 @@
     endpointResponseHead = head;
   }
 
+  /**
+   * Returns whether a stream that has begun can go on with the body of another response, which must
+   * have the same status and media type.
+   */
+  boolean isContinuedBy(EndpointResponseHead next) {
+    EndpointResponseHead first = endpointResponseHead;
+    return first == null
+        || (first.status() == next.status()
+            && Ascii.equalsIgnoreCase(mediaType(first), mediaType(next)));
+  }
+
+  private static String mediaType(EndpointResponseHead head) {
+    return MEDIA_TYPE.split(head.contentType()).iterator().next();
+  }
+
   /** Sends one event and starts the stream on the first call. */
   void sendEvent(ByteString data) {
     if (finished) {
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -446,10 +446,12 @@
   @Override
   public boolean isFault(Attempt a, EndpointResponseHead head) {
     reportLoad(a, head);
+    if (response.isStarted() && !response.isContinuedBy(head)) {
+      return true;
+    }
     if (!head.isSuccess()) {
-      return response.isStarted()
-          || (HttpStatus.isEndpointFault(head.status())
-              && isSuccessorPaid(sizes().size(), history.triedEndpoints(), false));
+      return HttpStatus.isEndpointFault(head.status())
+          && isSuccessorPaid(sizes().size(), history.triedEndpoints(), false);
     }
     if (!head.authentic()) {
       return true;
--- a/core/src/main/java/org/currantslip/core/request/RelayStage.java
+++ b/core/src/main/java/org/currantslip/core/request/RelayStage.java
@@ -163,8 +163,15 @@
   }
 
   private void acceptHead(RequestRelay.Head next) {
-    head = next;
     history.onAnswering();
+    EndpointResponseHead endpointHead = next.endpointHead();
+    if (response.isStarted() && !(next.stream() && response.isContinuedBy(endpointHead))) {
+      cancel();
+      String detail = "status %d instead of a resumed stream".formatted(endpointHead.status());
+      owner.refuse(RefusalException.of(ResultCode.ENDPOINT_FAILED, Ran.YES, 0, detail));
+      return;
+    }
+    head = next;
     response.setModelVersion(next.model(), next.version(), false, "");
   }
 
@@ -202,13 +209,6 @@
       handleLoss(true, "response without a head");
     } else if (current.stream()) {
       owner.passEnd();
-    } else if (response.isStarted()) {
-      owner.refuse(
-          RefusalException.of(
-              ResultCode.ENDPOINT_FAILED,
-              Ran.YES,
-              0,
-              "status " + current.endpointHead().status() + " instead of a resumed stream"));
     } else {
       owner.passBody(current.endpointHead(), body);
     }
--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -55,6 +55,22 @@
     assertThat(fleet.runs).hasSize(1);
   }
 
+  /** Guards against the body of another kind of response in the middle of a relayed stream. */
+  @Test
+  void relayedStreamIsNotContinuedByAnotherKindOfResponse() {
+    Node cut = fleet.cutOff(0);
+    Sent request = cut.send(RelayFleet.STREAM);
+    fleet.run(110);
+    fleet.contentType = "text/html";
+    loseHelper(cut);
+    fleet.run(5);
+    final String begun = request.text.toString();
+    fleet.run(1_000);
+    assertThat(begun).isNotEmpty();
+    assertThat(request.text.toString()).isEqualTo(begun);
+    assertThat(request.end().code()).isNotEqualTo(ResultCode.OK);
+  }
+
   /** Guards against a request that may be repeated but fails with its helper. */
   @Test
   void otherHelperTakesOver() {
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -65,6 +65,7 @@
   static final String STREAM = "/stream/";
   static final String LONG_STREAM = "/long/";
   static final int EVENTS = 10;
+  static final long ATTEMPTS = 3;
   static final int LONG_EVENTS = 200;
 
   /** Home region of endpoints, in which there is no node. */
@@ -105,6 +106,7 @@
   int cancelledCalls;
   RelayOptions options = RelayOptions.ofCores(1);
   String eventText = "x";
+  String contentType = "text/event-stream";
   private final RouteHolder routes = RouteHolder.create();
   private final Set<String> unreachable = new HashSet<>();
   private final Random random = new Random(7);
@@ -131,7 +133,7 @@
         path,
         kind,
         List.of(new WeightedService("s", 1)),
-        kind == RouteKind.UNSAFE ? 1 : 3,
+        kind == RouteKind.UNSAFE ? 1 : (int) ATTEMPTS,
         deadlineMs(path),
         1_000,
         600,
@@ -155,6 +157,11 @@
     }
   }
 
+  /** Breaks the calls that endpoints run for any node. */
+  void breakOpenCalls() {
+    nodes.forEach(Node::breakOpenCalls);
+  }
+
   /** Cuts a node off and sends it requests until it knows. */
   Node cutOff(int index) {
     Node node = nodes.get(index);
@@ -207,10 +214,10 @@
     };
   }
 
-  private static EndpointResponseHead head(EndpointRequest request) {
+  private EndpointResponseHead head(EndpointRequest request) {
     return new EndpointResponseHead(
         200,
-        "text/plain",
+        contentType,
         request.correlation(),
         false,
         true,
@@ -385,12 +392,17 @@
       if (next != Cut.RESET && next != Cut.DEAF) {
         return;
       }
-      List<OpenCall> lost = List.copyOf(openCalls);
-      openCalls.clear();
-      lost.forEach(call -> call.lost = true);
       if (next == Cut.RESET) {
-        lost.forEach(call -> call.listener.onFailure(CallFailure.BROKEN, "reset"));
+        breakOpenCalls();
       }
+      openCalls.forEach(call -> call.lost = true);
+    }
+
+    private void breakOpenCalls() {
+      List<OpenCall> broken = List.copyOf(openCalls);
+      openCalls.clear();
+      broken.forEach(call -> call.lost = true);
+      broken.forEach(call -> call.listener.onFailure(CallFailure.BROKEN, "reset"));
     }
 
     private List<NodeRecord> reachingPeers() {
--- a/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
+++ b/core/src/test/java/org/currantslip/core/request/ForwardedFlowTest.java
@@ -642,6 +642,54 @@
     assertThat(sink.end().code()).isNotEqualTo(ResultCode.OK);
   }
 
+  /** Guards against the text of an error, or the end of another body, in the middle of a stream. */
+  @ParameterizedTest
+  @CsvSource({
+    "400, text/plain, 'error'",
+    "404, text/plain, ''",
+    "429, text/plain, 'error'",
+    "500, text/plain, 'error\n\n'",
+    "503, text/html, 'id: 4\ndata: error\n\n'",
+    "200, text/html, '<html>\n\n'",
+    "200, text/html, 'id: 4\ndata: x\n\n'",
+    "200, text/html, ''",
+    "200, '', ''",
+    "204, text/plain, ''",
+    "206, text/plain, 'id: 4\ndata: x\n\n'"
+  })
+  void brokenStreamIsNotContinuedByAnotherKindOfResponse(
+      int status, String contentType, String body) {
+    send("stream");
+    head(call(0), 200, false);
+    event(call(0), 3);
+    call(0).listener().onFailure(CallFailure.TRUNCATED, "");
+    for (int i = 1; i < calls.calls.size(); i++) {
+      call(i).listener().onHead(headOfType(status, contentType));
+      if (!body.isEmpty()) {
+        call(i).data(body);
+      }
+      call(i).listener().onEnd(EndpointUsage.none());
+    }
+    assertThat(calls.calls.size()).isAtLeast(2);
+    assertThat(sink.headCount()).isEqualTo(1);
+    assertThat(sink.text()).isEqualTo("id: 3\ndata: x\n\n");
+    assertThat(sink.end().code()).isNotEqualTo(ResultCode.OK);
+  }
+
+  private static EndpointResponseHead headOfType(int status, String contentType) {
+    return new EndpointResponseHead(
+        status,
+        contentType,
+        "id",
+        false,
+        true,
+        OptionalDouble.empty(),
+        BodyFraming.LENGTH,
+        EndpointNotice.none(),
+        null,
+        List.of());
+  }
+
   @Test
   void brokenNonResumableStreamEndsTheResponse() {
     send("once");
