--- a/core/src/main/java/org/currantslip/core/relay/RelayCodec.java
+++ b/core/src/main/java/org/currantslip/core/relay/RelayCodec.java
@@ -46,7 +46,8 @@
         .setSession(request.session())
         .setPromptTokens(request.promptTokens())
         .setMaxTokens(request.maxTokens())
-        .setModel(request.model());
+        .setModel(request.model())
+        .setEarlierRuns(terms.earlierRuns());
   }
 
   static RouterRequest request(RelayRequest message, String fromNode, long nowMs) {
@@ -79,7 +80,8 @@
                 .toList(),
             message.getLastEventId(),
             nowMs - message.getAgeMs(),
-            fromNode));
+            fromNode,
+            message.getEarlierRuns()));
   }
 
   static RelayHead.Builder head(ResponseHead head) {
--- a/core/src/main/java/org/currantslip/core/request/AttemptHistory.java
+++ b/core/src/main/java/org/currantslip/core/request/AttemptHistory.java
@@ -17,10 +17,13 @@
   private Ran ran = Ran.NO;
   private boolean relayed;
 
-  private AttemptHistory() {}
+  private AttemptHistory(int runCount) {
+    this.runCount = runCount;
+  }
 
-  static AttemptHistory create() {
-    return new AttemptHistory();
+  /** Returns the history of a request that so many endpoints may have run for another node. */
+  static AttemptHistory after(int earlierRuns) {
+    return new AttemptHistory(earlierRuns);
   }
 
   void onSent(String endpointId) {
@@ -87,6 +90,10 @@
     return sendCount;
   }
 
+  int runCount() {
+    return runCount;
+  }
+
   Ran ran() {
     return ran == Ran.NO && relayed ? Ran.UNKNOWN : ran;
   }
--- a/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedFlow.java
@@ -52,7 +52,7 @@
   private final CallerResponse response;
   private final long arrivedMs;
   private final long beganMs;
-  private final AttemptHistory history = AttemptHistory.create();
+  private final AttemptHistory history;
   private final ForwardedTrace trace;
   private final RelayStage relay;
 
@@ -105,6 +105,7 @@
     promptGuard = PromptGuard.withoutPrompt(ports, request.requestId());
     trace = ForwardedTrace.create(ports.trace(), request.requestId());
     position = StreamPosition.after(forwarded.lastEventId());
+    history = AttemptHistory.after(forwarded.earlierRuns());
     relay = RelayStage.create(ports, request, response, history, this);
   }
 
--- a/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
+++ b/core/src/main/java/org/currantslip/core/request/ForwardedRequest.java
@@ -14,6 +14,7 @@
  *     empty
  * @param arrivedMs time at which the first byte of the request was read; timeouts count from it
  * @param relayedBy name of the node that relayed the request to this one, or empty
+ * @param earlierRuns endpoints that may have run the request for that node
  */
 public record ForwardedRequest(
     String host,
@@ -22,7 +23,8 @@
     List<PromptPart> prompt,
     String lastEventId,
     long arrivedMs,
-    String relayedBy) {
+    String relayedBy,
+    int earlierRuns) {
   /** Creates the fields of a request that a caller sent to this node. */
   public ForwardedRequest(
       String host,
@@ -31,6 +33,6 @@
       List<PromptPart> prompt,
       String lastEventId,
       long arrivedMs) {
-    this(host, apiKey, fields, prompt, lastEventId, arrivedMs, "");
+    this(host, apiKey, fields, prompt, lastEventId, arrivedMs, "", 0);
   }
 }
--- a/core/src/main/java/org/currantslip/core/request/RelayStage.java
+++ b/core/src/main/java/org/currantslip/core/request/RelayStage.java
@@ -145,6 +145,7 @@
             (routeHomes.isEmpty() || routeHomes.contains(region))
                 && (accountHomes.isEmpty() || accountHomes.contains(region)),
         asked,
+        history.runCount(),
         response::backlogBytes);
   }
 
--- a/core/src/main/java/org/currantslip/core/request/RequestRelay.java
+++ b/core/src/main/java/org/currantslip/core/request/RequestRelay.java
@@ -17,6 +17,7 @@
    * @param lastEventId id of the last event that the caller has, or empty
    * @param allowedRegion returns whether the request may be passed to nodes of a region
    * @param excluded names of peers that are not to be asked
+   * @param earlierRuns endpoints that may have run the request before
    * @param backlogBytes returns how many bytes of the response the caller has not read yet
    */
   record Terms(
@@ -24,6 +25,7 @@
       String lastEventId,
       Predicate<String> allowedRegion,
       Set<String> excluded,
+      int earlierRuns,
       LongSupplier backlogBytes) {}
 
   /**
--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -4,6 +4,9 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.currantslip.core.common.Ran;
 import org.currantslip.core.common.ResultCode;
 import org.currantslip.core.relay.RelayFleet.Node;
@@ -55,6 +58,27 @@
     assertThat(fleet.runs).hasSize(1);
   }
 
+  /** Guards against requests that run on more endpoints than their route allows, on two nodes. */
+  @Test
+  void helperCountsTheRunsBeforeTheRelay() {
+    Node node = fleet.nodes.get(0);
+    List<Node> failing = fleet.nodes.subList(0, 5);
+    IntStream.range(0, 4).forEach(i -> node.send(RelayFleet.SAFE));
+    fleet.run(20);
+    failing.forEach(Node::breakOpenCalls);
+    fleet.run(20);
+    node.setCut(RelayFleet.Cut.HANGING);
+    for (int i = 0; i < 200; i++) {
+      failing.forEach(Node::breakOpenCalls);
+      fleet.nodes.get(5).send(RelayFleet.SAFE);
+      fleet.run(10);
+    }
+    assertThat(fleet.network.frameCount()).isGreaterThan(0L);
+    fleet.runs.stream()
+        .collect(Collectors.groupingBy(id -> id, Collectors.counting()))
+        .forEach((id, runs) -> assertThat(runs).isAtMost(RelayFleet.ATTEMPTS));
+  }
+
   /** Guards against the body of another kind of response in the middle of a relayed stream. */
   @Test
   void relayedStreamIsNotContinuedByAnotherKindOfResponse() {
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -157,11 +157,6 @@
     }
   }
 
-  /** Breaks the calls that endpoints run for any node. */
-  void breakOpenCalls() {
-    nodes.forEach(Node::breakOpenCalls);
-  }
-
   /** Cuts a node off and sends it requests until it knows. */
   Node cutOff(int index) {
     Node node = nodes.get(index);
@@ -398,7 +393,8 @@
       openCalls.forEach(call -> call.lost = true);
     }
 
-    private void breakOpenCalls() {
+    /** Breaks the calls that endpoints run for this node. */
+    void breakOpenCalls() {
       List<OpenCall> broken = List.copyOf(openCalls);
       openCalls.clear();
       broken.forEach(call -> call.lost = true);
