--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -17,6 +17,8 @@
 import org.currantslip.core.fake.FakeEvents;
 import org.currantslip.core.fake.FakeMembership;
 import org.currantslip.core.fake.FakePeerNetwork;
+import org.currantslip.schema.MirrorObject;
+import org.currantslip.schema.MirrorObjects;
 import org.currantslip.schema.NodeRecord;
 import org.currantslip.schema.PeerFrame;
 import org.junit.jupiter.api.Test;
@@ -196,9 +198,19 @@
     store.put("a");
     start(count);
     network.setLinkBytesPerMs(SLOW_LINK_BYTES_PER_MS);
-    store.put("large", configuration(LARGE_CONFIGURATION_ROUTES));
+    ByteString configuration = configuration(LARGE_CONFIGURATION_ROUTES);
+    final long bytesBefore = network.byteCount();
+    store.put("large", configuration);
     advanceWithHeartbeats(LARGE_IN_FORCE_MS);
     assertPresence("large", true);
+    // One copy a node, and as much again for all other frames.
+    assertThat(network.byteCount() - bytesBefore)
+        .isLessThan(2L * count * packedBytes(configuration));
+  }
+
+  private static int packedBytes(ByteString spec) {
+    MirrorObject object = MirrorObject.newBuilder().setSpec(spec).build();
+    return PackedCopy.pack(MirrorObjects.newBuilder().addObject(object).build()).packed().size();
   }
 
   private static ByteString configuration(int routes) {
