A part of a copy may not exceed the length that its reference names

A peer whose parts are longer than announced could make the receiver keep more than the 2 MB that a copy may have. Found by reading; the check of the digest refused such a copy only after it had been received.

--- a/core/src/main/java/org/currantslip/core/mirror/CopyFetcher.java
+++ b/core/src/main/java/org/currantslip/core/mirror/CopyFetcher.java
@@ -109,6 +109,7 @@
     return CompletableFuture.failedFuture(PeerException.of(reason));
   }
 
+  /** The fetch of one copy, which goes on while parts arrive from any source. */
   private final class Fetch {
     private final CopyReference reference;
     private final Deque<String> sources = new ArrayDeque<>();
@@ -201,11 +202,14 @@
 
     /** Returns whether the part is the next one; another source may have sent it before. */
     private boolean append(CopyPart part) {
-      if (part.getData().isEmpty() || part.getOffset() != received.size()) {
-        return false;
+      boolean isNext =
+          !part.getData().isEmpty()
+              && part.getOffset() == received.size()
+              && received.size() + part.getData().size() <= reference.getPackedBytes();
+      if (isNext) {
+        received = received.concat(part.getData());
       }
-      received = received.concat(part.getData());
-      return true;
+      return isNext;
     }
 
     private void complete() {
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorCopies.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorCopies.java
@@ -71,12 +71,12 @@
   }
 
   /** Returns the message with its objects, which are fetched if it refers to a packed copy. */
-  CompletableFuture<MirrorChanges> unpack(String sender, MirrorChanges changes) {
+  CompletableFuture<MirrorChanges> unpack(String peer, MirrorChanges changes) {
     if (!changes.hasPacked()) {
       return CompletableFuture.completedFuture(changes);
     }
     return fetcher
-        .fetch(changes.getPacked(), sender)
+        .fetch(changes.getPacked(), peer)
         .thenApply(
             objects ->
                 changes.toBuilder()
@@ -87,12 +87,12 @@
   }
 
   /** Returns the message with its objects, which are fetched if it refers to a packed copy. */
-  CompletableFuture<MirrorSnapshot> unpack(String sender, MirrorSnapshot snapshot) {
+  CompletableFuture<MirrorSnapshot> unpack(String peer, MirrorSnapshot snapshot) {
     if (!snapshot.hasPacked()) {
       return CompletableFuture.completedFuture(snapshot);
     }
     return fetcher
-        .fetch(snapshot.getPacked(), sender)
+        .fetch(snapshot.getPacked(), peer)
         .thenApply(
             objects ->
                 snapshot.toBuilder().clearPacked().addAllObject(objects.getObjectList()).build());
