--- a/core/src/test/java/org/currantslip/core/mirror/CopyTransferTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/CopyTransferTest.java
@@ -71,7 +71,7 @@
   void copyGoesOnAtAnotherNodeWhereItsSourceFellSilent() {
     MirrorChanges packed = node("a").pack(changes);
     node("b").pack(changes);
-    CompletableFuture<MirrorChanges> copy = node("c").unpack("a", packed);
+    final CompletableFuture<MirrorChanges> copy = node("c").unpack("a", packed);
     events.advance(7);
     silent.add("a");
     final int partsOfFirst = offsets.size();
@@ -85,7 +85,7 @@
   @Test
   void copyThatNoSourceSendsFailsAndGoesOnLater() {
     MirrorChanges packed = node("a").pack(changes);
-    CompletableFuture<MirrorChanges> copy = node("c").unpack("a", packed);
+    final CompletableFuture<MirrorChanges> copy = node("c").unpack("a", packed);
     events.advance(7);
     silent.add("a");
     advance(6_000);
--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -83,7 +83,7 @@
   @Test
   void relayedStreamIsNotContinuedByAnotherKindOfResponse() {
     Node cut = fleet.cutOff(0);
-    Sent request = cut.send(RelayFleet.STREAM);
+    final Sent request = cut.send(RelayFleet.STREAM);
     fleet.run(110);
     fleet.contentType = "text/html";
     loseHelper(cut);
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleetTest.java
@@ -78,15 +78,15 @@
   void servesCallersWhileMostNodesAreCutOff(int nodeCount, int cutCount, RelayFleet.Cut cut) {
     RelayFleet most = new RelayFleet(nodeCount, ImmutableSet.of());
     List<Node> cutOff = most.nodes.subList(0, cutCount);
-    traffic(most, 2_000);
+    trafficWithLongStreams(most, 2_000);
     for (int round = 0; round < 2; round++) {
       cutOff.forEach(n -> n.setCut(cut));
-      traffic(most, CONTACT_MS);
+      trafficWithLongStreams(most, CONTACT_MS);
       final long fromMs = most.clock.nowMs();
-      traffic(most, 12_000 - CONTACT_MS);
+      trafficWithLongStreams(most, 12_000 - CONTACT_MS);
       final long toMs = most.clock.nowMs();
       cutOff.forEach(n -> n.setCut(RelayFleet.Cut.NONE));
-      traffic(most, 9_000);
+      trafficWithLongStreams(most, 9_000);
       List<Sent> tries =
           firstTries(cutOff, fromMs, toMs).stream().filter(s -> s.end != null).toList();
       long failed = tries.stream().filter(s -> !s.isServed()).count();
@@ -96,7 +96,7 @@
   }
 
   /** Sends each node about six requests a second, one in ten of them a stream of 20 s. */
-  private void traffic(RelayFleet target, long ms) {
+  private void trafficWithLongStreams(RelayFleet target, long ms) {
     int count = target.nodes.size();
     for (long i = 0; i < ms; i++) {
       if (random.nextInt(1_000) < 6 * count) {
