Fault: a node stays cut off though the calls that it took for lost are answered

Slow first answers at several endpoints beside an open stream look like a lost path since new calls are judged by themselves. The node then handed its requests to peers until its next trial, although the answers proved that the path is there. Change: the first answer of a call that was judged silent begins the return, with one request that may be repeated. EndpointReachTest.lateAnswerOfSilentCallEndsTheLoss failed before (CUT), holds now; RelayFleetTest and RelayFailureTest hold.

--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -280,6 +280,7 @@
       lastHeardMs = nowMs;
       newestAnsweredMs = Math.max(newestAnsweredMs, startedMs);
       callHeardMs = nowMs;
+      final boolean wasLate = silent && !answered;
       silent = false;
       serviceTime.set(nowMs);
       if (!evidence.isEmpty()) {
@@ -287,6 +288,9 @@
       }
       if (!answered && isNew()) {
         onNewAnswer(nowMs);
+      } else if (wasLate && isCut()) {
+        // The loss may have been inferred from calls that only took longer than expected.
+        startReturn(nowMs);
       }
       answered = true;
       tracker.onHeard();
