--- a/core/src/main/java/org/currantslip/core/mirror/StoreProbe.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreProbe.java
@@ -79,7 +79,7 @@
     }
   }
 
-  /** Returns whether the store has sent anything since the last look. */
+  /** Returns whether any part of a response has arrived since the previous check. */
   private boolean hasReceived() {
     long before = receivedParts;
     receivedParts = store.receivedParts();
--- a/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
+++ b/core/src/main/java/org/currantslip/core/reach/EndpointReach.java
@@ -55,10 +55,6 @@
   private int endpointCount;
   private int domainCount;
   private long lastHeardMs = Long.MIN_VALUE / 2;
-
-  /** Start of the newest call that was answered. */
-  private long newestAnsweredMs = Long.MIN_VALUE / 2;
-
   private long completeMs = Long.MAX_VALUE;
   private long nextAskMs;
   private long cutMs;
@@ -171,10 +167,9 @@
   /** Judges silent calls and asks peers; called every few milliseconds. */
   public void tick() {
     long nowMs = clock.nowMs();
-    boolean allSilent = nowMs - lastHeardMs >= SILENT_MS;
-    openCalls.stream()
-        .filter(c -> allSilent || c.isNewestUnanswered())
-        .forEach(c -> c.checkSilence(nowMs));
+    if (nowMs - lastHeardMs >= SILENT_MS) {
+      openCalls.forEach(c -> c.checkSilence(nowMs));
+    }
     switch (state) {
       case REACHING, SUSPECTED -> checkEvidence(nowMs);
       case CUT -> checkLapse(nowMs);
@@ -269,18 +264,11 @@
       return startedMs >= cutMs;
     }
 
-    /** Returns whether neither this call nor a later one was answered. */
-    private boolean isNewestUnanswered() {
-      return !answered && startedMs > newestAnsweredMs;
-    }
-
     @Override
     public void onHeard() {
       long nowMs = clock.nowMs();
       lastHeardMs = nowMs;
-      newestAnsweredMs = Math.max(newestAnsweredMs, startedMs);
       callHeardMs = nowMs;
-      final boolean wasLate = silent && !answered;
       silent = false;
       serviceTime.set(nowMs);
       if (!evidence.isEmpty()) {
@@ -288,9 +276,6 @@
       }
       if (!answered && isNew()) {
         onNewAnswer(nowMs);
-      } else if (wasLate && isCut()) {
-        // The loss may have been inferred from calls that only took longer than expected.
-        startReturn(nowMs);
       }
       answered = true;
       tracker.onHeard();
@@ -309,7 +294,7 @@
       double allowedMs = SILENT_MS + (answered ? 0 : MAX_RELATIVE_TIME * tracker.expectedHeadMs());
       if (!silent && nowMs - callHeardMs >= allowedMs) {
         silent = true;
-        onNoPath(answered ? PathEvidence.Kind.SILENT : PathEvidence.Kind.UNANSWERED);
+        onNoPath(PathEvidence.Kind.SILENT);
       }
     }
 
--- a/core/src/main/java/org/currantslip/core/reach/PathEvidence.java
+++ b/core/src/main/java/org/currantslip/core/reach/PathEvidence.java
@@ -14,9 +14,7 @@
     CONNECT,
     /** An open call broke. The other connections of a lost path break at the same time. */
     BROKEN,
-    /** A call got no answer. Calls that began earlier may live on while new ones do not arrive. */
-    UNANSWERED,
-    /** A call that was answered has fallen silent. */
+    /** A call is silent. */
     SILENT
   }
 
@@ -34,7 +32,7 @@
   private record Entry(EndpointRecord endpoint, Kind kind, long callStartedMs, long atMs) {
     boolean isRefutedBy(String heardEndpoint, long heardCallStartedMs, long nowMs) {
       return switch (kind) {
-        case CONNECT, UNANSWERED -> heardCallStartedMs >= callStartedMs;
+        case CONNECT -> heardCallStartedMs >= callStartedMs;
         case BROKEN -> !heardEndpoint.equals(endpoint.getId()) && nowMs > atMs + MERGE_MS;
         case SILENT -> true;
       };
