--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -2,14 +2,10 @@
 
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.MapDifference;
-import com.google.common.collect.Maps;
-import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
@@ -57,15 +53,9 @@
   private final Clock clock;
   private final MirrorOptions options;
   private final SplittableRandom random;
-  private final TreeMap<String, KindObject> objects = new TreeMap<>();
-  private final ChangeLog changeLog = ChangeLog.create();
+  private final MirrorContent content = MirrorContent.create();
   private Runnable changeListener = () -> {};
   private Consumer<Link> linkListener = link -> {};
-  private ToLongFunction<KindObject> contentVersionOf = object -> 0;
-  private @Nullable ImmutableMap<String, KindObject> cachedObjects;
-  private StorePosition position = StorePosition.NONE;
-  private StorePosition changedPosition = StorePosition.NONE;
-  private long contentVersion;
   private boolean listComplete;
 
   /** Whether the next list only has to prove that this copy lacks nothing. */
@@ -113,7 +103,7 @@
    * store. A copy with a lower version of an object is never taken, whatever its position.
    */
   public void setContentVersion(ToLongFunction<KindObject> function) {
-    contentVersionOf = function;
+    content.setContentVersion(function);
   }
 
   /** Returns the kind of the mirrored objects. */
@@ -123,37 +113,32 @@
 
   /** Returns the objects by name. */
   public ImmutableMap<String, KindObject> objects() {
-    ImmutableMap<String, KindObject> snapshot = cachedObjects;
-    if (snapshot == null) {
-      snapshot = ImmutableMap.copyOf(objects);
-      cachedObjects = snapshot;
-    }
-    return snapshot;
+    return content.objects();
   }
 
   /** Returns the store position up to which this copy is complete. */
   public StorePosition position() {
-    return position;
+    return content.position();
   }
 
   /** Returns the store position at which the content last changed. */
   public StorePosition changedPosition() {
-    return changedPosition;
+    return content.changedPosition();
   }
 
   /** Returns the highest version that the content itself carries; zero if it carries none. */
   public long contentVersion() {
-    return contentVersion;
+    return content.contentVersion();
   }
 
   /** Returns whether the objects are known, if there are any. */
   public boolean isKnown() {
-    return listComplete || !position.equals(StorePosition.NONE);
+    return listComplete || content.isPresent();
   }
 
   /** Returns whether the last call to the store succeeded. */
   public boolean isConnected() {
-    return consecutiveFailures == 0 && !position.equals(StorePosition.NONE);
+    return consecutiveFailures == 0 && content.isPresent();
   }
 
   /** Returns whether a watch waits for changes after this copy, as far as this node knows. */
@@ -187,7 +172,7 @@
     long thisCall = ++currentCall;
     if (listComplete) {
       kindStore
-          .watchKind(kind, position, options.watchMs())
+          .watchKind(kind, position(), options.watchMs())
           .whenComplete((changes, failure) -> onWatched(thisCall, changes, failure));
     } else {
       listFrom("", new ArrayList<>(), StorePosition.NONE, thisCall);
@@ -217,7 +202,7 @@
       onFailure(failure);
       return;
     }
-    if (page.position().era() < position.era()) {
+    if (page.position().era() < position().era()) {
       callInFlight = false;
       onFailure(staleEra(page.position()));
       return;
@@ -237,17 +222,17 @@
     listComplete = !verifying || !verifyFrom.isAfter(start);
     verifying = false;
     onSuccess();
-    if (position.equals(StorePosition.NONE)) {
+    if (!content.isPresent()) {
       nextCallMs = clock.nowMs() + options.settleMs();
     }
-    if (!position.isAfter(start)) {
+    if (!position().isAfter(start)) {
       replace(collected, start, start);
     }
   }
 
   private StoreException staleEra(StorePosition answered) {
     return StoreException.of(
-        StoreException.Kind.NOT_DONE, "answer of era " + answered.era() + " after " + position);
+        StoreException.Kind.NOT_DONE, "answer of era " + answered.era() + " after " + position());
   }
 
   private void onWatched(
@@ -261,12 +246,12 @@
       return;
     }
     StorePosition answered = changes.position();
-    if (answered.era() < position.era()) {
+    if (answered.era() < position().era()) {
       onFailure(staleEra(answered));
       return;
     }
     onSuccess();
-    if (answered.era() > position.era()) {
+    if (answered.era() > position().era()) {
       // The changes follow a revision that this era assigned to other changes.
       listComplete = false;
       return;
@@ -275,71 +260,25 @@
       // A watch may omit changes without an error; only a list proves that nothing changed.
       listComplete = changes.complete();
       verifying = !listComplete;
-      verifyFrom = Comparators.max(position, answered);
+      verifyFrom = Comparators.max(position(), answered);
       return;
     }
-    List<String> changed =
-        changes.changes().stream().filter(this::apply).map(c -> c.object().name()).toList();
-    position = Comparators.max(position, answered);
-    changeLog.add(position.revision(), changed);
-    if (!changed.isEmpty()) {
-      changedPosition = position;
+    if (content.apply(changes)) {
       nextCallMs = clock.nowMs() + options.settleMs();
-      notifyChange();
+      changeListener.run();
     }
   }
 
-  private boolean apply(KindChanges.Change change) {
-    KindObject object = change.object();
-    if (change.removed()) {
-      return objects.remove(object.name()) != null;
-    }
-    KindObject existing = objects.get(object.name());
-    if (existing != null && (existing.version() >= object.version() || isNewer(existing, object))) {
-      return false;
-    }
-    objects.put(object.name(), object);
-    return true;
-  }
-
-  private boolean isNewer(KindObject existing, KindObject other) {
-    return contentVersionOf.applyAsLong(existing) > contentVersionOf.applyAsLong(other);
-  }
-
   private void replace(List<KindObject> newObjects, StorePosition at, StorePosition changedAt) {
-    TreeMap<String, KindObject> replacement = new TreeMap<>();
-    newObjects.forEach(o -> replacement.put(o.name(), o));
-    objects.values().stream()
-        .filter(o -> contentVersionOf.applyAsLong(o) > 0)
-        .forEach(o -> replacement.merge(o.name(), o, (n, e) -> isNewer(e, n) ? e : n));
-    final boolean restored = at.era() > position.era() && !position.equals(StorePosition.NONE);
-    final boolean isFirst = position.equals(StorePosition.NONE);
-    MapDifference<String, KindObject> difference = Maps.difference(objects, replacement);
-    if (isFirst || restored) {
-      changeLog.startAt(at.revision());
-    } else {
-      changeLog.add(at.revision(), difference.entriesDiffering().keySet());
-      changeLog.add(at.revision(), difference.entriesOnlyOnLeft().keySet());
-      changeLog.add(at.revision(), difference.entriesOnlyOnRight().keySet());
-    }
-    objects.clear();
-    objects.putAll(replacement);
-    position = at;
-    if (restored) {
+    MirrorContent.Replacement replacement = content.replace(newObjects, at, changedAt);
+    if (replacement.restored()) {
       linkListener.accept(Link.RESTORED);
     }
-    if (isFirst || restored || !difference.areEqual()) {
-      changedPosition = changedAt;
-      notifyChange();
+    if (replacement.changed()) {
+      changeListener.run();
     }
   }
 
-  private void notifyChange() {
-    cachedObjects = null;
-    contentVersion = objects.values().stream().mapToLong(contentVersionOf).max().orElse(0);
-    changeListener.run();
-  }
-
   private void onSuccess() {
     nextCallMs = 0;
     if (consecutiveFailures == 0) {
@@ -388,36 +327,12 @@
 
   /** Returns the changes after a revision, for a peer; empty if the log no longer covers them. */
   public Optional<KindChanges> changesAfter(StorePosition after) {
-    if (after.era() != position.era()) {
-      return Optional.empty();
-    }
-    return changeLog
-        .namesAfter(after.revision())
-        .map(
-            names -> {
-              List<KindChanges.Change> changes = names.stream().map(this::latestChange).toList();
-              return new KindChanges(changes, position, true);
-            });
-  }
-
-  private KindChanges.Change latestChange(String name) {
-    KindObject existing = objects.get(name);
-    return existing != null
-        ? new KindChanges.Change(existing, false)
-        : new KindChanges.Change(
-            new KindObject(name, position.revision(), ByteString.EMPTY, ByteString.EMPTY), true);
+    return content.changesAfter(after);
   }
 
   /** Returns a snapshot of this copy, for a peer that is behind. */
   public MirrorSnapshot snapshot() {
-    MirrorSnapshot.Builder snapshot =
-        MirrorSnapshot.newBuilder()
-            .setKind(kind)
-            .setEra(position.era())
-            .setRevision(position.revision())
-            .setChangedRevision(changedPosition.revision());
-    objects.values().stream().map(MirrorCodec::objectToProto).forEach(snapshot::addObject);
-    return snapshot.build();
+    return content.snapshot(kind);
   }
 
   /** Replaces this copy by a peer's if that is newer; returns whether it was. */
@@ -425,8 +340,12 @@
     StorePosition at = new StorePosition(snapshot.getEra(), snapshot.getRevision());
     List<KindObject> newObjects =
         snapshot.getObjectList().stream().map(MirrorCodec::objectFromProto).toList();
-    if (!at.isAfter(position)) {
-      return putNewerContent(newObjects);
+    if (!at.isAfter(position())) {
+      boolean newer = content.putNewer(newObjects);
+      if (newer) {
+        changeListener.run();
+      }
+      return newer;
     }
     replace(newObjects, at, new StorePosition(at.era(), snapshot.getChangedRevision()));
     // The current watch did not report what the peer has; it may hang on a dead connection.
@@ -436,22 +355,6 @@
     return true;
   }
 
-  /** Takes the objects with a higher content version than this copy has. */
-  private boolean putNewerContent(List<KindObject> candidates) {
-    List<KindObject> newer =
-        candidates.stream()
-            .filter(o -> contentVersionOf.applyAsLong(o) > 0)
-            .filter(
-                o ->
-                    Optional.ofNullable(objects.get(o.name())).map(e -> isNewer(o, e)).orElse(true))
-            .toList();
-    newer.forEach(o -> objects.put(o.name(), o));
-    if (!newer.isEmpty()) {
-      notifyChange();
-    }
-    return !newer.isEmpty();
-  }
-
   /** Abandons the current call because the store does not answer this node. */
   public void onStoreSilent() {
     if (isConnected()) {
