--- a/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorGossip.java
@@ -113,13 +113,28 @@
     requestIfDue(mirror, behind);
   }
 
-  /** Requests the copies that this node's own watches did not deliver in time. */
-  public void tick() {
-    mirrors.values().forEach(m -> behind(m).ifPresent(b -> requestIfDue(m, b)));
+  /**
+   * Returns the time since a peer first reported a newer copy than this node had at the previous
+   * {@link #tick}; zero if none did.
+   */
+  public long behindMs(KindMirror mirror) {
+    Behind behind = behindByKind.get(mirror.kind());
+    return behind == null ? 0 : clock.nowMs() - behind.sinceMs();
   }
 
-  private Optional<Behind> behind(KindMirror mirror) {
-    return Optional.ofNullable(behindByKind.get(mirror.kind())).filter(b -> b.isAheadOf(mirror));
+  /** Requests the copies that this node's own watches did not deliver in time. */
+  public void tick() {
+    mirrors
+        .values()
+        .forEach(
+            mirror -> {
+              Behind behind = behindByKind.get(mirror.kind());
+              if (behind != null && behind.isAheadOf(mirror)) {
+                requestIfDue(mirror, behind);
+              } else {
+                behindByKind.remove(mirror.kind());
+              }
+            });
   }
 
   private void requestIfDue(KindMirror mirror, Behind behind) {
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -99,7 +99,8 @@
   private void answerCopy(PendingCopy request) {
     request
         .reply()
-        .accept(canAnswer(request.mirror()) ? fullCopy(request.mirror()) : notWatching());
+        .accept(
+            canAnswer(request.mirror()) ? fullCopy(request.mirror()) : notWatching(request.mirror()));
   }
 
   /** Returns whether watches of peers are waiting for an answer. */
@@ -129,7 +130,7 @@
 
   private void answer(PendingWatch pending) {
     if (!canAnswer(pending)) {
-      pending.reply().accept(notWatching());
+      pending.reply().accept(notWatching(pending.mirror()));
       return;
     }
     MirrorChanges historyGone =
@@ -154,8 +155,21 @@
     return isWatcher.getAsBoolean() && mirror.isConnected();
   }
 
-  private static MirrorChanges notWatching() {
-    return MirrorChanges.newBuilder().setOutcome(MirrorChanges.Outcome.NOT_WATCHING).build();
+  private MirrorChanges notWatching(KindMirror mirror) {
+    return MirrorChanges.newBuilder()
+        .setOutcome(MirrorChanges.Outcome.NOT_WATCHING)
+        .setReason(mirror.kind() + ": " + whyNotWatching(mirror))
+        .build();
+  }
+
+  private String whyNotWatching(KindMirror mirror) {
+    if (!isWatcher.getAsBoolean()) {
+      return "another node watches the store";
+    }
+    if (mirror.position().equals(StorePosition.NONE)) {
+      return "nothing read from the store yet";
+    }
+    return mirror.isConnected() ? "no copy of this era" : "store lost, " + mirror.lastFailure();
   }
 
   private static MirrorChanges fullCopy(KindMirror mirror) {
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -159,7 +159,7 @@
               MirrorChanges changes =
                   answered ? reply.getMirrorChanges() : MirrorChanges.getDefaultInstance();
               if (!answered || changes.getOutcome() == MirrorChanges.Outcome.NOT_WATCHING) {
-                watchers.avoid(watcher);
+                watchers.avoid(watcher, answered ? changes.getReason() : String.valueOf(failure));
                 throw StoreException.of(StoreException.Kind.SOURCE_GONE, watcher + " is no source");
               }
               if (changes.getOutcome() != MirrorChanges.Outcome.COMPLETE) {
--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.membership.Membership;
@@ -51,6 +52,7 @@
   private List<NodeRecord> lastLive = List.of();
   private List<Watcher> watchers = List.of();
   private Optional<String> followed = Optional.empty();
+  private BiConsumer<String, String> avoidListener = (watcher, reason) -> {};
 
   private StoreWatchers(Membership membership, Clock clock) {
     this.membership = membership;
@@ -90,9 +92,15 @@
         .map(Watcher::name);
   }
 
+  /** Sets the listener for watchers that are excluded for a while, and why. */
+  public void setAvoidListener(BiConsumer<String, String> listener) {
+    avoidListener = listener;
+  }
+
   /** Excludes for a while a watcher that did not answer or does not watch. */
-  public void avoid(String watcher) {
+  public void avoid(String watcher, String reason) {
     avoidedUntilMs.put(watcher, clock.nowMs() + AVOID_MS);
+    avoidListener.accept(watcher, reason);
   }
 
   /** Returns the watcher that this node follows, if it differs from that of the previous call. */
--- a/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
@@ -65,6 +65,11 @@
                 EventLog.write(LogEvent.COPY_MISSED, "node=%s reason=%s".formatted(node, failure)));
     membership.setMirrorRevisions(gossip::revisions, gossip::onRevisions);
     gossip.setCopyListener(membership::advanceHeartbeat);
+    watchers.setAvoidListener(
+        (watcher, reason) ->
+            EventLog.write(
+                LogEvent.WATCHER_AVOIDED, "watcher=%s reason=%s".formatted(watcher, reason)));
+    mirrors.setConfigBehind(() -> gossip.behindMs(mirrors.config()));
     mirrors.onNewConfig(membership::advanceHeartbeat);
     mirrors.onStoreRestored(membership::onStoreRestored);
   }
--- a/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/StoreMirrors.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.currantslip.core.common.Clock;
 import org.currantslip.core.common.LogEvent;
@@ -58,6 +59,7 @@
   private Runnable ordersReader = () -> {};
   private Runnable restoreListener = () -> {};
   private Runnable configListener = () -> {};
+  private LongSupplier configBehindMs = () -> 0;
   private long ordersLackUntilMs;
 
   private StoreMirrors(
@@ -129,6 +131,11 @@
     return config;
   }
 
+  /** Sets the source of the time for which this node has known of a newer configuration. */
+  void setConfigBehind(LongSupplier behindMs) {
+    configBehindMs = behindMs;
+  }
+
   /** Sets the listener that runs when a new configuration is in force. */
   void onNewConfig(Runnable listener) {
     configListener = listener;
@@ -205,12 +212,18 @@
         .ifPresent(
             object -> {
               try {
+                final long startMs = clock.nowMs();
                 RouteTable table = RouteTableReader.read(object.spec());
                 if (routes.replaceIfNewer(table)) {
                   EventLog.write(
                       LogEvent.CONFIG_IN_FORCE,
-                      "version=%d routes=%d revision=%d"
-                          .formatted(table.version(), table.size(), object.version()));
+                      "version=%d routes=%d revision=%d read_ms=%d behind_ms=%d"
+                          .formatted(
+                              table.version(),
+                              table.size(),
+                              object.version(),
+                              clock.nowMs() - startMs,
+                              configBehindMs.getAsLong()));
                   configListener.run();
                 }
               } catch (UnreadableEntryException e) {
