--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -58,7 +58,8 @@
 
   /**
    * Handles a peer's watch; replies at once, on the next change or when the wait ends. A watch
-   * replaces the follower's earlier one of the same kind.
+   * replaces the follower's earlier one of the same kind, which is answered without changes: a
+   * follower takes a watch that is not answered for one of a watcher that has failed.
    */
   public void onWatch(String follower, MirrorWatch watch, Consumer<MirrorChanges> receiver) {
     Consumer<MirrorChanges> reply =
@@ -73,7 +74,7 @@
               long untilMs = clock.nowMs() + watch.getWaitMs();
               StorePosition after = new StorePosition(watch.getEra(), watch.getAfterRevision());
               PendingWatch pending = new PendingWatch(follower, mirror, after, untilMs, reply);
-              pendingWatches.removeIf(w -> w.mirror() == mirror && w.follower().equals(follower));
+              endReplaced(pending);
               if (isDue(pending)) {
                 answer(pending);
               } else {
@@ -82,6 +83,23 @@
             });
   }
 
+  private void endReplaced(PendingWatch replacement) {
+    List<PendingWatch> replaced =
+        pendingWatches.stream()
+            .filter(w -> w.mirror() == replacement.mirror())
+            .filter(w -> w.follower().equals(replacement.follower()))
+            .toList();
+    pendingWatches.removeAll(replaced);
+    replaced.forEach(
+        w ->
+            w.reply()
+                .accept(
+                    MirrorChanges.newBuilder()
+                        .setEra(w.after().era())
+                        .setRevision(w.after().revision())
+                        .build()));
+  }
+
   private void onCopyRequest(PendingCopy request) {
     if (isCopyDue(request)) {
       answerCopy(request);
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -1,6 +1,8 @@
 package org.currantslip.core.mirror;
 
 import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -33,6 +35,11 @@
   private final StoreWatchers watchers;
   private final StoreGate gate;
 
+  /** Number of the latest call of each kind; the caller has given up earlier ones. */
+  private final Map<String, Long> latestCall = new HashMap<>();
+
+  private long calls;
+
   private RelayedFeed(
       KindStore store,
       PeerNetwork peers,
@@ -140,7 +147,7 @@
     return store.putStatus(kind, name, status, expectedVersion);
   }
 
-  /** Asks a watcher; one that gives no answer is avoided by the next calls. */
+  /** Asks a watcher; one that gives no answer while it is awaited is avoided by the next calls. */
   private CompletableFuture<MirrorChanges> askWatcher(
       String watcher, String kind, StorePosition after, long waitMs) {
     MirrorWatch.Builder watch =
@@ -151,6 +158,8 @@
             .setWaitMs((int) waitMs)
             .setAcceptsPacked(true);
     PeerFrame frame = PeerFrame.newBuilder().setMirrorWatch(watch).build();
+    long thisCall = ++calls;
+    latestCall.put(kind, thisCall);
     return peers
         .request(watcher, frame, waitMs + REPLY_MARGIN_MS)
         .handle(
@@ -159,7 +168,10 @@
               MirrorChanges changes =
                   answered ? reply.getMirrorChanges() : MirrorChanges.getDefaultInstance();
               if (!answered || changes.getOutcome() == MirrorChanges.Outcome.NOT_WATCHING) {
-                watchers.avoid(watcher, answered ? changes.getReason() : String.valueOf(failure));
+                // Nodes of earlier builds do not answer a watch that another one has replaced.
+                if (answered || latestCall.get(kind) == thisCall) {
+                  watchers.avoid(watcher, answered ? changes.getReason() : String.valueOf(failure));
+                }
                 throw StoreException.of(StoreException.Kind.SOURCE_GONE, watcher + " is no source");
               }
               if (changes.getOutcome() != MirrorChanges.Outcome.COMPLETE) {
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -303,6 +303,21 @@
     assertThat(pair.get(1).mirror.objects()).containsKey("b");
   }
 
+  /**
+   * Watches that their own followers had replaced were taken for those of a watcher that does not
+   * answer, so that all followers changed between watchers all day.
+   */
+  @Test
+  void replacedWatchesDoNotTurnFollowersAway() {
+    store.put("a");
+    start(40);
+    List<String> avoided = new ArrayList<>();
+    nodes.values().forEach(n -> n.watchers.setAvoidListener((w, reason) -> avoided.add(reason)));
+    nodes.values().forEach(n -> n.mirror.restart());
+    advance(2 * MirrorOptions.defaults().watchMs());
+    assertThat(avoided).isEmpty();
+  }
+
   /** A watcher that loses the store for a moment must not copy its whole content to followers. */
   @Test
   void followersThatChangeTheirWatcherDoNotReceiveFullCopies() {
