--- a/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
+++ b/core/src/main/java/org/currantslip/core/mirror/KindMirror.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import org.currantslip.core.common.Clock;
@@ -290,18 +289,19 @@
   }
 
   private void onFailure(@Nullable Throwable failure) {
-    if (isOfKind(failure, StoreException.Kind.SOURCE_GONE)) {
+    if (StoreException.isOfKind(failure, StoreException.Kind.SOURCE_GONE)) {
       nextCallMs = 0;
       return;
     }
-    if (isOfKind(failure, StoreException.Kind.DEFERRED) && consecutiveFailures == 0) {
+    if (StoreException.isOfKind(failure, StoreException.Kind.DEFERRED)
+        && consecutiveFailures == 0) {
       // Another mirror finds out whether the store is back; this copy may not have lost it.
       nextCallMs = clock.nowMs() + options.initialRetryMs();
       return;
     }
     listComplete = false;
     verifying = false;
-    if (isOfKind(failure, StoreException.Kind.HISTORY_GONE)) {
+    if (StoreException.isOfKind(failure, StoreException.Kind.HISTORY_GONE)) {
       nextCallMs = 0;
       return;
     }
@@ -317,14 +317,6 @@
     nextCallMs = nowMs + (long) (delayMs * (1 - JITTER * random.nextDouble()));
   }
 
-  private static boolean isOfKind(@Nullable Throwable failure, StoreException.Kind kind) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
-    return cause instanceof StoreException e && e.kind() == kind;
-  }
-
   /** Returns the changes after a revision, for a peer; empty if the log no longer covers them. */
   public Optional<KindChanges> changesAfter(StorePosition after) {
     return content.changesAfter(after);
--- a/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
+++ b/core/src/main/java/org/currantslip/core/mirror/MirrorRelay.java
@@ -20,7 +20,12 @@
       KindMirror mirror,
       StorePosition after,
       long untilMs,
-      Consumer<MirrorChanges> reply) {}
+      boolean announceOnly,
+      Consumer<MirrorChanges> reply) {
+    private boolean hasChanges() {
+      return mirror.changedPosition().isAfter(after);
+    }
+  }
 
   /**
    * Time for which a watcher that has not read the store yet lets a follower wait for a full copy.
@@ -73,7 +78,9 @@
               }
               long untilMs = clock.nowMs() + watch.getWaitMs();
               StorePosition after = new StorePosition(watch.getEra(), watch.getAfterRevision());
-              PendingWatch pending = new PendingWatch(follower, mirror, after, untilMs, reply);
+              PendingWatch pending =
+                  new PendingWatch(
+                      follower, mirror, after, untilMs, watch.getAnnounceOnly(), reply);
               endReplaced(pending);
               if (isDue(pending)) {
                 answer(pending);
@@ -118,12 +125,14 @@
     request
         .reply()
         .accept(
-            canAnswer(request.mirror()) ? fullCopy(request.mirror()) : notWatching(request.mirror()));
+            canAnswer(request.mirror())
+                ? fullCopy(request.mirror())
+                : notWatching(request.mirror()));
   }
 
-  /** Returns whether watches of peers are waiting for an answer. */
+  /** Returns whether peers wait for this node to send them changes. */
   public boolean hasFollowers() {
-    return !pendingWatches.isEmpty();
+    return pendingWatches.stream().anyMatch(w -> !w.announceOnly());
   }
 
   /** Answers the watches that are due: content changed, wait ended or store lost. */
@@ -141,9 +150,7 @@
   }
 
   private boolean isDue(PendingWatch pending) {
-    return !canAnswer(pending)
-        || pending.mirror().changedPosition().isAfter(pending.after())
-        || clock.nowMs() >= pending.untilMs();
+    return !canAnswer(pending) || pending.hasChanges() || clock.nowMs() >= pending.untilMs();
   }
 
   private void answer(PendingWatch pending) {
@@ -151,8 +158,10 @@
       pending.reply().accept(notWatching(pending.mirror()));
       return;
     }
-    MirrorChanges historyGone =
-        MirrorChanges.newBuilder().setOutcome(MirrorChanges.Outcome.HISTORY_GONE).build();
+    if (pending.announceOnly() && pending.hasChanges()) {
+      pending.reply().accept(outcome(MirrorChanges.Outcome.ANNOUNCED));
+      return;
+    }
     pending
         .reply()
         .accept(
@@ -160,7 +169,11 @@
                 .mirror()
                 .changesAfter(pending.after())
                 .map(MirrorCodec::changesToProto)
-                .orElse(historyGone));
+                .orElseGet(() -> outcome(MirrorChanges.Outcome.HISTORY_GONE)));
+  }
+
+  private static MirrorChanges outcome(MirrorChanges.Outcome outcome) {
+    return MirrorChanges.newBuilder().setOutcome(outcome).build();
   }
 
   /** Returns whether this node can answer; it cannot if it has not reached the peer's era. */
--- a/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
+++ b/core/src/main/java/org/currantslip/core/mirror/RelayedFeed.java
@@ -2,10 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.currantslip.core.common.Clock;
@@ -20,7 +21,10 @@
 import org.currantslip.schema.PeerFrame;
 
 /**
- * Lists and watches through a peer that watches the store, or the store itself if there is none.
+ * Lists and watches through peers that watch the store, or the store itself if there is none.
+ *
+ * <p>One watcher, or the store, sends the changes; another watcher announces them, so that a silent
+ * source does not hide them.
  */
 public final class RelayedFeed implements KindStore {
   /** Time beyond the wait after which a watcher's reply is considered lost; two round trips. */
@@ -29,28 +33,32 @@
   /** A node that lost all its peers would otherwise wait for each of them in turn. */
   private static final int MAX_ASKED_WATCHERS = 2;
 
+  private static final StorePosition NONE = StorePosition.NONE;
+
   private final KindStore store;
   private final PeerNetwork peers;
   private final MirrorCopies copies;
   private final StoreWatchers watchers;
   private final StoreGate gate;
 
-  /** Number of the latest call of each kind; the caller has given up earlier ones. */
-  private final Map<String, Long> latestCall = new HashMap<>();
+  private final Clock clock;
 
-  private long calls;
+  /** The latest watch of each kind; the caller has given up earlier ones. */
+  private final Map<String, FollowedWatch> followed = new HashMap<>();
 
   private RelayedFeed(
       KindStore store,
       PeerNetwork peers,
       MirrorCopies copies,
       StoreWatchers watchers,
-      StoreGate gate) {
+      StoreGate gate,
+      Clock clock) {
     this.store = store;
     this.peers = peers;
     this.copies = copies;
     this.watchers = watchers;
     this.gate = gate;
+    this.clock = clock;
   }
 
   /** Returns a feed that prefers watchers over the store. */
@@ -61,7 +69,12 @@
       StoreWatchers watchers,
       Clock clock) {
     return new RelayedFeed(
-        store, peers, copies, watchers, StoreGate.create(clock, watchers::isWatcher));
+        store, peers, copies, watchers, StoreGate.create(clock, watchers::isWatcher), clock);
+  }
+
+  /** Asks the announcers of changes for those that no watcher has sent. */
+  public void tick() {
+    List.copyOf(followed.values()).forEach(FollowedWatch::tick);
   }
 
   @Override
@@ -75,16 +88,21 @@
     return watcher
         .map(
             name ->
-                askWatcher(name, kind, StorePosition.NONE, 0)
+                listThrough(name, kind)
                     .thenApply(RelayedFeed::toPage)
                     .exceptionallyCompose(failure -> listKind(kind, startAfter, watchersLeft - 1)))
         .orElseGet(
             () ->
                 fromStore(
                     () -> store.listKind(kind, startAfter),
-                    name ->
-                        askWatcher(name, kind, StorePosition.NONE, 0)
-                            .thenApply(RelayedFeed::toPage)));
+                    name -> askDuringOutage(name, kind, NONE, 0).thenApply(RelayedFeed::toPage)));
+  }
+
+  private CompletableFuture<KindChanges> listThrough(String watcher, String kind) {
+    FollowedWatch list = startWatch(kind);
+    list.addSource(send(list, watcher, kind, NONE, 0));
+    watchers.announcer().ifPresent(name -> list.onAnnounced(() -> send(list, name, kind, NONE, 0)));
+    return list.result();
   }
 
   @Override
@@ -110,25 +128,74 @@
         .orElseGet(() -> gate.call(storeCall));
   }
 
-  private static KindPage toPage(MirrorChanges copy) {
+  private static KindPage toPage(KindChanges copy) {
     return new KindPage(
-        copy.getObjectList().stream().map(MirrorCodec::objectFromProto).toList(),
-        false,
-        MirrorCodec.positionOf(copy));
+        copy.changes().stream().map(KindChanges.Change::object).toList(), false, copy.position());
   }
 
   @Override
   public CompletableFuture<KindChanges> watchKind(String kind, StorePosition after, long waitMs) {
-    return watchers
-        .watcher()
-        .map(name -> askWatcher(name, kind, after, waitMs).thenApply(MirrorCodec::changesFromProto))
-        .orElseGet(
-            () ->
-                fromStore(
-                    () -> store.watchKind(kind, after, waitMs),
-                    name ->
-                        askWatcher(name, kind, after, waitMs)
-                            .thenApply(MirrorCodec::changesFromProto)));
+    FollowedWatch watch = startWatch(kind);
+    watch.addSource(
+        watchers
+            .watcher()
+            .map(name -> send(watch, name, kind, after, waitMs))
+            .orElseGet(
+                () ->
+                    fromStore(
+                        () -> store.watchKind(kind, after, waitMs),
+                        name -> askDuringOutage(name, kind, after, waitMs))));
+    awaitAnnouncement(watch, kind, after, waitMs, MAX_ASKED_WATCHERS);
+    return watch.result();
+  }
+
+  private FollowedWatch startWatch(String kind) {
+    FollowedWatch watch = FollowedWatch.create(clock);
+    followed.put(kind, watch);
+    return watch;
+  }
+
+  /** Returns whether the caller still waits for this watch and has not replaced it. */
+  private boolean isAwaited(FollowedWatch watch, String kind) {
+    return followed.get(kind) == watch && !watch.result().isDone();
+  }
+
+  private void awaitAnnouncement(
+      FollowedWatch watch, String kind, StorePosition after, long waitMs, int announcersLeft) {
+    String announcer = watchers.announcer().orElse("");
+    if (announcer.isEmpty() || announcersLeft == 0 || !isAwaited(watch, kind)) {
+      return;
+    }
+    MirrorWatch.Builder query = watchOf(kind, after, waitMs).setAnnounceOnly(true);
+    CompletableFuture<Void> unused =
+        ask(announcer, query, () -> isAwaited(watch, kind))
+            .thenCompose(reply -> copies.unpack(announcer, reply))
+            .handle(
+                (reply, failure) -> {
+                  if (failure != null) {
+                    awaitAnnouncement(watch, kind, after, waitMs, announcersLeft - 1);
+                  } else if (reply.getOutcome() == MirrorChanges.Outcome.ANNOUNCED) {
+                    watch.onAnnounced(() -> send(watch, announcer, kind, after, 0));
+                  } else if (reply.getObjectCount() + reply.getRemovedCount() > 0) {
+                    // Nodes of earlier builds send the changes.
+                    watch.addSource(
+                        CompletableFuture.completedFuture(MirrorCodec.changesFromProto(reply)));
+                  }
+                  return null;
+                });
+  }
+
+  /** Asks a watcher for changes; one that gives no answer while it is awaited is avoided. */
+  private CompletableFuture<KindChanges> send(
+      FollowedWatch watch, String watcher, String kind, StorePosition after, long waitMs) {
+    return complete(
+        watcher, ask(watcher, watchOf(kind, after, waitMs), () -> isAwaited(watch, kind)));
+  }
+
+  /** Asks a watcher in place of the store; one that gives no answer is avoided. */
+  private CompletableFuture<KindChanges> askDuringOutage(
+      String watcher, String kind, StorePosition after, long waitMs) {
+    return complete(watcher, ask(watcher, watchOf(kind, after, waitMs), () -> true));
   }
 
   @Override
@@ -147,21 +214,20 @@
     return store.putStatus(kind, name, status, expectedVersion);
   }
 
-  /** Asks a watcher; one that gives no answer while it is awaited is avoided by the next calls. */
-  private CompletableFuture<MirrorChanges> askWatcher(
-      String watcher, String kind, StorePosition after, long waitMs) {
-    MirrorWatch.Builder watch =
-        MirrorWatch.newBuilder()
-            .setKind(kind)
-            .setEra(after.era())
-            .setAfterRevision(after.revision())
-            .setWaitMs((int) waitMs)
-            .setAcceptsPacked(true);
+  private static MirrorWatch.Builder watchOf(String kind, StorePosition after, long waitMs) {
+    return MirrorWatch.newBuilder()
+        .setKind(kind)
+        .setEra(after.era())
+        .setAfterRevision(after.revision())
+        .setWaitMs((int) waitMs)
+        .setAcceptsPacked(true);
+  }
+
+  private CompletableFuture<MirrorChanges> ask(
+      String watcher, MirrorWatch.Builder watch, BooleanSupplier awaited) {
     PeerFrame frame = PeerFrame.newBuilder().setMirrorWatch(watch).build();
-    long thisCall = ++calls;
-    latestCall.put(kind, thisCall);
     return peers
-        .request(watcher, frame, waitMs + REPLY_MARGIN_MS)
+        .request(watcher, frame, watch.getWaitMs() + REPLY_MARGIN_MS)
         .handle(
             (reply, failure) -> {
               boolean answered = failure == null && reply.hasMirrorChanges();
@@ -169,29 +235,35 @@
                   answered ? reply.getMirrorChanges() : MirrorChanges.getDefaultInstance();
               if (!answered || changes.getOutcome() == MirrorChanges.Outcome.NOT_WATCHING) {
                 // Nodes of earlier builds do not answer a watch that another one has replaced.
-                if (answered || latestCall.get(kind) == thisCall) {
+                if (answered || awaited.getAsBoolean()) {
                   watchers.avoid(watcher, answered ? changes.getReason() : String.valueOf(failure));
                 }
                 throw StoreException.of(StoreException.Kind.SOURCE_GONE, watcher + " is no source");
               }
+              return changes;
+            });
+  }
+
+  /** Fetches the copy to which a reply refers, and fails if the reply has no changes to give. */
+  private CompletableFuture<KindChanges> complete(
+      String watcher, CompletableFuture<MirrorChanges> reply) {
+    return reply
+        .thenCompose(
+            changes -> {
               if (changes.getOutcome() != MirrorChanges.Outcome.COMPLETE) {
                 throw StoreException.of(
                     StoreException.Kind.HISTORY_GONE, watcher + " returned no complete changes");
               }
-              return changes;
+              return copies.unpack(watcher, changes);
             })
-        .thenCompose(changes -> copies.unpack(watcher, changes))
+        .thenApply(MirrorCodec::changesFromProto)
         .exceptionallyCompose(failure -> CompletableFuture.failedFuture(asStoreFailure(failure)));
   }
 
   /** A copy that could not be fetched whole is continued when it is asked for again. */
   private static StoreException asStoreFailure(Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
-    return cause instanceof StoreException known
-        ? known
-        : StoreException.of(StoreException.Kind.SOURCE_GONE, cause.toString());
+    return StoreException.find(failure)
+        .orElseGet(
+            () -> StoreException.of(StoreException.Kind.SOURCE_GONE, String.valueOf(failure)));
   }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/StoreGate.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreGate.java
@@ -1,7 +1,6 @@
 package org.currantslip.core.mirror;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.currantslip.core.common.Clock;
@@ -68,10 +67,8 @@
   }
 
   private static boolean isNotDone(Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
-    return !(cause instanceof StoreException e) || e.kind() == StoreException.Kind.NOT_DONE;
+    return StoreException.find(failure)
+        .map(e -> e.kind() == StoreException.Kind.NOT_DONE)
+        .orElse(true);
   }
 }
--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -19,10 +19,11 @@
  * Selects the nodes that watch the store, and the watcher that each other node follows.
  *
  * <p>One node of each failure domain, selected by the hash of the names, watches the store, and at
- * least two in all, so that the number of store calls does not grow with the fleet. The others
- * follow the watcher of their domain, or that of another domain while theirs does not answer. The
- * selection needs no consensus: a node that is asked but does not watch replies so, and the
- * requester turns to another watcher or to the store.
+ * least two in all and one for every 32 nodes, so that the number of store calls hardly grows with
+ * the fleet and that of the followers of a watcher is bounded. The others follow the watcher of
+ * their domain, or that of another domain while theirs does not answer. The selection needs no
+ * consensus: a node that is asked but does not watch replies so, and the requester turns to another
+ * watcher or to the store.
  */
 public final class StoreWatchers {
   /** Tolerates the loss of one watcher; its followers then use another. */
@@ -71,12 +72,22 @@
 
   /** Returns the watcher to ask; empty if this node must use the store itself. */
   public Optional<String> watcher() {
-    if (isWatcher()) {
-      return Optional.empty();
-    }
+    return isWatcher() ? Optional.empty() : nearest(answering());
+  }
+
+  /**
+   * Returns the watcher that tells this node that there are changes: another one than {@link
+   * #watcher}, or than this node if it watches the store itself.
+   */
+  Optional<String> announcer() {
+    String source = isWatcher() ? self() : watcher().orElse("");
+    return nearest(answering().filter(w -> !w.name().equals(source)));
+  }
+
+  private Stream<Watcher> answering() {
     long nowMs = clock.nowMs();
     avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
-    return nearest(watchers().stream().filter(w -> !avoidedUntilMs.containsKey(w.name())));
+    return watchers().stream().filter(w -> !avoidedUntilMs.containsKey(w.name()));
   }
 
   /** Returns the watcher to ask while the store fails; it may be one that lost the store too. */
--- a/core/src/main/java/org/currantslip/core/port/StoreException.java
+++ b/core/src/main/java/org/currantslip/core/port/StoreException.java
@@ -1,5 +1,9 @@
 package org.currantslip.core.port;
 
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+
 /** Thrown when a call to the object API fails. */
 public final class StoreException extends RuntimeException {
   private static final long serialVersionUID = 1L;
@@ -32,6 +36,17 @@
     return new StoreException(kind, detail);
   }
 
+  /** Returns the failure of a call to the store that a future has reported, if it is one. */
+  public static Optional<StoreException> find(@Nullable Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof StoreException found ? Optional.of(found) : Optional.empty();
+  }
+
+  /** Returns whether a future has reported a failed call to the store of this kind. */
+  public static boolean isOfKind(@Nullable Throwable failure, Kind kind) {
+    return find(failure).filter(found -> found.kind == kind).isPresent();
+  }
+
   /** Returns the effect of the failed call, as far as it is known. */
   public Kind kind() {
     return kind;
--- a/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
+++ b/core/src/test/java/org/currantslip/core/fake/FakePeerNetwork.java
@@ -41,6 +41,7 @@
   private final Map<String, Long> sentUntilMicros = new HashMap<>();
   private long latencyMs = 1;
   private long linkBytesPerMs = Long.MAX_VALUE;
+  private final Map<String, Long> nodeBytesPerMs = new HashMap<>();
   private long frameCount;
   private long byteCount;
 
@@ -108,6 +109,11 @@
     linkBytesPerMs = bytesPerMs;
   }
 
+  /** Sets the rate at which one node sends. */
+  public void setLinkBytesPerMs(String node, long bytesPerMs) {
+    nodeBytesPerMs.put(node, bytesPerMs);
+  }
+
   /** Returns the number of frames sent so far. */
   public long frameCount() {
     return frameCount;
@@ -130,7 +136,8 @@
   private long sendMs(String from, PeerFrame frame) {
     long nowMicros = MICROS_PER_MS * events.clock().nowMs();
     long startMicros = Math.max(nowMicros, sentUntilMicros.getOrDefault(from, 0L));
-    long endMicros = startMicros + MICROS_PER_MS * frame.getSerializedSize() / linkBytesPerMs;
+    long bytesPerMs = nodeBytesPerMs.getOrDefault(from, linkBytesPerMs);
+    long endMicros = startMicros + MICROS_PER_MS * frame.getSerializedSize() / bytesPerMs;
     sentUntilMicros.put(from, endMicros);
     return (endMicros - nowMicros) / MICROS_PER_MS;
   }
--- a/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
+++ b/core/src/test/java/org/currantslip/core/mirror/FakeKindStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.currantslip.core.fake.FakeEvents;
 import org.currantslip.core.port.KindChanges;
 import org.currantslip.core.port.KindObject;
@@ -50,11 +51,13 @@
     put(name, ByteString.copyFromUtf8(name));
   }
 
-  void put(String name, ByteString spec) {
+  /** Writes an object and returns its revision. */
+  long put(String name, ByteString spec) {
     revision++;
     KindObject object = new KindObject(name, revision, spec, ByteString.EMPTY);
     objects.put(name, object);
     append(new KindChanges.Change(object, false));
+    return revision;
   }
 
   void remove(String name) {
@@ -76,7 +79,8 @@
             .map(LogEntry::change)
             .toList();
     KindChanges changes = new KindChanges(since, position(), false);
-    events.after(LATENCY_MS, () -> watch.link().complete(watch.answer(), changes));
+    long transferMs = watch.link().transferMs(since.stream().map(KindChanges.Change::object));
+    events.after(transferMs, () -> watch.link().complete(watch.answer(), changes));
   }
 
   Link newLink() {
@@ -87,6 +91,21 @@
   final class Link implements KindStore {
     private boolean cut;
     private boolean refused;
+    private long bytesPerMs = Long.MAX_VALUE;
+    private long receivedUntilMs;
+
+    /** Sets the rate at which the node receives responses, which follow each other. */
+    void setBytesPerMs(long rate) {
+      bytesPerMs = rate;
+    }
+
+    /** Returns the time until a response has arrived that is sent now. */
+    private long transferMs(Stream<KindObject> content) {
+      long bytes = content.mapToLong(o -> o.spec().size()).sum();
+      long nowMs = events.clock().nowMs();
+      receivedUntilMs = Math.max(nowMs, receivedUntilMs) + bytes / bytesPerMs;
+      return receivedUntilMs - nowMs + LATENCY_MS;
+    }
 
     /** Drops replies silently, so that calls hang as on a dead connection. */
     void setCut(boolean cutOff) {
@@ -121,7 +140,7 @@
       }
       CompletableFuture<KindPage> answer = new CompletableFuture<>();
       KindPage page = new KindPage(List.copyOf(objects.values()), false, position());
-      events.after(LATENCY_MS, () -> complete(answer, page));
+      events.after(transferMs(objects.values().stream()), () -> complete(answer, page));
       return answer;
     }
 
--- a/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
+++ b/node/src/main/java/org/currantslip/node/edge/FleetMirrors.java
@@ -28,6 +28,7 @@
   private final HeartbeatMembership membership;
   private final StoreWatchers watchers;
   private final MirrorCopies copies;
+  private final RelayedFeed feed;
   private final StoreMirrors mirrors;
   private final MirrorRelay relay;
   private final StoreProbe probe;
@@ -46,9 +47,10 @@
     startMs = clock.nowMs() + MAX_DISCOVERY_MS;
     watchers = StoreWatchers.create(membership, clock);
     copies = MirrorCopies.create(peers, clock);
+    feed = RelayedFeed.create(store, peers, copies, watchers, clock);
     mirrors =
         StoreMirrors.create(
-            RelayedFeed.create(store, peers, copies, watchers, clock),
+            feed,
             clock,
             seed,
             EdgeOptions.regions(settings),
@@ -92,6 +94,7 @@
 
   void tick() {
     TickStep.run("watchers", () -> watchers.pollWatcherChange().ifPresent(this::onWatcherChange));
+    TickStep.run("feed", feed::tick);
     TickStep.run("mirrors", this::tickMirrors);
     TickStep.run("relay", relay::tick);
     TickStep.run("probe", probe::tick);
