--- a/core/src/main/java/org/currantslip/core/mirror/CopyFetcher.java
+++ b/core/src/main/java/org/currantslip/core/mirror/CopyFetcher.java
@@ -29,10 +29,10 @@
  */
 final class CopyFetcher {
   /** A part is no longer expected after this time; long enough for a link that is full. */
-  private static final long PART_TIMEOUT_MS = 5_000;
+  private static final long PART_TIMEOUT_MS = 1_500;
 
   /** Time after which a second source is asked for the same part. */
-  private static final long SLOW_PART_MS = 1_000;
+  private static final long SLOW_PART_MS = 300;
 
   /** Time after which a source that sends to others is asked again. */
   private static final long BUSY_RETRY_MS = 100;
--- a/core/src/test/java/org/currantslip/core/mirror/CopyTransferTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/CopyTransferTest.java
@@ -97,6 +97,17 @@
     assertThat(offsets).containsNoDuplicates();
   }
 
+  /** The only known source held up a copy for longer than a configuration may take. */
+  @Test
+  void copyWhoseOnlySourceFallsSilentIsGivenUpInTime() {
+    MirrorChanges packed = node("a").pack(changes);
+    final CompletableFuture<MirrorChanges> copy = node("c").unpack("a", packed);
+    events.advance(7);
+    silent.add("a");
+    advance(2_000);
+    assertThat(copy.isCompletedExceptionally()).isTrue();
+  }
+
   @Test
   void nodesBeyondThoseServedAtOnceAreSentToHolders() {
     MirrorChanges packed = node("a").pack(changes);
