--- a/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
+++ b/core/src/main/java/org/currantslip/core/mirror/StoreWatchers.java
@@ -1,6 +1,9 @@
 package org.currantslip.core.mirror;
 
 import com.google.common.hash.Hashing;
+import com.google.common.math.IntMath;
+import com.google.common.primitives.Ints;
+import java.math.RoundingMode;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -29,6 +32,9 @@
   /** Tolerates the loss of one watcher; its followers then use another. */
   private static final int MIN_WATCHERS = 2;
 
+  /** Limits the time for a watcher to send a large change to all its followers. */
+  private static final int MAX_NODES_PER_WATCHER = 32;
+
   /** Long enough for the membership to detect that a watcher is gone. */
   private static final long AVOID_MS = 2_000;
 
@@ -146,12 +152,17 @@
       watchers =
           Stream.concat(firstByDomain.values().stream(), ranked.stream())
               .distinct()
-              .limit(Math.max(MIN_WATCHERS, firstByDomain.size()))
+              .limit(watcherCount(live.size(), firstByDomain.size()))
               .toList();
     }
     return watchers;
   }
 
+  private static int watcherCount(int nodes, int domains) {
+    int needed = IntMath.divide(nodes, MAX_NODES_PER_WATCHER, RoundingMode.CEILING);
+    return Ints.max(MIN_WATCHERS, domains, needed);
+  }
+
   private static long hash(String salt, String name) {
     return Hashing.murmur3_128().hashString(salt + '\0' + name, StandardCharsets.UTF_8).asLong();
   }
--- a/core/src/test/java/org/currantslip/core/mirror/LargeConfigurationSeriesTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/LargeConfigurationSeriesTest.java
@@ -61,7 +61,8 @@
     "64, 4, false, 1",
     "64, 4, true, 1",
     "420, 17, false, 1",
-    "420, 17, true, 1"
+    "420, 17, true, 1",
+    "420, 4, true, 1"
   })
   void eachConfigurationOfSeriesIsInForceInTime(
       int count, int domains, boolean slowest, int silentWatchers) {
--- a/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedMirrorsTest.java
@@ -136,6 +136,14 @@
     assertThat(fleet.watchers().count()).isEqualTo(MirrorFleet.DOMAINS);
   }
 
+  /** The time for a large change to reach the followers of a watcher grows with their number. */
+  @Test
+  void followersOfOneWatcherAreBounded() {
+    store.put("a");
+    fleet.start(420);
+    assertThat(fleet.watchers().count()).isEqualTo(14);
+  }
+
   @Test
   void idleFollowersMakeNoStoreCalls() {
     store.put("a");
