--- a/core/src/test/java/org/currantslip/core/mirror/RelayedFeedTest.java
+++ b/core/src/test/java/org/currantslip/core/mirror/RelayedFeedTest.java
@@ -94,7 +94,7 @@
   /** Nodes of earlier builds leave a watch unanswered that the same follower has replaced. */
   @Test
   void replacedWatchWithoutAnswerDoesNotTurnTheFollowerAway() {
-    CompletableFuture<KindChanges> replaced = feed.watchKind(KIND, AFTER, WAIT_MS);
+    final CompletableFuture<KindChanges> replaced = feed.watchKind(KIND, AFTER, WAIT_MS);
     events.advance(5_000);
     feed.watchKind(KIND, AFTER, WAIT_MS);
     events.advance(10_000);
