--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -1,10 +1,13 @@
 package org.currantslip.core.relay;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.currantslip.core.common.Ran;
@@ -95,6 +98,69 @@
     assertThat(request.end().code()).isNotEqualTo(ResultCode.OK);
   }
 
+  /** Guards against the text of an error in the middle of a relayed stream. */
+  @Test
+  void relayedStreamIsNotContinuedByErrorResponse() {
+    Node cut = fleet.cutOff(0);
+    final Sent request = cut.send(RelayFleet.STREAM);
+    fleet.run(110);
+    final String begun = request.text.toString();
+    fleet.status = 500;
+    fleet.contentType = "text/plain";
+    helper().breakOpenCalls();
+    fleet.run(1_000);
+    assertThat(begun).isNotEmpty();
+    assertThat(request.text.toString()).isEqualTo(begun);
+    assertThat(request.end().code()).isNotEqualTo(ResultCode.OK);
+  }
+
+  /** Guards against a part of a body, or none, that is relayed as the whole response. */
+  @Test
+  void relayedResponseThatBreaksAtAnyTimeIsNotComplete() {
+    for (int ms = 1; ms < 80; ms++) {
+      fleet = new RelayFleet(6, ImmutableSet.of());
+      Node cut = fleet.cutOff(0);
+      Sent request = cut.send(RelayFleet.UNSAFE);
+      fleet.run(ms);
+      fleet.nodes.forEach(Node::breakOpenCalls);
+      fleet.run(1_000);
+      boolean whole = request.text.toString().equals("done");
+      assertWithMessage("served, broken after %s ms", ms)
+          .that(request.isServed() && !whole)
+          .isFalse();
+      assertWithMessage("not run, broken after %s ms", ms)
+          .that(request.end().ran() == Ran.NO && !fleet.runs.isEmpty())
+          .isFalse();
+      assertThat(fleet.runs.size()).isAtMost(1);
+    }
+  }
+
+  /** Guards against an earlier refusal that is taken for the answer to the next request. */
+  @Test
+  void refusalThatArrivesTwiceEndsNoOtherRequest() {
+    Node cut = fleet.cutOff(0);
+    Map<String, PeerFrame> refusals = new HashMap<>();
+    fleet.network.setLossPlan(
+        (from, to, frame) -> {
+          if (frame.hasRelayEnd()) {
+            refusals.put(from, frame);
+          }
+          return false;
+        });
+    fleet.nodes.forEach(n -> n.serving = false);
+    cut.send(RelayFleet.UNSAFE);
+    fleet.run(1_000);
+    assertThat(refusals).isNotEmpty();
+    fleet.nodes.forEach(n -> n.serving = true);
+    fleet.run(1_000);
+    final Sent request = cut.send(RelayFleet.UNSAFE);
+    fleet.run(20);
+    Map.copyOf(refusals).forEach(cut.client::onFrame);
+    fleet.run(1_000);
+    assertThat(request.isServed()).isTrue();
+    assertThat(fleet.runs).hasSize(1);
+  }
+
   /** Guards against a request that may be repeated but fails with its helper. */
   @Test
   void otherHelperTakesOver() {
--- a/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFleet.java
@@ -107,6 +107,7 @@
   RelayOptions options = RelayOptions.ofCores(1);
   String eventText = "x";
   String contentType = "text/event-stream";
+  int status = 200;
   private final RouteHolder routes = RouteHolder.create();
   private final Set<String> unreachable = new HashSet<>();
   private final Random random = new Random(7);
@@ -211,7 +212,7 @@
 
   private EndpointResponseHead head(EndpointRequest request) {
     return new EndpointResponseHead(
-        200,
+        status,
         contentType,
         request.correlation(),
         false,
