--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -16,7 +16,10 @@
 import org.currantslip.core.relay.RelayFleet.Sent;
 import org.currantslip.schema.PeerFrame;
 import org.currantslip.schema.RelayData;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests single failures of a relay between a node that is cut off and its peers. */
 final class RelayFailureTest {
@@ -135,6 +138,19 @@
     }
   }
 
+  /** Guards against a number that is no status of HTTP, from a peer of an earlier build. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 99, 600, 999})
+  @Tag("known-red")
+  void unknownStatusFromPeerIsNoResponse(int status) {
+    fleet.status = status;
+    Node cut = fleet.cutOff(0);
+    Sent request = cut.send(RelayFleet.UNSAFE);
+    fleet.run(1_000);
+    assertThat(request.isServed()).isFalse();
+    assertThat(request.end().httpStatus()).isEqualTo(502);
+  }
+
   /** Guards against an earlier refusal that is taken for the answer to the next request. */
   @Test
   void refusalThatArrivesTwiceEndsNoOtherRequest() {
