--- a/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
+++ b/core/src/test/java/org/currantslip/core/relay/RelayFailureTest.java
@@ -123,7 +123,7 @@
     for (int ms = 1; ms < 80; ms++) {
       fleet = new RelayFleet(6, ImmutableSet.of());
       Node cut = fleet.cutOff(0);
-      Sent request = cut.send(RelayFleet.UNSAFE);
+      final Sent request = cut.send(RelayFleet.UNSAFE);
       fleet.run(ms);
       fleet.nodes.forEach(Node::breakOpenCalls);
       fleet.run(1_000);
