--- a/review/12/HaltAfterComplete.java
+++ b/review/12/HaltAfterComplete.java
@@ -87,6 +87,8 @@
                 peer, hosts[0] + ":" + storePort));
       }
       run.host = hosts[0];
+      List<Node> started = run.nodes;
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> started.forEach(Node::kill)));
       code = run.play(free);
     } catch (Exception e) {
       record.say("could not run: %s", e);
@@ -141,7 +143,7 @@
     for (Node node : nodes) {
       node.start();
     }
-    long giveUpMs = record.ms() + 20_000;
+    long giveUpMs = record.ms() + 14_000;
     for (Node node : nodes) {
       while (!isReady(node)) {
         if (record.ms() > giveUpMs || !node.isAlive()) {
